--- /dev/null
+++ b/include/greengage/version.h
@@ -0,0 +1,7 @@
+/** @file
+ * Version of the programs. */
+#pragma once
+
+#ifndef GG_VERSION
+#define GG_VERSION "unknown"
+#endif
--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,14 @@
+/** @file
+ * Monotonic and wall clock readings in milliseconds. */
+#pragma once
+
+#include <stdint.h>
+
+/** Milliseconds of CLOCK_MONOTONIC; the time base of every deadline. */
+uint64_t gg_clock_now_ms (void);
+
+/** Microseconds of CLOCK_MONOTONIC. */
+uint64_t gg_clock_now_us (void);
+
+/** Milliseconds since the Unix epoch; only for records that people or other machines read. */
+uint64_t gg_clock_wall_ms (void);
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,71 @@
+/** @file
+ * Checked INI settings of a daemon.
+ *
+ * A daemon declares its settings in one table of GgSetting; loading rejects unknown sections
+ * and keys and values out of range. An error names file, section, key, value and what was
+ * expected. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef enum
+{
+  GG_SETTING_STRING,
+  GG_SETTING_UINT,
+  GG_SETTING_BOOLEAN,
+  GG_SETTING_ADDRESS,      /**< "IP:PORT"; an IPv6 address stands in brackets. */
+  GG_SETTING_ADDRESS_LIST, /**< Addresses separated by ';'. */
+} GgSettingType;
+
+/** Declares one key. */
+typedef struct
+{
+  const char *section;
+  const char *key;
+  GgSettingType type;
+  const char *initial; /**< Default in text form; NULL if the key is required. */
+  uint64_t min;        /**< Inclusive bounds of GG_SETTING_UINT. */
+  uint64_t max;
+  const char *unit;   /**< "ms", "bytes", "1/s" or "". */
+  const char *effect; /**< One sentence for operators. */
+} GgSetting;
+
+#define GG_SETTINGS_ERROR (gg_settings_error_quark ())
+GQuark gg_settings_error_quark (void);
+
+typedef enum
+{
+  GG_SETTINGS_ERROR_READ,
+  GG_SETTINGS_ERROR_UNKNOWN_KEY,
+  GG_SETTINGS_ERROR_MISSING_KEY,
+  GG_SETTINGS_ERROR_VALUE,
+} GgSettingsError;
+
+typedef struct _GgSettings GgSettings;
+
+/** Reads and checks @p path against the @p n_specs entries of @p specs (kept by reference).
+ * @return NULL with @p error set if the file can't be read or a key is wrong. */
+GgSettings *
+gg_settings_create (const char *path, const GgSetting *specs, size_t n_specs, GError **error);
+
+/** As gg_settings_create(), from text in memory; @p name stands for the file in errors. */
+GgSettings *gg_settings_create_from_text (
+    const char *name, const char *text, const GgSetting *specs, size_t n_specs, GError **error);
+void gg_settings_destroy (GgSettings *self);
+
+/** Values by section and key; a key that was not declared is a broken invariant.
+ * Strings are owned by @p self. */
+const char *gg_settings_get_string (const GgSettings *self, const char *section, const char *key);
+uint64_t gg_settings_get_uint (const GgSettings *self, const char *section, const char *key);
+gboolean gg_settings_get_boolean (const GgSettings *self, const char *section, const char *key);
+
+/** Returns a NULL-terminated list owned by the caller (g_strfreev()). */
+char **gg_settings_get_list (const GgSettings *self, const char *section, const char *key);
+
+/** Appends a Markdown table of @p specs: key, unit, default, range, effect. */
+void gg_settings_describe (const GgSetting *specs, size_t n_specs, GString *text_out);
+
+/** Splits "IP:PORT" into a host owned by the caller and a port.
+ * @return FALSE if @p address is of another form. */
+gboolean gg_address_parse (const char *address, char **host_out, uint16_t *port_out);
--- /dev/null
+++ b/src/core/config_document.h
@@ -0,0 +1,46 @@
+/** @file
+ * The one published configuration document: generation, publish id and files. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Immutable, reference counted. */
+typedef struct _GgConfigDocument GgConfigDocument;
+
+/** @param files path to INI text (both char *); copied. */
+GgConfigDocument *
+gg_config_document_create (uint64_t generation, const char *publish_id, GHashTable *files);
+GgConfigDocument *gg_config_document_ref (GgConfigDocument *self);
+void gg_config_document_unref (GgConfigDocument *self);
+
+/** Parses the JSON form; errors are of GG_CONFIG_ERROR. */
+GgConfigDocument *gg_config_document_parse (const char *json, GError **error);
+
+/** Returns the JSON form, owned by the caller. Equal documents give equal bytes. */
+char *gg_config_document_format (const GgConfigDocument *self);
+
+uint64_t gg_config_document_get_generation (const GgConfigDocument *self);
+const char *gg_config_document_get_publish_id (const GgConfigDocument *self);
+
+/** Returns path to text; owned by @p self and not to be changed. */
+GHashTable *gg_config_document_get_files (const GgConfigDocument *self);
+
+/** Returns TRUE if @p candidate may replace @p current: its generation is higher.
+ * @param current NULL if there is none yet. */
+gboolean gg_config_document_supersedes (const GgConfigDocument *candidate,
+                                        const GgConfigDocument *current);
+
+/** Three-way merge of the files that a publisher changes onto a newer document.
+ *
+ * @param base what the publisher read; NULL if there was no document.
+ * @param changes path to text; a NULL text removes the file.
+ * @param current the newer document; NULL if there is none.
+ * @param conflict_out on FALSE, the path that both changed differently (owned by the caller).
+ * @return TRUE with @p merged_out set to generation current + 1. */
+gboolean gg_config_document_merge (GgConfigDocument **merged_out,
+                                   char **conflict_out,
+                                   const GgConfigDocument *base,
+                                   GHashTable *changes,
+                                   const GgConfigDocument *current,
+                                   const char *publish_id);
--- /dev/null
+++ b/src/core/exchange.h
@@ -0,0 +1,22 @@
+/** @file
+ * Compact load records that control processes exchange. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Load of one runner as its collector saw it. */
+typedef struct
+{
+  uint32_t runner_hash;        /**< gg_id_hash_instance() of the runner's id. */
+  uint32_t outstanding_tokens; /**< Rounded to a 4-bit exponent and 4-bit mantissa on the wire. */
+  uint32_t tokens_per_s;       /**< Likewise. */
+  uint32_t age_ms; /**< Since the runner measured it; in 50 ms steps, at most 12.75 s. */
+  gboolean leaving;
+} GgExchangeLoad;
+
+#define GG_EXCHANGE_LOAD_SIZE_BYTES 8
+
+void gg_exchange_load_encode (const GgExchangeLoad *load, uint8_t out[GG_EXCHANGE_LOAD_SIZE_BYTES]);
+void gg_exchange_load_decode (GgExchangeLoad *load_out,
+                              const uint8_t in[GG_EXCHANGE_LOAD_SIZE_BYTES]);
--- /dev/null
+++ b/src/ports/instance_list.h
@@ -0,0 +1,14 @@
+/** @file
+ * Port to the platform's list of live and leaving instances. */
+#pragma once
+
+#include "core/member.h"
+
+typedef struct _GgInstanceList GgInstanceList;
+
+GgInstanceList *gg_instance_list_create (const char *address);
+void gg_instance_list_destroy (GgInstanceList *self);
+
+/** Reads the whole list into an array of GgMember (clear function set).
+ * @return FALSE if it could not be read by @p deadline_ms or is malformed. */
+gboolean gg_instance_list_read (GgInstanceList *self, uint64_t deadline_ms, GArray **members_out);
--- /dev/null
+++ b/src/ports/kv.h
@@ -0,0 +1,46 @@
+/** @file
+ * Port to the platform's key-value service. Thread-safe. Every call is bounded by a deadline
+ * and counted. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _GgKv GgKv;
+
+typedef enum
+{
+  GG_KV_OK,
+  GG_KV_ABSENT,      /**< There is no such key. */
+  GG_KV_CONFLICT,    /**< The stored version is another one; nothing was written. */
+  GG_KV_UNREACHABLE, /**< Proven that nothing was sent, or a read failed. */
+  GG_KV_IN_DOUBT,    /**< A write may have taken effect; read it back. */
+} GgKvResult;
+
+typedef struct
+{
+  char *key;
+  char *text; /**< Value, NUL-terminated; NULL if absent. */
+  uint64_t version;
+} GgKvValue;
+
+void gg_kv_value_clear (GgKvValue *self);
+
+/** @param addresses NULL-terminated "IP:PORT" list, tried in turn. */
+GgKv *gg_kv_create (const char *const *addresses);
+void gg_kv_destroy (GgKv *self);
+
+/** Reads one key. @p deadline_ms is monotonic, here and below. */
+GgKvResult gg_kv_get (GgKv *self, const char *key, uint64_t deadline_ms, GgKvValue *value_out);
+
+/** Reads all keys under @p prefix into an array of GgKvValue (clear function set). */
+GgKvResult gg_kv_list (GgKv *self, const char *prefix, uint64_t deadline_ms, GArray **values_out);
+
+/** Writes if the stored version is @p version; 0 creates if absent.
+ * @param text at most one megabyte. */
+GgKvResult gg_kv_put_if_version (
+    GgKv *self, const char *key, const char *text, uint64_t version, uint64_t deadline_ms);
+
+/** Waits until the version of @p key exceeds @p version or @p deadline_ms, then reads it. */
+GgKvResult gg_kv_watch (
+    GgKv *self, const char *key, uint64_t version, uint64_t deadline_ms, GgKvValue *value_out);
--- /dev/null
+++ b/src/ports/stage.h
@@ -0,0 +1,84 @@
+/** @file
+ * Port to model engines that hold a layer range. Thread-safe. */
+#pragma once
+
+#include "greengage/id.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _GgStageClient GgStageClient;
+
+typedef enum
+{
+  GG_STAGE_OK,
+  GG_STAGE_REFUSED,  /**< Refused before accepting; see refusal. */
+  GG_STAGE_NOT_SENT, /**< No connection; no byte was sent. */
+  GG_STAGE_IN_DOUBT, /**< Timeout, reset, wrong ids or malformed reply. */
+} GgStageResult;
+
+typedef enum
+{
+  GG_STAGE_REFUSAL_NONE,
+  GG_STAGE_REFUSAL_LEAVING,
+  GG_STAGE_REFUSAL_BUSY,
+  GG_STAGE_REFUSAL_LOADING,
+  GG_STAGE_REFUSAL_LINEAGE, /**< Position, epoch or lineage is not what the engine holds. */
+  GG_STAGE_REFUSAL_VERSION,
+} GgStageRefusal;
+
+typedef struct
+{
+  GgId request;
+  GgId attempt;
+  uint32_t epoch;
+  const char *model;
+  const char *version;
+  uint32_t first_layer;
+  uint32_t end_layer;
+  uint32_t position;
+  const char *const *inputs;
+  uint32_t n_inputs;
+} GgStageStep;
+
+typedef struct
+{
+  GgStageRefusal refusal;
+  GPtrArray *outputs; /**< char *, one per input; free function set. */
+  gboolean end;
+  gboolean connection_was_fresh; /**< For runner_health. */
+} GgStageReply;
+
+void gg_stage_reply_clear (GgStageReply *self);
+
+typedef struct _GgHttpPool GgHttpPool;
+
+/** @param pool connections, not owned. */
+GgStageClient *gg_stage_client_create (GgHttpPool *pool);
+void gg_stage_client_destroy (GgStageClient *self);
+
+/** Steps a lineage at @p address; returns by @p deadline_ms. A reply whose ids differ is
+ * GG_STAGE_IN_DOUBT, is counted, and its connection is closed. */
+GgStageResult gg_stage_client_step (GgStageClient *self,
+                                    const char *address,
+                                    const GgStageStep *step,
+                                    uint64_t deadline_ms,
+                                    GgStageReply *reply_out);
+
+/** Cancels a lineage without waiting for the reply. */
+void gg_stage_client_cancel (GgStageClient *self, const char *address, const GgId *attempt);
+
+/** Exports the KV cache of a lineage as text, owned by the caller. */
+GgStageResult gg_stage_client_export (GgStageClient *self,
+                                      const char *address,
+                                      const GgId *attempt,
+                                      uint64_t deadline_ms,
+                                      char **kv_out);
+
+/** Imports an exported KV cache as a new lineage. */
+GgStageResult gg_stage_client_import (GgStageClient *self,
+                                      const char *address,
+                                      const GgId *attempt,
+                                      uint32_t epoch,
+                                      const char *kv,
+                                      uint64_t deadline_ms);
