--- /dev/null
+++ b/src/core/retry_budget.c
@@ -0,0 +1,49 @@
+#include "core/retry_budget.h"
+
+#include <stdatomic.h>
+
+/* The balance is kept in hundredths of a retry. */
+#define ONE_RETRY 100
+/* Bound of what an idle period can save up, in retries. */
+#define MAX_SAVED 100
+
+struct _GgRetryBudget
+{
+  uint32_t percent;
+  _Atomic int64_t balance;
+};
+
+GgRetryBudget *
+gg_retry_budget_create (uint32_t percent, uint32_t reserve)
+{
+  GgRetryBudget *self = g_new0 (GgRetryBudget, 1);
+  self->percent = percent;
+  atomic_init (&self->balance, (int64_t) reserve * ONE_RETRY);
+  return self;
+}
+
+void
+gg_retry_budget_destroy (GgRetryBudget *self)
+{
+  g_free (self);
+}
+
+void
+gg_retry_budget_deposit (GgRetryBudget *self)
+{
+  int64_t balance = atomic_load (&self->balance);
+  if (balance < (int64_t) MAX_SAVED * ONE_RETRY)
+    atomic_fetch_add (&self->balance, self->percent);
+}
+
+gboolean
+gg_retry_budget_withdraw (GgRetryBudget *self, uint64_t now_ms, uint64_t deadline_ms)
+{
+  if (now_ms >= deadline_ms)
+    return FALSE;
+  int64_t balance = atomic_load (&self->balance);
+  while (balance >= ONE_RETRY)
+    if (atomic_compare_exchange_weak (&self->balance, &balance, balance - ONE_RETRY))
+      return TRUE;
+  return FALSE;
+}
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -23,12 +23,13 @@
   char *service;
   uint32_t first_layer;
   uint32_t end_layer;
-  _Atomic int64_t outstanding_tokens; /**< Own work in flight, in token steps or calls. */
-  _Atomic int64_t started_tokens;     /**< Own work ever started, in token steps or calls. */
-  _Atomic uint32_t step_time_us;      /**< Moving average of one step or call as seen here. */
-  _Atomic uint64_t leaving;           /**< 1 after the runner itself refused as leaving. */
-  _Atomic uint64_t ejected_until_ms;  /**< Set by gg_runner_health_*(). */
-  _Atomic uint64_t failures;          /**< Consecutive failures on fresh connections. */
+  _Atomic uint32_t outstanding_tokens; /**< Own answers and calls in progress; an answer has
+                                        * one token in progress at a time. */
+  _Atomic uint32_t step_time_us;       /**< Moving average of one step or call as seen here. */
+  _Atomic uint32_t leaving;            /**< 1 after the runner itself refused as leaving. */
+  _Atomic uint32_t suspect;            /**< 1 from a failure to the next success or probe. */
+  _Atomic uint32_t failures;           /**< Consecutive failures on fresh connections. */
+  _Atomic uint64_t ejected_until_ms;   /**< Monotonic; earliest time of the next probe. */
 };
 
 GgRunner *gg_runner_create (const char *id,
@@ -41,19 +42,22 @@
 GgRunner *gg_runner_ref (GgRunner *self);
 void gg_runner_unref (GgRunner *self);
 
-/** Counts work in flight and learns the step time. */
-void gg_runner_begin_work (GgRunner *self, int64_t tokens);
-void gg_runner_end_work (GgRunner *self, int64_t tokens, uint64_t elapsed_us);
+/** Counts an answer or call in progress. */
+void gg_runner_begin_work (GgRunner *self);
+void gg_runner_end_work (GgRunner *self);
+
+/** Learns the time of one step or call, microseconds. */
+void gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us);
 
 /** Reported load of one runner, with its age. */
 typedef struct
 {
   GgRunner *runner;
   uint32_t reported_outstanding_tokens;
-  uint32_t tokens_per_s;            /**< Speed; 0 if unknown. */
-  uint64_t reported_at_ms;          /**< Monotonic; 0 if never. */
-  int64_t started_tokens_at_report; /**< started_tokens when the report arrived. */
-  uint32_t link_us;                 /**< One-way cost of the link to the runner. */
+  uint32_t tokens_per_s;         /**< Speed; 0 if unknown. */
+  uint64_t reported_at_ms;       /**< Monotonic; 0 if never. */
+  uint32_t own_tokens_at_report; /**< Own outstanding tokens when the report arrived. */
+  uint32_t link_us;              /**< One-way cost of the link to the runner. */
   gboolean leaving;
 } GgRouteEntry;
 
@@ -76,7 +80,7 @@
 {
   const char *service;
   uint32_t layers;      /**< 0 for a plain service. */
-  uint32_t tokens;      /**< Expected token steps. */
+  uint32_t tokens;      /**< Expected number of tokens of the answer; 1 for a call. */
   uint64_t prefix_hash; /**< Hash of the prompt prefix for cache affinity; 0 for none. */
   GgRoutePolicy policy;
   uint64_t now_ms;
@@ -90,15 +94,17 @@
 {
   uint32_t n_stages;
   GgRunner *stages[GG_ROUTE_MAX_STAGES]; /**< References owned by the holder of the plan. */
-  uint64_t predicted_ms;                 /**< Predicted completion time of the request. */
+  uint64_t predicted_ms;                 /**< Predicted time to completion. */
+  uint64_t predicted_wait_ms;            /**< Part of predicted_ms that is due to load. */
 } GgRoutePlan;
 
 /** Chooses a plan. Leaving runners are never chosen; ejected ones only if a range has no
  * other (see runner_health.h).
- * @return FALSE if no sequence of runners covers the layers. */
+ * @return FALSE if no sequence of runners covers the layers. On TRUE the caller owns the plan
+ *   and ends it with gg_route_plan_clear(). */
 gboolean
 gg_route_choose (const GgRouteTable *self, const GgRouteQuery *query, GgRoutePlan *plan_out);
 void gg_route_plan_clear (GgRoutePlan *plan);
 
-/** Returns the shortest predicted wait for @p service before a new request would start, ms. */
-uint64_t gg_route_table_predict_wait_ms (const GgRouteTable *self, const GgRouteQuery *query);
+/** Returns the number of runners of @p service that may be chosen. */
+guint gg_route_table_count (const GgRouteTable *self, const char *service);
--- /dev/null
+++ b/src/core/runner.c
@@ -0,0 +1,69 @@
+#include "core/route.h"
+
+/* Weight of a new observation in the moving average of the step time: 1/8. */
+#define STEP_TIME_SHIFT 3
+
+GgRunner *
+gg_runner_create (const char *id,
+                  uint64_t incarnation,
+                  const char *address,
+                  const char *data_centre,
+                  const char *service,
+                  uint32_t first_layer,
+                  uint32_t end_layer)
+{
+  GgRunner *self = g_new0 (GgRunner, 1);
+  atomic_init (&self->refs, 1);
+  self->id = g_strdup (id);
+  self->incarnation = incarnation;
+  self->address = g_strdup (address);
+  self->data_centre = g_strdup (data_centre);
+  self->service = g_strdup (service);
+  self->first_layer = first_layer;
+  self->end_layer = end_layer;
+  return self;
+}
+
+GgRunner *
+gg_runner_ref (GgRunner *self)
+{
+  atomic_fetch_add (&self->refs, 1);
+  return self;
+}
+
+void
+gg_runner_unref (GgRunner *self)
+{
+  if (self == NULL || atomic_fetch_sub (&self->refs, 1) != 1)
+    return;
+  g_free (self->id);
+  g_free (self->address);
+  g_free (self->data_centre);
+  g_free (self->service);
+  g_free (self);
+}
+
+void
+gg_runner_begin_work (GgRunner *self)
+{
+  atomic_fetch_add_explicit (&self->outstanding_tokens, 1, memory_order_relaxed);
+}
+
+void
+gg_runner_end_work (GgRunner *self)
+{
+  atomic_fetch_sub_explicit (&self->outstanding_tokens, 1, memory_order_relaxed);
+}
+
+void
+gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us)
+{
+  uint32_t sample = (uint32_t) MIN (elapsed_us, G_MAXINT32);
+  uint32_t old = atomic_load_explicit (&self->step_time_us, memory_order_relaxed);
+  uint32_t updated
+      = old == 0 ? sample
+                 : (uint32_t) ((int64_t) old
+                               + ((int64_t) sample - (int64_t) old) / (1 << STEP_TIME_SHIFT));
+  /* A lost update of two threads costs one sample of an average. */
+  atomic_store_explicit (&self->step_time_us, updated, memory_order_relaxed);
+}
--- /dev/null
+++ b/src/daemons/entryd/caller_request.h
@@ -0,0 +1,48 @@
+/** @file
+ * One request of a caller while it is handled. */
+#pragma once
+
+#include "core/config.h"
+#include "daemons/entryd/entry_context.h"
+#include "greengage/id.h"
+
+#include <glib.h>
+#include <microhttpd.h>
+
+typedef struct
+{
+  GgEntry *entry;
+  struct MHD_Connection *connection;
+  GgId id;
+  char *uri; /**< As sent: path and query. */
+  const char *method;
+  GByteArray *body; /**< NUL-terminated when the handler runs; len excludes the terminator. */
+  size_t body_limit_bytes;
+  gboolean body_too_large;
+  GgConfig *config; /**< Configuration under which the request is handled. */
+  const GgTeam *team;
+  uint64_t started_at_ms;
+} GgCallerRequest;
+
+/** Returns a header of the request, or NULL. */
+const char *gg_caller_request_get_header (const GgCallerRequest *self, const char *name);
+
+/** Handlers; each queues exactly one reply. */
+enum MHD_Result gg_completion_handle (GgCallerRequest *request, gboolean is_chat);
+enum MHD_Result gg_stream_resume_handle (GgCallerRequest *request, const char *stream_id);
+enum MHD_Result gg_plain_call_handle (GgCallerRequest *request, const char *rest);
+
+/** Queues the reply for an admission decision other than admitted. */
+enum MHD_Result gg_caller_request_refuse (GgCallerRequest *request,
+                                          GgAdmissionResult result,
+                                          uint64_t retry_after_ms);
+
+/** Queues the reply for a service that the team may not call or that has no runners. */
+enum MHD_Result gg_caller_request_reply_forbidden (GgCallerRequest *request, const char *service);
+enum MHD_Result gg_caller_request_reply_no_runner (GgCallerRequest *request, const char *service);
+
+/** Decides on admission of @p tokens with the prediction of @p plan. */
+GgAdmissionResult gg_caller_request_admit (GgCallerRequest *request,
+                                           const GgRoutePlan *plan,
+                                           uint32_t tokens,
+                                           uint64_t *retry_after_ms_out);
--- a/src/daemons/entryd/entry_settings.c
+++ b/src/daemons/entryd/entry_settings.c
@@ -34,6 +34,8 @@
     "Predicted wait above which a request is refused." },
   { "requests", "retry_percent", GG_SETTING_UINT, "10", 0, 100, "%",
     "Retries per hundred first attempts." },
+  { "routing", "remote_link_us", GG_SETTING_UINT, "1000", 0, 10000000, "us",
+    "One-way cost of a link to a runner in another data centre." },
   { "routing", "policy", GG_SETTING_STRING, "predicted", 0, 0, "",
     "predicted, random, round-robin or least-reported; all but the first are baselines." },
   { "ledger", "layout", GG_SETTING_STRING, "record", 0, 0, "",
--- /dev/null
+++ b/src/daemons/entryd/stream_source.h
@@ -0,0 +1,35 @@
+/** @file
+ * Reads the tokens of a stream that is held in this process or at a peer. */
+#pragma once
+
+#include "core/stream.h"
+#include "daemons/entryd/entry_context.h"
+
+typedef struct _GgStreamSource GgStreamSource;
+
+/** Takes a reference to @p stream and counts as its reader. */
+GgStreamSource *gg_stream_source_create_local (GgEntry *entry, GgStream *stream);
+
+/** Reads from the entry process at @p address by RPC. */
+GgStreamSource *
+gg_stream_source_create_remote (const char *address, const GgId *stream_id, const char *team);
+void gg_stream_source_destroy (GgStreamSource *self);
+
+typedef enum
+{
+  GG_STREAM_SOURCE_TOKEN,
+  GG_STREAM_SOURCE_END,
+  GG_STREAM_SOURCE_TIMEOUT,
+  GG_STREAM_SOURCE_UNKNOWN, /**< No such stream of this team. */
+  GG_STREAM_SOURCE_LOST,    /**< The peer does not answer. */
+} GgStreamSourceRead;
+
+/** Waits for token @p number until @p deadline_ms (monotonic).
+ * @param token_out owned by the caller. */
+GgStreamSourceRead gg_stream_source_read (GgStreamSource *self,
+                                          uint32_t number,
+                                          uint64_t deadline_ms,
+                                          char **token_out);
+
+/** After GG_STREAM_SOURCE_END: outcome, detail (owned by the caller, may be NULL). */
+GgOutcome gg_stream_source_get_outcome (GgStreamSource *self, char **detail_out);
