--- a/src/core/config_document.h
+++ b/src/core/config_document.h
@@ -1,5 +1,9 @@
 /** @file
- * The one published configuration document: generation, publish id and files. */
+ * The one published configuration document: generation, publish id and files.
+ *
+ * It also holds the generation at which each file last changed, so that a publisher can name an
+ * old base, and the newest publish ids, so that a lost reply can be settled after other
+ * publishers have written. */
 #pragma once
 
 #include <glib.h>
@@ -8,7 +12,11 @@
 /** Immutable, reference counted. */
 typedef struct _GgConfigDocument GgConfigDocument;
 
-/** @param files path to INI text (both char *); copied. */
+/** Largest JSON form; the key-value service holds values up to one megabyte. */
+#define GG_CONFIG_DOCUMENT_MAX_BYTES 1000000
+
+/** Creates a document without history: every file counts as changed at @p generation.
+ * @param files path to INI text (both char *); copied. */
 GgConfigDocument *
 gg_config_document_create (uint64_t generation, const char *publish_id, GHashTable *files);
 GgConfigDocument *gg_config_document_ref (GgConfigDocument *self);
@@ -26,12 +34,21 @@
 /** Returns path to text; owned by @p self and not to be changed. */
 GHashTable *gg_config_document_get_files (const GgConfigDocument *self);
 
+/** Returns the generation at which @p path was last written or removed. For a path without a
+ * record it is the newest generation whose records may have been dropped, 0 if none were. */
+uint64_t gg_config_document_get_changed (const GgConfigDocument *self, const char *path);
+
+/** Returns the generation that @p publish_id published, or 0 if it is not among the newest
+ * ones. */
+uint64_t gg_config_document_find_publish (const GgConfigDocument *self, const char *publish_id);
+
 /** Returns TRUE if @p candidate may replace @p current: its generation is higher.
  * @param current NULL if there is none yet. */
 gboolean gg_config_document_supersedes (const GgConfigDocument *candidate,
                                         const GgConfigDocument *current);
 
-/** Three-way merge of the files that a publisher changes onto a newer document.
+/** Three-way merge of the files that a publisher changes onto a newer document. A text equal to
+ * the one in @p base is no change, and a change that @p current already has is no conflict.
  *
  * @param base what the publisher read; NULL if there was no document.
  * @param changes path to text; a NULL text removes the file.
