--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -41,6 +41,7 @@
 /** Returns the number of tokens so far. */
 uint32_t gg_stream_get_length (GgStream *self);
 gboolean gg_stream_is_ended (GgStream *self);
+/** Unknown until the stream has ended. */
 GgOutcome gg_stream_get_outcome (GgStream *self);
 /** Owned by the caller; NULL if there is none. */
 char *gg_stream_get_detail (GgStream *self);
@@ -49,5 +50,6 @@
 void gg_stream_attach_reader (GgStream *self);
 void gg_stream_detach_reader (GgStream *self, uint64_t now_ms);
 
-/** Returns how long the stream has had no reader, ms; 0 while it has one. */
+/** Returns how long the stream has had no reader, ms; 0 while it has one. Before the first
+ * reader the time counts from the first call. */
 uint64_t gg_stream_get_unread_ms (GgStream *self, uint64_t now_ms);
