--- a/src/core/pipeline.h
+++ b/src/core/pipeline.h
@@ -13,6 +13,10 @@
 
 typedef struct _GgPipeline GgPipeline;
 
+/** Recoveries (replacements and restarts) of one answer before it fails. An answer that needs
+ * more fails for a reason that other runners don't cure; 16 is two for each of eight stages. */
+#define GG_PIPELINE_MAX_RECOVERIES 16
+
 typedef struct
 {
   uint32_t n_stages;
@@ -28,7 +32,8 @@
 {
   GG_PIPELINE_EVENT_START,     /**< Runners for all stages are known; attempt ids are given. */
   GG_PIPELINE_EVENT_REPLY,     /**< A step was answered. */
-  GG_PIPELINE_EVENT_FAILED,    /**< A step failed or is in doubt; its lineage is abandoned. */
+  GG_PIPELINE_EVENT_FAILED,    /**< A step failed or is in doubt; its lineage is abandoned. A
+                                  stage that is not being stepped is replaced at its next turn. */
   GG_PIPELINE_EVENT_REPLACED,  /**< A replacement runner exists for the failed stage. */
   GG_PIPELINE_EVENT_NO_RUNNER, /**< None exists for its range. */
   GG_PIPELINE_EVENT_CANCEL,    /**< The caller has gone or the deadline passed. */
@@ -41,8 +46,8 @@
   {
     struct
     {
-      const GgId *attempts; /**< One per stage. */
-      uint32_t n_stages;
+      const GgId *attempts; /**< One per stage, none used before. */
+      uint32_t n_stages;    /**< A restart may have another number of stages. */
     } start;
     struct
     {
@@ -68,7 +73,8 @@
 
 typedef enum
 {
-  GG_PIPELINE_EFFECT_NONE,    /**< Nothing to do (a reply that did not match was ignored). */
+  GG_PIPELINE_EFFECT_NONE,    /**< Nothing to do (an event that did not match was ignored). If the
+                                 outstanding step will have no other reply, send FAILED. */
   GG_PIPELINE_EFFECT_STEP,    /**< Call a stage. */
   GG_PIPELINE_EFFECT_EMIT,    /**< Append a token, then call gg_pipeline_next(). */
   GG_PIPELINE_EFFECT_REPLACE, /**< Cancel the lineage, choose a replacement for the stage. */
@@ -105,7 +111,9 @@
   };
 } GgPipelineEffect;
 
-/** Applies one event. After GG_PIPELINE_EFFECT_EMIT the caller asks gg_pipeline_next(). */
+/** Applies one event. After GG_PIPELINE_EFFECT_EMIT the caller asks gg_pipeline_next(). A reply
+ * whose ids match but which has another number of outputs than inputs counts as FAILED. CANCEL
+ * gives GG_PIPELINE_EFFECT_FAIL; events after the end give GG_PIPELINE_EFFECT_NONE. */
 void gg_pipeline_apply (GgPipeline *self,
                         const GgPipelineEvent *event,
                         uint64_t now_ms,
@@ -119,3 +127,7 @@
 
 /** Number of stage replacements and of restarts so far. */
 uint32_t gg_pipeline_get_recoveries (const GgPipeline *self);
+
+/** Bytes of stage inputs that are retained: the prompt and the tokens, and the inputs of later
+ * stages. Above the limit the latter are only those that their stage has not confirmed. */
+size_t gg_pipeline_get_retained_bytes (const GgPipeline *self);
--- /dev/null
+++ b/tests/core/test_pipeline.c
@@ -0,0 +1,585 @@
+/* Guards the promise that every layer of a token runs once and in order: whatever stages fail,
+ * answer late, twice or for another answer, the tokens are those of an undisturbed run. */
+#include "core/pipeline.h"
+#include "seeds.h"
+
+#include <string.h>
+
+#define N_LAYERS 6
+#define N_SEEDS 20000
+#define END_EVERY 29 /* About one token in so many ends the answer. */
+
+/* The model: each layer folds its input into its cache and derives its output from both, so
+ * that a step that is missing, repeated or out of order changes every later token. */
+typedef struct
+{
+  guint64 cache[N_LAYERS];
+} Model;
+
+static guint64
+mix (guint64 a, guint64 b)
+{
+  guint64 x = (a ^ (b + G_GUINT64_CONSTANT (0x9e3779b97f4a7c15))) * 0xff51afd7ed558ccdu;
+  return x ^ (x >> 31);
+}
+
+/** Layers pass text on, so that the split into stages has no influence on the result. */
+static char *
+run_layers (Model *model, uint32_t first, uint32_t end, const char *input)
+{
+  char *text = g_strdup (input);
+  for (uint32_t i = first; i < end; i++)
+    {
+      guint64 value = g_str_hash (text) + i;
+      model->cache[i] = mix (model->cache[i], value);
+      g_free (text);
+      text = g_strdup_printf ("%" G_GINT64_MODIFIER "x", mix (value, model->cache[i]));
+    }
+  return text;
+}
+
+static gboolean
+is_end_token (const char *token)
+{
+  return g_str_hash (token) % END_EVERY == 0;
+}
+
+/** Tokens of an undisturbed run over one stage. */
+static GPtrArray *
+run_undisturbed (const char *prompt, uint32_t max_tokens)
+{
+  Model model = { 0 };
+  GPtrArray *tokens = g_ptr_array_new_with_free_func (g_free);
+  const char *input = prompt;
+  while (tokens->len < max_tokens)
+    {
+      g_ptr_array_add (tokens, run_layers (&model, 0, N_LAYERS, input));
+      input = g_ptr_array_index (tokens, tokens->len - 1);
+      if (is_end_token (input))
+        break;
+    }
+  return tokens;
+}
+
+/** KV cache of one attempt at a stage, as its engine holds it. */
+typedef struct
+{
+  GgId attempt;
+  uint32_t stage;
+  uint32_t first_layer;
+  uint32_t end_layer;
+  uint32_t min_epoch;
+  uint32_t epoch; /**< 0 before the first step. */
+  uint32_t next_position;
+  gboolean is_abandoned;
+  Model model;
+} Lineage;
+
+typedef struct
+{
+  GgId attempt;
+  uint32_t epoch;
+  uint32_t position;
+  GPtrArray *outputs;
+  gboolean end;
+} Reply;
+
+typedef struct
+{
+  GRand *rand;
+  GgPipeline *pipeline;
+  GPtrArray *expected;
+  uint32_t emitted;
+  uint32_t max_epoch;
+  uint32_t serial;
+  GPtrArray *lineages; /**< Of all plans. */
+  GPtrArray *plan;     /**< Lineage of each stage; borrowed. */
+  GPtrArray *replies;  /**< Delivered, lost and late replies. */
+  gboolean may_fail;   /**< A plan was not found, or the caller cancelled. */
+  gboolean is_ended;
+  int trouble_percent;
+  char *failure;
+} World;
+
+static void
+fail (World *w, const char *what)
+{
+  if (w->failure == NULL)
+    w->failure = g_strdup_printf ("%s (after %u tokens)", what, w->emitted);
+  w->is_ended = TRUE;
+}
+
+static void
+require (World *w, gboolean condition, const char *what)
+{
+  if (!condition)
+    fail (w, what);
+}
+
+static GgId
+create_id (World *w)
+{
+  GgId id = { { 0 } };
+  w->serial++;
+  memcpy (id.bytes, &w->serial, sizeof w->serial);
+  return id;
+}
+
+static void
+reply_free (gpointer data)
+{
+  Reply *reply = data;
+  g_ptr_array_unref (reply->outputs);
+  g_free (reply);
+}
+
+static Lineage *
+create_lineage (World *w, uint32_t stage, uint32_t first, uint32_t end, uint32_t min_epoch)
+{
+  Lineage *lineage = g_new0 (Lineage, 1);
+  lineage->attempt = create_id (w);
+  lineage->stage = stage;
+  lineage->first_layer = first;
+  lineage->end_layer = end;
+  lineage->min_epoch = min_epoch;
+  g_ptr_array_add (w->lineages, lineage);
+  return lineage;
+}
+
+static GgPipelineEffect
+apply (World *w, const GgPipelineEvent *event)
+{
+  GgPipelineEffect effect;
+  gg_pipeline_apply (w->pipeline, event, 0, &effect);
+  return effect;
+}
+
+static GgPipelineEffect
+deliver (World *w, const Reply *reply)
+{
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLY };
+  event.reply.attempt = reply->attempt;
+  event.reply.epoch = reply->epoch;
+  event.reply.position = reply->position;
+  event.reply.outputs = (const char *const *) reply->outputs->pdata;
+  event.reply.n_outputs = reply->outputs->len;
+  event.reply.end = reply->end;
+  return apply (w, &event);
+}
+
+static GgPipelineEffect
+report_failed (World *w, uint32_t stage, uint32_t epoch)
+{
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_FAILED };
+  event.failed.stage = stage;
+  event.failed.epoch = epoch;
+  return apply (w, &event);
+}
+
+static GgPipelineEffect
+start (World *w)
+{
+  GArray *attempts = g_array_new (FALSE, FALSE, sizeof (GgId));
+  uint32_t first = 0;
+  g_ptr_array_set_size (w->plan, 0);
+  while (first < N_LAYERS)
+    {
+      uint32_t end = (uint32_t) g_rand_int_range (w->rand, (int) first + 1, N_LAYERS + 1);
+      Lineage *lineage = create_lineage (w, w->plan->len, first, end, w->max_epoch + 1);
+      g_ptr_array_add (w->plan, lineage);
+      g_array_append_val (attempts, lineage->attempt);
+      first = end;
+    }
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_START };
+  event.start.attempts = (const GgId *) (const void *) attempts->data;
+  event.start.n_stages = attempts->len;
+  GgPipelineEffect effect = apply (w, &event);
+  g_array_unref (attempts);
+  return effect;
+}
+
+/** Replies to earlier steps, replies with one wrong id and late failures must be ignored. */
+static void
+disturb (World *w, const Lineage *current, uint32_t n_inputs)
+{
+  GPtrArray *garbage = g_ptr_array_new ();
+  for (uint32_t i = 0; i < n_inputs; i++)
+    g_ptr_array_add (garbage, (gpointer) "garbage");
+  Reply wrong
+      = { current->attempt, current->epoch, current->next_position - n_inputs, garbage, FALSE };
+  GgPipelineEffect effect = { .type = GG_PIPELINE_EFFECT_NONE };
+  int kind = g_rand_int_range (w->rand, 0, 5);
+  if (kind == 0)
+    wrong.attempt = create_id (w);
+  else if (kind == 1)
+    wrong.epoch += seeds_chance (w->rand, 50) ? 1 : -1;
+  else if (kind == 2)
+    wrong.position += seeds_chance (w->rand, 50) ? 1 : -1;
+  if (kind < 3)
+    effect = deliver (w, &wrong);
+  else if (kind == 3 && w->replies->len > 0)
+    effect = deliver (w, g_ptr_array_index (w->replies, (guint) g_rand_int_range (
+                                                            w->rand, 0, (int) w->replies->len)));
+  else if (kind == 4)
+    effect = report_failed (w, current->stage, current->epoch - 1);
+  require (w, effect.type == GG_PIPELINE_EFFECT_NONE, "an event that does not match took effect");
+  g_ptr_array_unref (garbage);
+}
+
+static Lineage *
+find_lineage (World *w, const GgId *attempt)
+{
+  for (guint i = 0; i < w->lineages->len; i++)
+    {
+      Lineage *lineage = g_ptr_array_index (w->lineages, i);
+      if (gg_id_equal (&lineage->attempt, attempt))
+        return lineage;
+    }
+  return NULL;
+}
+
+/** Checks a step against what the engine holds. */
+static Lineage *
+check_step (World *w, const GgPipelineEffect *effect)
+{
+  Lineage *lineage = find_lineage (w, &effect->step.attempt);
+  require (w, lineage != NULL, "a step names an attempt that does not exist");
+  if (lineage == NULL)
+    return NULL;
+  require (w, g_ptr_array_index (w->plan, effect->step.stage) == lineage,
+           "a step names an attempt of another plan or stage");
+  require (w, !lineage->is_abandoned, "a lineage is stepped after a failure");
+  require (w, effect->step.position == lineage->next_position, "a lineage skips or repeats");
+  require (w, effect->step.n_inputs > 0, "a step has no input");
+  require (w, effect->step.is_replay == (effect->step.n_inputs > 1), "wrong replay mark");
+  require (w, effect->step.epoch >= lineage->min_epoch, "the epoch does not rise");
+  require (w, lineage->epoch == 0 || lineage->epoch == effect->step.epoch, "the epoch changes");
+  return lineage;
+}
+
+static Reply *
+run_step (World *w, Lineage *lineage, const GgPipelineEffect *effect)
+{
+  Reply *reply = g_new0 (Reply, 1);
+  lineage->epoch = effect->step.epoch;
+  w->max_epoch = MAX (w->max_epoch, lineage->epoch);
+  reply->attempt = lineage->attempt;
+  reply->epoch = lineage->epoch;
+  reply->position = lineage->next_position;
+  reply->outputs = g_ptr_array_new_with_free_func (g_free);
+  for (uint32_t i = 0; i < effect->step.n_inputs; i++)
+    g_ptr_array_add (reply->outputs, run_layers (&lineage->model, lineage->first_layer,
+                                                 lineage->end_layer, effect->step.inputs[i]));
+  lineage->next_position += effect->step.n_inputs;
+  const char *newest = g_ptr_array_index (reply->outputs, reply->outputs->len - 1);
+  reply->end = lineage->end_layer == N_LAYERS && is_end_token (newest);
+  g_ptr_array_add (w->replies, reply);
+  return reply;
+}
+
+/** A stage that is not being stepped is known to be lost. */
+static void
+fail_idle_stage (World *w, const Lineage *current)
+{
+  Lineage *idle
+      = g_ptr_array_index (w->plan, (guint) g_rand_int_range (w->rand, 0, (int) w->plan->len));
+  if (idle == current || idle->epoch == 0)
+    return;
+  idle->is_abandoned = TRUE;
+  require (w, report_failed (w, idle->stage, idle->epoch).type == GG_PIPELINE_EFFECT_NONE,
+           "an idle stage's failure interrupts another stage");
+}
+
+static GgPipelineEffect
+lose_reply (World *w, Lineage *lineage, Reply *reply)
+{
+  lineage->is_abandoned = TRUE;
+  if (seeds_chance (w->rand, 80))
+    return report_failed (w, lineage->stage, lineage->epoch);
+  Reply with_more = *reply; /* A reply of the right lineage with another number of outputs. */
+  with_more.outputs = g_ptr_array_copy (reply->outputs, NULL, NULL);
+  g_ptr_array_set_free_func (with_more.outputs, NULL);
+  g_ptr_array_add (with_more.outputs, (gpointer) "surplus");
+  GgPipelineEffect effect = deliver (w, &with_more);
+  g_ptr_array_unref (with_more.outputs);
+  return effect;
+}
+
+static GgPipelineEffect
+perform_step (World *w, const GgPipelineEffect *effect)
+{
+  Lineage *lineage = check_step (w, effect);
+  uint32_t n_inputs = effect->step.n_inputs;
+  if (w->is_ended)
+    return *effect;
+  Reply *reply = run_step (w, lineage, effect);
+  while (seeds_chance (w->rand, w->trouble_percent))
+    {
+      g_ptr_array_steal_index (w->replies, w->replies->len - 1); /* Not an earlier reply yet. */
+      disturb (w, lineage, n_inputs);
+      g_ptr_array_add (w->replies, reply);
+    }
+  if (seeds_chance (w->rand, w->trouble_percent / 3))
+    fail_idle_stage (w, lineage);
+  if (seeds_chance (w->rand, w->trouble_percent / 3))
+    return lose_reply (w, lineage, reply);
+  return deliver (w, reply);
+}
+
+static GgPipelineEffect
+report_no_runner (World *w)
+{
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_NO_RUNNER };
+  return apply (w, &event);
+}
+
+static GgPipelineEffect
+perform_replace (World *w, const GgPipelineEffect *effect)
+{
+  Lineage *old = g_ptr_array_index (w->plan, effect->replace.stage);
+  require (w, gg_id_equal (&old->attempt, &effect->replace.attempt), "another lineage is replaced");
+  require (w, old->is_abandoned, "a lineage without a failure is replaced");
+  if (seeds_chance (w->rand, 10))
+    return report_no_runner (w);
+  Lineage *lineage
+      = create_lineage (w, old->stage, old->first_layer, old->end_layer, old->epoch + 1);
+  w->plan->pdata[old->stage] = lineage;
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLACED };
+  event.replaced.stage = old->stage;
+  event.replaced.attempt = lineage->attempt;
+  return apply (w, &event);
+}
+
+static GgPipelineEffect
+perform_restart (World *w)
+{
+  for (guint i = 0; i < w->plan->len; i++)
+    ((Lineage *) g_ptr_array_index (w->plan, i))->is_abandoned = TRUE;
+  if (!seeds_chance (w->rand, 3))
+    return start (w);
+  w->may_fail = TRUE;
+  return report_no_runner (w);
+}
+
+static GgPipelineEffect
+perform_emit (World *w, const GgPipelineEffect *effect)
+{
+  GgPipelineEffect next;
+  w->emitted++;
+  require (w, effect->emit.number == w->emitted, "tokens are not numbered in order");
+  require (w, w->emitted <= w->expected->len, "a token after the end");
+  if (w->is_ended)
+    return *effect;
+  require (w, strcmp (effect->emit.token, w->expected->pdata[w->emitted - 1]) == 0,
+           "a token differs from the undisturbed run");
+  gg_pipeline_next (w->pipeline, &next);
+  return next;
+}
+
+static void
+check_end (World *w, GgPipelineEffectType type)
+{
+  gboolean is_exhausted = gg_pipeline_get_recoveries (w->pipeline) >= GG_PIPELINE_MAX_RECOVERIES;
+  w->is_ended = TRUE;
+  if (type == GG_PIPELINE_EFFECT_FINISH)
+    require (w, w->emitted == w->expected->len, "the answer is not whole");
+  else
+    require (w, w->may_fail || is_exhausted, "the answer fails without need");
+  if (w->replies->len > 0)
+    require (w,
+             deliver (w, g_ptr_array_index (w->replies, 0)).type == GG_PIPELINE_EFFECT_NONE
+                 && start (w).type == GG_PIPELINE_EFFECT_NONE,
+             "an event after the end took effect");
+}
+
+static GgPipelineEffect
+perform (World *w, const GgPipelineEffect *effect)
+{
+  switch (effect->type)
+    {
+    case GG_PIPELINE_EFFECT_STEP:
+      return perform_step (w, effect);
+    case GG_PIPELINE_EFFECT_EMIT:
+      return perform_emit (w, effect);
+    case GG_PIPELINE_EFFECT_REPLACE:
+      return perform_replace (w, effect);
+    case GG_PIPELINE_EFFECT_RESTART:
+      return perform_restart (w);
+    case GG_PIPELINE_EFFECT_FINISH:
+    case GG_PIPELINE_EFFECT_FAIL:
+      check_end (w, effect->type);
+      break;
+    case GG_PIPELINE_EFFECT_NONE:
+      fail (w, "the answer stands still");
+      break;
+    }
+  return *effect;
+}
+
+static GgPipelineEffect
+cancel (World *w)
+{
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_CANCEL };
+  w->may_fail = TRUE;
+  return apply (w, &event);
+}
+
+static void
+clear_world (World *w)
+{
+  gg_pipeline_destroy (w->pipeline);
+  g_ptr_array_unref (w->expected);
+  g_ptr_array_unref (w->plan);
+  g_ptr_array_unref (w->replies);
+  g_ptr_array_unref (w->lineages);
+}
+
+static char *
+check_random_history (GRand *rand)
+{
+  char prompt[32];
+  static const size_t limits[] = { 1, 60, 400, 100000 };
+  GgPipelineParams params = { .n_stages = 1, .prompt = prompt };
+  World w = { .rand = rand };
+  g_snprintf (prompt, sizeof prompt, "prompt %u", g_rand_int (rand));
+  params.max_tokens = (uint32_t) g_rand_int_range (rand, 0, 30);
+  params.retained_limit_bytes = limits[g_rand_int_range (rand, 0, 4)];
+  w.trouble_percent = g_rand_int_range (rand, 0, 4) * 10;
+  w.pipeline = gg_pipeline_create (&params);
+  w.expected = run_undisturbed (prompt, params.max_tokens);
+  w.lineages = g_ptr_array_new_with_free_func (g_free);
+  w.plan = g_ptr_array_new ();
+  w.replies = g_ptr_array_new_with_free_func (reply_free);
+  GgPipelineEffect effect = start (&w);
+  while (!w.is_ended)
+    effect = seeds_chance (rand, 1) && effect.type == GG_PIPELINE_EFFECT_STEP
+                 ? cancel (&w)
+                 : perform (&w, &effect);
+  clear_world (&w);
+  return w.failure;
+}
+
+/* Guards layers once, in order, and the own answer, under random failures. */
+static void
+test_random_histories (void)
+{
+  seeds_run (check_random_history, N_SEEDS);
+}
+
+static GgPipeline *
+create_started (uint32_t n_stages, size_t limit, GgId *attempts, GgPipelineEffect *effect_out)
+{
+  GgPipelineParams params = { n_stages, 1000, limit, "prompt" };
+  GgPipeline *pipeline = gg_pipeline_create (&params);
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_START };
+  for (uint32_t i = 0; i < n_stages; i++)
+    gg_id_generate (&attempts[i]);
+  event.start.attempts = attempts;
+  event.start.n_stages = n_stages;
+  gg_pipeline_apply (pipeline, &event, 0, effect_out);
+  return pipeline;
+}
+
+static void
+answer_step (GgPipeline *pipeline, const char *output, GgPipelineEffect *effect)
+{
+  const char *outputs[] = { output };
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLY };
+  event.reply.attempt = effect->step.attempt;
+  event.reply.epoch = effect->step.epoch;
+  event.reply.position = effect->step.position;
+  event.reply.outputs = outputs;
+  event.reply.n_outputs = 1;
+  gg_pipeline_apply (pipeline, &event, 0, effect);
+  if (effect->type == GG_PIPELINE_EFFECT_EMIT)
+    gg_pipeline_next (pipeline, effect);
+}
+
+static void
+fail_step (GgPipeline *pipeline, GgPipelineEffect *effect)
+{
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_FAILED };
+  event.failed.stage = effect->step.stage;
+  event.failed.epoch = effect->step.epoch;
+  gg_pipeline_apply (pipeline, &event, 0, effect);
+}
+
+/* Guards the replay: one step with all inputs of the stage, with a new attempt and epoch. */
+static void
+test_replacement_replays_all_inputs (void)
+{
+  GgId attempts[2];
+  GgPipelineEffect effect;
+  GgPipeline *pipeline = create_started (2, 1000, attempts, &effect);
+  answer_step (pipeline, "h0", &effect);
+  answer_step (pipeline, "one", &effect);
+  answer_step (pipeline, "h1", &effect);
+  uint32_t epoch = effect.step.epoch;
+  fail_step (pipeline, &effect);
+  CU_ASSERT_EQUAL (effect.type, GG_PIPELINE_EFFECT_REPLACE);
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLACED };
+  event.replaced.stage = 1;
+  gg_id_generate (&event.replaced.attempt);
+  gg_pipeline_apply (pipeline, &event, 0, &effect);
+  CU_ASSERT_EQUAL (effect.type, GG_PIPELINE_EFFECT_STEP);
+  CU_ASSERT_EQUAL_FATAL (effect.step.n_inputs, 2);
+  CU_ASSERT_EQUAL (effect.step.position, 0);
+  CU_ASSERT_STRING_EQUAL (effect.step.inputs[0], "h0");
+  CU_ASSERT_STRING_EQUAL (effect.step.inputs[1], "h1");
+  CU_ASSERT_TRUE (effect.step.is_replay && effect.step.epoch > epoch);
+  CU_ASSERT_TRUE (gg_id_equal (&effect.step.attempt, &event.replaced.attempt));
+  gg_pipeline_destroy (pipeline);
+}
+
+/* Guards the memory of an entry process against long answers. */
+static void
+test_retained_inputs_are_bounded (void)
+{
+  GgId attempts[3];
+  GgPipelineEffect effect;
+  GgPipeline *pipeline = create_started (3, 200, attempts, &effect);
+  size_t own_bytes = strlen ("prompt");
+  while (gg_pipeline_get_emitted (pipeline) < 100)
+    {
+      answer_step (pipeline, "0123456789", &effect);
+      own_bytes = strlen ("prompt") + 10 * (size_t) gg_pipeline_get_emitted (pipeline);
+      CU_ASSERT_TRUE (gg_pipeline_get_retained_bytes (pipeline) <= MAX (200, own_bytes + 20));
+    }
+  fail_step (pipeline, &effect);
+  CU_ASSERT_EQUAL (effect.type, GG_PIPELINE_EFFECT_RESTART);
+  gg_pipeline_destroy (pipeline);
+}
+
+/* Guards against an answer that consumes runners without end. */
+static void
+test_recoveries_are_capped (void)
+{
+  GgId attempt;
+  GgPipelineEffect effect;
+  GgPipeline *pipeline = create_started (1, 1000, &attempt, &effect);
+  GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLACED };
+  uint32_t replaced = 0;
+  for (fail_step (pipeline, &effect); effect.type == GG_PIPELINE_EFFECT_REPLACE && replaced < 100;
+       fail_step (pipeline, &effect))
+    {
+      replaced++;
+      gg_id_generate (&event.replaced.attempt);
+      gg_pipeline_apply (pipeline, &event, 0, &effect);
+    }
+  CU_ASSERT_EQUAL (effect.type, GG_PIPELINE_EFFECT_FAIL);
+  CU_ASSERT_EQUAL (replaced, GG_PIPELINE_MAX_RECOVERIES);
+  gg_pipeline_destroy (pipeline);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const GgTestCase cases[] = {
+    { "replacement replays all inputs", test_replacement_replays_all_inputs },
+    { "retained inputs are bounded", test_retained_inputs_are_bounded },
+    { "recoveries are capped", test_recoveries_are_capped },
+    { "random histories", test_random_histories },
+  };
+  seeds_init (argc, argv);
+  return gg_test_run ("pipeline", cases, G_N_ELEMENTS (cases));
+}
