--- a/src/core/account.h
+++ b/src/core/account.h
@@ -7,11 +7,14 @@
 
 typedef struct _GgAccount GgAccount;
 
-/** @param max_entries bound; when it is reached the oldest entries go and a gap is counted. */
+/** @param max_entries bound of own entries, and again of entries taken over from others; when it
+ *   is reached the oldest entries go, those that need a person last, and an entry of kind "gap"
+ *   with sequence 0 counts them. */
 GgAccount *gg_account_create (const char *instance, uint32_t max_entries);
 void gg_account_destroy (GgAccount *self);
 
-/** Records an event, or raises the count of an open one with equal kind and subject.
+/** Records an event, or raises the count of an open one with equal kind and subject; an entry is
+ * open for ten minutes after its latest event. Texts longer than 512 bytes are cut.
  * @param kind a fixed word, such as "runner-ejected", "runner-restored", "booking-unknown",
  *   "stage-replaced", "platform-down", "platform-up", "config-accepted", "drain", "cut".
  * @param subject what it concerns; the runner, service or key.
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -52,15 +52,18 @@
 void gg_member_table_destroy (GgMemberTable *self);
 
 /** Applies one whole reading of the instance list. A member that the list no longer shows is
- * held for hold_ms; if more than half of the live members vanish at once they are held until
- * a later reading shows them gone for hold_ms as well as their load reports.
+ * held for hold_ms after the first reading without it and after its latest confirmation,
+ * whichever is later; confirmations do not count once another member is listed at its address.
+ * If more than half of the live members vanish at once, a later reading must agree as well.
+ * A reading that shows a lower incarnation than the known one is stale and changes nothing.
  * @return TRUE if the table changed. */
 gboolean gg_member_table_apply_list (GgMemberTable *self,
                                      const GgMember *members,
                                      size_t n_members,
                                      uint64_t now_ms);
 
-/** Marks one incarnation as leaving; sticky until a higher incarnation appears.
+/** Marks one incarnation, and lower ones, as leaving; sticky until a higher incarnation appears.
+ * A mark of an id that the list has not shown yet is kept for a day.
  * @return TRUE if that is news. */
 gboolean gg_member_table_mark_leaving (GgMemberTable *self,
                                        const char *id,
@@ -81,7 +84,7 @@
 const GgMember *gg_member_table_find (const GgMemberTable *self, const char *id);
 
 /** Rendezvous hashing: returns the rank (0 is first) of @p id among the live entries of
- * @p data_centre for @p key, or -1 if it is not one of them. */
+ * @p data_centre (NULL for all data centres) for @p key, or -1 if it is not one of them. */
 int gg_member_table_get_rank (const GgMemberTable *self,
                               const char *data_centre,
                               const char *key,
