--- /dev/null
+++ b/src/adapters/rpc/rpc_address.h
@@ -0,0 +1,9 @@
+/** @file
+ * Socket addresses from "IP:PORT" texts. */
+#pragma once
+
+#include <sys/socket.h>
+
+/** Fills @p storage from @p text.
+ * @return the length of the address, 0 if @p text is of another form. */
+socklen_t gg_rpc_address_make (const char *text, struct sockaddr_storage *storage);
--- a/src/adapters/rpc/rpc_client.c
+++ b/src/adapters/rpc/rpc_client.c
@@ -1,8 +1,7 @@
 #include "adapters/rpc/rpc_client.h"
 
-#include "base/settings.h"
+#include "adapters/rpc/rpc_address.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -13,34 +12,6 @@
 #define GG_RPC_BUFFER_SIZE_BYTES 65536
 #define GG_RPC_UDP_RETRY_MS 200
 
-static socklen_t
-make_address (const char *text, struct sockaddr_storage *storage)
-{
-  char *host = NULL;
-  uint16_t port;
-  socklen_t length = 0;
-  if (!gg_address_parse (text, &host, &port))
-    return 0;
-
-  memset (storage, 0, sizeof *storage);
-  struct sockaddr_in *in4 = (struct sockaddr_in *) storage;
-  struct sockaddr_in6 *in6 = (struct sockaddr_in6 *) storage;
-  if (inet_pton (AF_INET, host, &in4->sin_addr) == 1)
-    {
-      in4->sin_family = AF_INET;
-      in4->sin_port = htons (port);
-      length = sizeof *in4;
-    }
-  else if (inet_pton (AF_INET6, host, &in6->sin6_addr) == 1)
-    {
-      in6->sin6_family = AF_INET6;
-      in6->sin6_port = htons (port);
-      length = sizeof *in6;
-    }
-  g_free (host);
-  return length;
-}
-
 static gboolean
 wait_connected (int fd, uint64_t timeout_ms)
 {
@@ -85,7 +56,7 @@
                       uint64_t timeout_ms)
 {
   struct sockaddr_storage storage;
-  socklen_t length = make_address (address, &storage);
+  socklen_t length = gg_rpc_address_make (address, &storage);
   if (length == 0)
     return NULL;
   struct netbuf target = { .maxlen = sizeof storage, .len = length, .buf = &storage };
