Add fake engine, service and relay

Cause: the daemons and failure tests need back ends and links whose faults can be set. Change: gg-fake-engine, gg-fake-service and gg-fake-relay, with a shared HTTP server, fault controls and records.

--- /dev/null
+++ b/tests/fakes/common_runner.h
@@ -0,0 +1,78 @@
+/** @file
+ * HTTP server, fault controls, load report and records shared by the fake runners. */
+#pragma once
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <microhttpd.h>
+#include <stdint.h>
+
+#define RUNNER_REPLY_HEADERS_MAX 8
+
+typedef struct
+{
+  struct MHD_Connection *connection;
+  const char *method;
+  const char *path; /**< Without the query. */
+  const char *uri;  /**< With the query. */
+  GString *body;
+} RunnerCall;
+
+typedef struct
+{
+  unsigned status;
+  char *body;                                        /**< JSON, freed by the server. */
+  gboolean ran;                                      /**< Faults of replies apply to it. */
+  const char *headers[RUNNER_REPLY_HEADERS_MAX + 1]; /**< Name, value, ..., NULL. */
+} RunnerReply;
+
+/** Faults set by POST /control; read with runner_faults(). */
+typedef struct
+{
+  uint32_t delay_ms;
+  uint32_t late_ms;
+  uint32_t drop_after_run;
+  gboolean hang;
+  gboolean cross_replies;
+  gboolean double_replies;
+  gboolean leaving;
+  gboolean busy;
+} RunnerFaults;
+
+typedef struct
+{
+  const char *version;    /**< Reported with the load. */
+  uint32_t tokens_per_s;  /**< Reported with the load. */
+  uint32_t load_lag_ms;   /**< Age of the reported load. */
+  gboolean keep_no_lines; /**< Keeps no records, for long runs. */
+} RunnerProfile;
+
+typedef void (*RunnerHandler) (const RunnerCall *call, RunnerReply *reply_out);
+
+/** Parses @p entries and --listen, exits with 2 on a usage error.
+ * @return the listening address, owned by the caller. */
+char *runner_parse_options (int argc, char **argv, const GOptionEntry *entries);
+
+/** Serves at @p listen until SIGTERM or SIGINT. @p profile may change under runner_lock(). */
+int runner_serve (const char *listen, RunnerProfile *profile, RunnerHandler handler);
+
+RunnerFaults runner_faults (void);
+
+/** Adds to the outstanding work of the load report. */
+void runner_add_outstanding (int32_t tokens);
+
+/** Adds one line to GET /records. */
+void runner_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
+
+/** Sleeps for @p us microseconds. */
+void runner_sleep_us (uint64_t us);
+
+/** Fills a reply of @p status with a JSON object of one string member. */
+void
+runner_reply_reason (RunnerReply *reply, unsigned status, const char *member, const char *text);
+
+/** Returns the text of the value built so far and frees @p builder. */
+char *runner_json_text (JsonBuilder *builder);
+
+/** Parses an object; NULL if @p text is something else. Free with json_object_unref(). */
+JsonObject *runner_json_parse (const char *text);
