--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,54 @@
+/** @file
+ * Starts programs for tests and ends them. Children are killed by the kernel when the thread that
+ * started them ends, so start them from the main thread. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _GgProcess GgProcess;
+
+/** Starts $GG_BIN/@p program with the NULL-terminated @p args; its output is kept in memory. */
+GgProcess *gg_process_start (const char *program, const char *const *args);
+
+/** Kills the process if it still runs, reaps and frees it; @p self may be NULL. */
+void gg_process_destroy (GgProcess *self);
+
+/** Kills all processes that were started and not destroyed. */
+void gg_process_kill_all (void);
+
+/** Waits for the line "listening IP:PORT".
+ * @return the address, owned by @p self, or NULL after @p timeout_ms or if the process ended. */
+const char *gg_process_wait_listening (GgProcess *self, uint64_t timeout_ms);
+
+void gg_process_signal (GgProcess *self, int signal_number);
+
+/** Returns whether the process ended within @p timeout_ms. */
+gboolean gg_process_wait_exit (GgProcess *self, uint64_t timeout_ms);
+
+/** Exit code, or 128 plus the number of the signal that ended it; -1 while it runs. */
+int gg_process_get_status (GgProcess *self);
+
+/** Process id, for diagnostics. */
+int gg_process_get_id (const GgProcess *self);
+
+/** What was written to standard output or standard error so far; owned by the caller. */
+char *gg_process_read_output (const GgProcess *self);
+char *gg_process_read_errors (const GgProcess *self);
+
+/** Runs a program to its end.
+ * @param output_out standard output followed by standard error; may be NULL.
+ * @return its status as above; -1 if it was killed after @p timeout_ms. */
+int gg_process_run (const char *program,
+                    const char *const *args,
+                    uint64_t timeout_ms,
+                    char **output_out);
+
+/** Reserves a port of 127.0.0.1 that is free for TCP and UDP, for as long as the test runs.
+ * @return "127.0.0.1:PORT", owned by the caller. */
+char *gg_process_reserve_address (void);
+
+typedef gboolean (*GgCondition) (void *data);
+
+/** Returns whether @p condition became true within @p timeout_ms. */
+gboolean gg_wait_until (GgCondition condition, void *data, uint64_t timeout_ms);
