--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -11,6 +11,14 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Bound of a recorded body; a larger one is not recorded. Booking answers take a few hundred
+ * bytes, and a sharded document of one megabyte holds dozens of records of this size. */
+#define GG_LEDGER_MAX_BODY_BYTES 16384
+
+/** How long a call tries to record its outcome in the background. Afterwards the record stays in
+ * `intent`, which others turn into `unknown`; a longer outage must not gather waiting calls. */
+#define GG_LEDGER_SETTLE_LIMIT_MS 60000
+
 typedef enum
 {
   GG_LEDGER_INTENT,  /**< Its attempt may send, or may have sent. */
@@ -29,16 +37,24 @@
   uint64_t created_at_wall_ms;
   uint32_t status; /**< HTTP status of a recorded outcome. */
   char *content_type;
-  char *body; /**< Recorded answer, bounded. */
+  char *body; /**< Recorded answer; NULL if there is none or it was too large. */
 } GgLedgerRecord;
 
+/** Frees the strings and sets all fields to zero. */
 void gg_ledger_record_clear (GgLedgerRecord *self);
+
+/** Returns the JSON form, owned by the caller. The body is in Base64, since it may be binary. */
 char *gg_ledger_record_format (const GgLedgerRecord *self);
+
+/** @return FALSE if @p json is not a whole record; then @p record_out is empty. Report such a
+ * record to the state machine as GG_LEDGER_EVENT_UNREACHABLE, so that nothing is sent. */
 gboolean gg_ledger_record_parse (GgLedgerRecord *record_out, const char *json);
 
 typedef struct _GgLedgerCall GgLedgerCall;
 
-/** @param owner_lost_ms age after which another instance's `intent` counts as lost. */
+/** @param deadline_ms monotonic; the call is never sent at or after it.
+ * @param owner_lost_ms age after which another attempt's `intent` counts as lost; longer than
+ *        the longest call and clock skew, otherwise live calls are answered as unknown. */
 GgLedgerCall *gg_ledger_call_create (const GgId *attempt,
                                      const char *fingerprint,
                                      const char *owner,
@@ -64,6 +80,10 @@
   GgLedgerEventType type;
   union
   {
+    struct
+    {
+      uint64_t wall_ms; /**< Current time since the Unix epoch, for created_at_wall_ms. */
+    } start;
     struct
     {
       const GgLedgerRecord *record; /**< NULL if there is none. */
@@ -81,6 +101,7 @@
 
 typedef enum
 {
+  GG_LEDGER_EFFECT_NONE,  /**< The event does not fit what was asked for; it was ignored. */
   GG_LEDGER_EFFECT_WRITE, /**< Store `record` if the stored version is `version` (0: absent). */
   GG_LEDGER_EFFECT_READ,  /**< Read the record. */
   GG_LEDGER_EFFECT_READ_LATER,   /**< Wait briefly, then read: another attempt is in flight. */
@@ -92,9 +113,9 @@
 
 typedef enum
 {
-  GG_LEDGER_REPLY_RECORDED, /**< The recorded answer. */
-  GG_LEDGER_REPLY_NOT_RUN,
-  GG_LEDGER_REPLY_UNKNOWN,
+  GG_LEDGER_REPLY_RECORDED,    /**< The answer of the runner, now or as recorded earlier. */
+  GG_LEDGER_REPLY_NOT_RUN,     /**< This call was not sent and never will be. */
+  GG_LEDGER_REPLY_UNKNOWN,     /**< This call or an earlier one with its key may have run. */
   GG_LEDGER_REPLY_MISMATCH,    /**< Same key with another request: 422. */
   GG_LEDGER_REPLY_IN_PROGRESS, /**< Another attempt is in flight past the deadline: 409. */
 } GgLedgerReplyType;
@@ -113,7 +134,7 @@
     {
       GgLedgerReplyType type;
       uint32_t status;
-      const char *content_type; /**< Strings are owned by the call. */
+      const char *content_type; /**< Strings are owned by the call; NULL if not recorded. */
       const char *body;
     } reply;
   };
