--- a/src/core/route.c
+++ b/src/core/route.c
@@ -201,7 +201,7 @@
 static uint64_t
 rendezvous_weight (const GgRouteEntry *entry, uint64_t prefix_hash)
 {
-  return mix (prefix_hash ^ (uint64_t) (uintptr_t) g_str_hash (entry->runner->id));
+  return mix (prefix_hash ^ entry->runner->id_hash);
 }
 
 static Candidate
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -17,6 +17,7 @@
 {
   atomic_int refs;
   char *id;
+  uint32_t id_hash;
   uint64_t incarnation;
   char *address;
   char *data_centre;
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -15,6 +15,7 @@
   GgRunner *self = g_new0 (GgRunner, 1);
   atomic_init (&self->refs, 1);
   self->id = g_strdup (id);
+  self->id_hash = g_str_hash (id);
   self->incarnation = incarnation;
   self->address = g_strdup (address);
   self->data_centre = g_strdup (data_centre);
