--- a/src/adapters/http/http_pool.c
+++ b/src/adapters/http/http_pool.c
@@ -475,6 +475,13 @@
     }
 }
 
+static gboolean
+start_exchange (GgHttpPool *self, const char *address, GgHttpExchange *exchange)
+{
+  return (exchange->may_repeat && assign_idle (self, address, exchange))
+         || start_worker (self, address, exchange);
+}
+
 GgHttpResult
 gg_http_pool_call (GgHttpPool *self,
                    const char *address,
@@ -488,11 +495,24 @@
     {
       GgHttpExchange *exchange
           = gg_http_exchange_create (request, deadline_ms, self->limits.max_reply_bytes);
-      if ((request->may_repeat && assign_idle (self, address, exchange))
-          || start_worker (self, address, exchange))
+      if (start_exchange (self, address, exchange))
         result = gg_http_exchange_wait (exchange, reply_out);
       gg_http_exchange_unref (exchange);
     }
   count_result (result, reply_out);
   return result;
 }
+
+void
+gg_http_pool_send (GgHttpPool *self,
+                   const char *address,
+                   const GgHttpRequest *request,
+                   uint64_t deadline_ms)
+{
+  gg_counter_add (&calls, 1);
+  GgHttpExchange *exchange
+      = gg_http_exchange_create (request, deadline_ms, self->limits.max_reply_bytes);
+  if (!is_well_formed (request) || !start_exchange (self, address, exchange))
+    gg_counter_add (&not_sent, 1);
+  gg_http_exchange_unref (exchange);
+}
--- a/src/adapters/http/http_pool.h
+++ b/src/adapters/http/http_pool.h
@@ -71,6 +71,13 @@
                                 uint64_t deadline_ms,
                                 GgHttpReply *reply_out);
 
+/** Starts a call whose outcome nobody waits for, and returns at once. It ends by
+ * @p deadline_ms and the read timeout. */
+void gg_http_pool_send (GgHttpPool *self,
+                        const char *address,
+                        const GgHttpRequest *request,
+                        uint64_t deadline_ms);
+
 /** Closes all idle connections to @p address, after one of them went silent or gave a reply
  * that belongs to another call. */
 void gg_http_pool_discard (GgHttpPool *self, const char *address);
--- a/src/ports/stage.h
+++ b/src/ports/stage.h
@@ -14,7 +14,8 @@
   GG_STAGE_OK,
   GG_STAGE_REFUSED,  /**< Refused before accepting; see refusal. */
   GG_STAGE_NOT_SENT, /**< No connection; no byte was sent. */
-  GG_STAGE_IN_DOUBT, /**< Timeout, reset, wrong ids or malformed reply. */
+  GG_STAGE_IN_DOUBT, /**< Timeout, reset, wrong ids, malformed reply, 410 (an engine may cancel a
+                          step that it had accepted), or a refusal after neon repeated the call. */
 } GgStageResult;
 
 typedef enum
@@ -23,7 +24,7 @@
   GG_STAGE_REFUSAL_LEAVING,
   GG_STAGE_REFUSAL_BUSY,
   GG_STAGE_REFUSAL_LOADING,
-  GG_STAGE_REFUSAL_LINEAGE, /**< Position, epoch or lineage is not what the engine holds. */
+  GG_STAGE_REFUSAL_LINEAGE, /**< Position or epoch is not what the engine holds. */
   GG_STAGE_REFUSAL_VERSION,
 } GgStageRefusal;
 
