--- a/src/core/config.c
+++ b/src/core/config.c
@@ -143,8 +143,8 @@
 }
 
 /* Names appear in URLs and in keys of the platform. */
-static gboolean
-name_is_valid (const char *name)
+gboolean
+gg_config_name_is_valid (const char *name)
 {
   if (!g_ascii_isalnum (*name) || strlen (name) > GG_CONFIG_MAX_NAME_LENGTH)
     return FALSE;
@@ -161,7 +161,7 @@
   size_t length = strlen (type);
   if (strncmp (section, type, length) != 0 || section[length] != ' ')
     return NULL;
-  return name_is_valid (section + length + 1) ? section + length + 1 : NULL;
+  return gg_config_name_is_valid (section + length + 1) ? section + length + 1 : NULL;
 }
 
 static gboolean
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -51,6 +51,10 @@
 /** Immutable, reference counted. */
 typedef struct _GgConfig GgConfig;
 
+/** Returns whether @p name may name a service, a team or a publisher's prefix: at most 64
+ * letters, digits, '.', '_' and '-', the first a letter or digit. */
+gboolean gg_config_name_is_valid (const char *name);
+
 /** Parses @p files (path to INI text, both const char *).
  * @return NULL with @p error naming file, section, key, value and what was expected. */
 GgConfig *gg_config_create (GHashTable *files, GError **error);
