Add the control process

Cause: membership, loads, configuration and the account need one process per instance that the entry process can poll. Change: control_state behind one mutex; threads for the list, the configuration watch, load collection, exchange and account; RPC procedures, health checks, metrics; client wrappers in adapters/rpc.

--- /dev/null
+++ b/src/daemons/controld/control_random.h
@@ -0,0 +1,13 @@
+/** @file
+ * Random bits for jitter and for the choice of peers. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Thread-safe. */
+static inline uint64_t
+gg_control_random (void)
+{
+  return (uint64_t) g_random_int () << 32 | g_random_int ();
+}
--- /dev/null
+++ b/src/daemons/controld/controld_main.c
@@ -0,0 +1,168 @@
+#include "base/log.h"
+#include "base/clock.h"
+#include "daemons/controld/account_store.h"
+#include "daemons/controld/config_watch.h"
+#include "daemons/controld/control_http.h"
+#include "daemons/controld/control_rpc.h"
+#include "daemons/controld/control_settings.h"
+#include "daemons/controld/list_reader.h"
+#include "daemons/controld/load_collector.h"
+#include "daemons/controld/peer_exchange.h"
+#include "greengage/version.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+
+typedef struct
+{
+  gboolean show_version;
+  gboolean check_only;
+  char *settings_path;
+} Options;
+
+static gboolean
+parse_options (int *argc, char ***argv, Options *options)
+{
+  const GOptionEntry entries[] = { { "settings", 0, 0, G_OPTION_ARG_FILENAME,
+                                     &options->settings_path, "Read settings from FILE", "FILE" },
+                                   { "check-settings", 0, 0, G_OPTION_ARG_NONE,
+                                     &options->check_only, "Check the settings and exit", NULL },
+                                   { "version", 0, 0, G_OPTION_ARG_NONE, &options->show_version,
+                                     "Print the version and exit", NULL },
+                                   { 0 } };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new ("- control process of greengagepost");
+  g_option_context_add_main_entries (context, entries, NULL);
+  gboolean valid = g_option_context_parse (context, argc, argv, &error);
+  g_option_context_free (context);
+  if (!valid)
+    fprintf (stderr, "greengage-controld: %s; see --help\n", error->message);
+  else if (*argc > 1)
+    fprintf (stderr, "greengage-controld: unexpected argument '%s'; see --help\n", (*argv)[1]);
+  else if (!options->show_version && options->settings_path == NULL)
+    fprintf (stderr, "greengage-controld: --settings FILE is missing; see --help\n");
+  else
+    return TRUE;
+  g_clear_error (&error);
+  return FALSE;
+}
+
+typedef struct
+{
+  GgControlState *state;
+  GgKv *kv;
+  GgRpcServer *rpc;
+  GgControlHttp *http;
+  GgListReader *list;
+  GgLoadCollector *loads;
+  GgPeerExchange *exchange;
+  GgAccountStore *store;
+} Daemon;
+
+static gboolean
+bind_servers (Daemon *daemon, const GgSettings *settings)
+{
+  GError *error = NULL;
+  daemon->rpc = gg_control_rpc_create (daemon->state, daemon->kv, settings, &error);
+  if (daemon->rpc != NULL)
+    daemon->http = gg_control_http_create (daemon->state, settings, &error);
+  if (daemon->http != NULL)
+    return TRUE;
+  gg_log (LOG_ERR, "event=start-failed error=\"%s\"", error->message);
+  g_error_free (error);
+  return FALSE;
+}
+
+static void
+start (Daemon *daemon, const GgSettings *settings)
+{
+  gg_rpc_server_start (daemon->rpc);
+  gg_config_watch_start (daemon->state, daemon->kv, settings);
+  daemon->list = gg_list_reader_create (daemon->state, settings);
+  daemon->exchange = gg_peer_exchange_create (daemon->state, settings);
+  daemon->loads = gg_load_collector_create (daemon->state, settings);
+  daemon->store = gg_account_store_create (daemon->state, daemon->kv, settings);
+  gg_log (LOG_NOTICE, "event=started instance=%s rpc=%s", daemon->state->name,
+          daemon->state->rpc_address);
+}
+
+static void
+announce_stop (Daemon *daemon)
+{
+  gg_log (LOG_NOTICE, "event=stopping");
+  gg_control_state_mark_leaving (daemon->state, daemon->state->name, 0, GG_MEMBER_SOURCE_SELF,
+                                 gg_clock_now_ms ());
+  gg_peer_exchange_announce (daemon->state);
+}
+
+/* The servers answer until the account is saved, so that peers still learn of the stop. */
+static void
+stop (Daemon *daemon)
+{
+  announce_stop (daemon);
+  gg_control_state_stop (daemon->state);
+  gg_peer_exchange_destroy (daemon->exchange);
+  gg_list_reader_destroy (daemon->list);
+  gg_load_collector_destroy (daemon->loads);
+  gg_account_store_destroy (daemon->store);
+  gg_control_http_destroy (daemon->http);
+  gg_rpc_server_destroy (daemon->rpc);
+  gg_log (LOG_NOTICE, "event=stopped");
+}
+
+static int
+run (const GgSettings *settings)
+{
+  sigset_t signals;
+  int received;
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+
+  Daemon daemon = { .state = gg_control_state_create (settings) };
+  char **kv = gg_settings_get_list (settings, "platform", "kv");
+  daemon.kv = gg_kv_create ((const char *const *) kv);
+  g_strfreev (kv);
+  if (!bind_servers (&daemon, settings))
+    return EXIT_FAILURE;
+  start (&daemon, settings);
+  sigwait (&signals, &received);
+  stop (&daemon);
+  /* The configuration watch may still wait for the platform and uses the state, so neither is
+   * freed and no exit handlers run under it. */
+  _exit (EXIT_SUCCESS);
+}
+
+int
+main (int argc, char **argv)
+{
+  Options options = { 0 };
+  GError *error = NULL;
+  gg_log_init ("greengage-controld");
+  if (!parse_options (&argc, &argv, &options))
+    return EXIT_USAGE;
+  if (options.show_version)
+    {
+      printf ("greengage-controld %s\n", GG_VERSION);
+      return EXIT_SUCCESS;
+    }
+
+  GgSettings *settings = gg_settings_create (options.settings_path, gg_control_settings,
+                                             gg_control_settings_count, &error);
+  if (settings == NULL)
+    {
+      fprintf (stderr, "greengage-controld: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_USAGE;
+    }
+  int status = options.check_only ? EXIT_SUCCESS : run (settings);
+  gg_settings_destroy (settings);
+  g_free (options.settings_path);
+  return status;
+}
--- /dev/null
+++ b/src/daemons/controld/load_collector.h
@@ -0,0 +1,12 @@
+/** @file
+ * Polls the load of the runners for which this instance has the first rank. */
+#pragma once
+
+#include "daemons/controld/control_state.h"
+
+typedef struct _GgLoadCollector GgLoadCollector;
+
+GgLoadCollector *gg_load_collector_create (GgControlState *state, const GgSettings *settings);
+
+/** Joins the threads; call after gg_control_state_stop(). */
+void gg_load_collector_destroy (GgLoadCollector *self);
--- /dev/null
+++ b/src/daemons/controld/peer_exchange.c
@@ -0,0 +1,252 @@
+#include "daemons/controld/peer_exchange.h"
+
+#include "adapters/rpc/member_wire.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "daemons/controld/control_digest.h"
+#include "daemons/controld/control_random.h"
+
+#include <string.h>
+
+#define EXCHANGE_TIMEOUT_MS 300
+#define FETCH_TIMEOUT_MS 1500
+/* News wakes the exchange at once, but not more often than this. */
+#define MIN_SPACING_MS 50
+#define ANNOUNCE_PEERS 8
+#define ANNOUNCE_MS 1000
+/* One lost datagram, or a peer that restarts, is no event. */
+#define UNREACHABLE_MS 5000
+#define UNREACHABLE_FAILURES 3
+#define BOOTSTRAP_PEERS 4
+
+static GgCounter exchanges
+    = GG_COUNTER ("greengage_exchanges_total{result=\"ok\"}", "Exchanges of digests");
+static GgCounter failures
+    = GG_COUNTER ("greengage_exchanges_total{result=\"failed\"}", "Exchanges of digests");
+static GgCounter fetches
+    = GG_COUNTER ("greengage_config_fetches_total", "Configurations fetched from peers");
+
+typedef struct
+{
+  uint32_t failures;
+  uint64_t since_ms;
+  gboolean recorded;
+} PeerHealth;
+
+struct _GgPeerExchange
+{
+  GgControlState *state;
+  uint64_t period_ms;
+  guint fanout;
+  char **seeds;
+  GHashTable *health; /* Peer id or address to PeerHealth. */
+  GThread *thread;
+};
+
+static gboolean
+exchange_with (GgControlState *state, const char *address, const char *data_centre)
+{
+  gg_rpc_digest digest;
+  gg_rpc_digest reply;
+  gg_control_digest_build (state, data_centre, gg_clock_now_ms (), &digest);
+  gboolean answered = gg_control_client_exchange (address, &digest, EXCHANGE_TIMEOUT_MS, &reply);
+  gg_control_digest_free (&digest);
+  gg_counter_add (answered ? &exchanges : &failures, 1);
+  if (!answered)
+    return FALSE;
+  gg_control_digest_merge (state, &reply, address, gg_clock_now_ms ());
+  gg_control_digest_free (&reply);
+  return TRUE;
+}
+
+static PeerHealth *
+get_health (GgPeerExchange *self, const char *peer)
+{
+  PeerHealth *health = g_hash_table_lookup (self->health, peer);
+  if (health == NULL)
+    {
+      health = g_new0 (PeerHealth, 1);
+      g_hash_table_insert (self->health, g_strdup (peer), health);
+    }
+  return health;
+}
+
+static void
+note_result (GgPeerExchange *self, const char *peer, gboolean answered)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  if (answered)
+    {
+      g_hash_table_remove (self->health, peer);
+      return;
+    }
+  PeerHealth *health = get_health (self, peer);
+  if (health->failures++ == 0)
+    health->since_ms = now_ms;
+  if (health->recorded || health->failures < UNREACHABLE_FAILURES
+      || now_ms < health->since_ms + UNREACHABLE_MS)
+    return;
+  health->recorded = TRUE;
+  gg_log (LOG_WARNING, "event=peer-unreachable peer=%s failures=%u", peer, health->failures);
+  if (gg_control_state_is_recorder (self->state, peer))
+    gg_account_record (self->state->account, "peer-unreachable", peer,
+                       "control process does not answer", FALSE, gg_clock_wall_ms ());
+}
+
+static void
+shuffle (GArray *members)
+{
+  for (guint i = members->len; i > 1; i--)
+    {
+      guint j = (guint) (gg_control_random () % i);
+      GgMember a = g_array_index (members, GgMember, i - 1);
+      g_array_index (members, GgMember, i - 1) = g_array_index (members, GgMember, j);
+      g_array_index (members, GgMember, j) = a;
+    }
+}
+
+static void
+exchange_with_seed (GgPeerExchange *self)
+{
+  guint n = g_strv_length (self->seeds);
+  if (n == 0)
+    return;
+  const char *seed = self->seeds[gg_control_random () % n];
+  if (strcmp (seed, self->state->rpc_address) != 0)
+    note_result (self, seed, exchange_with (self->state, seed, NULL));
+}
+
+static void
+exchange_once (GgPeerExchange *self)
+{
+  GArray *peers = gg_control_state_copy_members (self->state, gg_control_state_is_peer);
+  shuffle (peers);
+  for (guint i = 0; i < peers->len && i < self->fanout; i++)
+    {
+      const GgMember *peer = &g_array_index (peers, GgMember, i);
+      note_result (self, peer->id,
+                   exchange_with (self->state, peer->control_address, peer->data_centre));
+    }
+  if (peers->len == 0)
+    exchange_with_seed (self);
+  g_array_unref (peers);
+}
+
+static void
+fetch_newer_config (GgPeerExchange *self)
+{
+  gg_control_state_lock (self->state);
+  char *address = g_steal_pointer (&self->state->newer_config_at);
+  gg_control_state_unlock (self->state);
+  if (address == NULL)
+    return;
+  char *text = NULL;
+  uint64_t generation = gg_control_state_get_generation (self->state);
+  gg_counter_add (&fetches, 1);
+  if (gg_control_client_fetch (address, GG_CONTROL_TEXT_CONFIG, generation, FETCH_TIMEOUT_MS, &text)
+      && *text != '\0')
+    gg_control_state_accept_config (self->state, text, address);
+  g_free (text);
+  g_free (address);
+}
+
+static void
+apply_snapshot (GgPeerExchange *self, const gg_rpc_snapshot *snapshot, const char *address)
+{
+  GArray *members = g_array_new (FALSE, FALSE, sizeof (GgMember));
+  g_array_set_clear_func (members, (GDestroyNotify) gg_member_clear);
+  for (u_int i = 0; i < snapshot->members.members_len; i++)
+    {
+      GgMember member;
+      gg_member_from_wire (&snapshot->members.members_val[i], &member);
+      g_array_append_val (members, member);
+    }
+  if (members->len > 0)
+    gg_control_state_apply_members (self->state, members, FALSE, gg_clock_now_ms ());
+  g_array_unref (members);
+  if (*snapshot->config_json != '\0')
+    gg_control_state_accept_config (self->state, snapshot->config_json, address);
+}
+
+static void
+bootstrap_from (GgPeerExchange *self, const char *address)
+{
+  gg_rpc_snapshot_query query = { 0 };
+  gg_rpc_snapshot snapshot;
+  if (strcmp (address, self->state->rpc_address) == 0
+      || !gg_control_client_snapshot (address, query, FETCH_TIMEOUT_MS, &snapshot))
+    return;
+  apply_snapshot (self, &snapshot, address);
+  gg_control_snapshot_free (&snapshot);
+}
+
+/* Asks the seeds and a few listed peers until both a configuration and a membership are known;
+ * the platform is asked at the same time by other threads. */
+static void
+bootstrap (GgPeerExchange *self)
+{
+  for (guint i = 0; self->seeds[i] != NULL && !gg_control_state_is_ready (self->state); i++)
+    bootstrap_from (self, self->seeds[i]);
+  GArray *peers = gg_control_state_copy_members (self->state, gg_control_state_is_peer);
+  shuffle (peers);
+  for (guint i = 0; i < peers->len && i < BOOTSTRAP_PEERS; i++)
+    if (!gg_control_state_is_ready (self->state))
+      bootstrap_from (self, g_array_index (peers, GgMember, i).control_address);
+  g_array_unref (peers);
+}
+
+static void *
+run (void *data)
+{
+  GgPeerExchange *self = data;
+  gboolean goes_on = TRUE;
+  while (goes_on)
+    {
+      if (!gg_control_state_is_ready (self->state))
+        bootstrap (self);
+      exchange_once (self);
+      fetch_newer_config (self);
+      uint64_t jitter_ms = gg_control_random () % (self->period_ms / 4 + 1);
+      goes_on = gg_control_state_wait (self->state, MIN_SPACING_MS)
+                && gg_control_state_wait_news (self->state,
+                                               self->period_ms + jitter_ms - MIN_SPACING_MS);
+    }
+  return NULL;
+}
+
+GgPeerExchange *
+gg_peer_exchange_create (GgControlState *state, const GgSettings *settings)
+{
+  GgPeerExchange *self = g_new0 (GgPeerExchange, 1);
+  self->state = state;
+  self->period_ms = gg_settings_get_uint (settings, "peers", "exchange_ms");
+  self->fanout = (guint) gg_settings_get_uint (settings, "peers", "fanout");
+  self->seeds = gg_settings_get_list (settings, "peers", "seeds");
+  self->health = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->thread = g_thread_new ("peer-exchange", run, self);
+  return self;
+}
+
+void
+gg_peer_exchange_destroy (GgPeerExchange *self)
+{
+  g_thread_join (self->thread);
+  g_strfreev (self->seeds);
+  g_hash_table_unref (self->health);
+  g_free (self);
+}
+
+void
+gg_peer_exchange_announce (GgControlState *state)
+{
+  uint64_t end_ms = gg_clock_now_ms () + ANNOUNCE_MS;
+  GArray *peers = gg_control_state_copy_members (state, gg_control_state_is_peer);
+  shuffle (peers);
+  for (guint i = 0; i < peers->len && i < ANNOUNCE_PEERS && gg_clock_now_ms () < end_ms; i++)
+    {
+      const GgMember *peer = &g_array_index (peers, GgMember, i);
+      (void) exchange_with (state, peer->control_address, peer->data_centre);
+    }
+  g_array_unref (peers);
+}
