--- a/src/daemons/controld/control_digest.c
+++ b/src/daemons/controld/control_digest.c
@@ -10,42 +10,48 @@
   return strdup (text != NULL ? text : "");
 }
 
-static gboolean
-has_entries (const GgControlState *state, const char *data_centre)
+/* Data centres with live entries; the names are owned by the table of members. */
+static GHashTable *
+collect_data_centres (const GgControlState *state)
 {
+  GHashTable *found = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < gg_member_table_get_size (state->members); i++)
     {
       const GgMember *member = gg_member_table_get (state->members, i);
       if (member->role == GG_MEMBER_ENTRY && member->state == GG_MEMBER_LIVE
-          && g_strcmp0 (member->data_centre, data_centre) == 0)
-        return TRUE;
+          && member->data_centre != NULL)
+        g_hash_table_add (found, member->data_centre);
     }
-  return FALSE;
+  return found;
 }
 
 /* Records go to peers of the same data centre; those of a data centre without live entries go to
  * all, since nobody sums them. */
 static gboolean
-is_detail_wanted (const GgControlState *state, const GgMember *runner, gboolean same_data_centre)
+is_detail_wanted (GHashTable *data_centres, const GgMember *runner, gboolean same_data_centre)
 {
-  return same_data_centre || !has_entries (state, runner->data_centre);
+  return same_data_centre || runner->data_centre == NULL
+         || !g_hash_table_contains (data_centres, runner->data_centre);
 }
 
 static void
 add_loads (GgControlState *state, gboolean same_data_centre, uint64_t now_ms, gg_rpc_digest *digest)
 {
   GByteArray *records = g_byte_array_new ();
+  GHashTable *data_centres = collect_data_centres (state);
   for (guint i = 0; i < gg_member_table_get_size (state->members); i++)
     {
       const GgMember *member = gg_member_table_get (state->members, i);
       GgExchangeLoad load;
       uint8_t record[GG_EXCHANGE_LOAD_SIZE_BYTES];
-      if (member->role != GG_MEMBER_RUNNER || !is_detail_wanted (state, member, same_data_centre)
+      if (member->role != GG_MEMBER_RUNNER
+          || !is_detail_wanted (data_centres, member, same_data_centre)
           || !gg_load_table_get (state->loads, gg_id_hash_instance (member->id), now_ms, &load))
         continue;
       gg_exchange_load_encode (&load, record);
       g_byte_array_append (records, record, sizeof record);
     }
+  g_hash_table_unref (data_centres);
   digest->loads.loads_len = records->len;
   digest->loads.loads_val = (char *) g_byte_array_free (records, FALSE);
 }
