--- a/tests/fakes/fake_relay.c
+++ b/tests/fakes/fake_relay.c
@@ -236,8 +236,9 @@
   };
   GOptionContext *context = g_option_context_new (NULL);
   g_option_context_add_main_entries (context, options, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, NULL)
-      || !parse_address (listen_text, &listen_address)
+  gboolean parsed = g_option_context_parse (context, &argc, &argv, NULL);
+  g_option_context_free (context);
+  if (!parsed || !parse_address (listen_text, &listen_address)
       || !parse_address (target_text, &target_address))
     {
       fputs ("gg-fake-relay: expected --listen IP:PORT --to IP:PORT\n", stderr);
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -49,6 +49,9 @@
   dup2 (output_fd, STDOUT_FILENO);
   dup2 (errors_fd, STDERR_FILENO);
   execv (path, argv);
+  static const char message[] = "this program could not be executed: ";
+  (void) !write (STDERR_FILENO, message, strlen (message));
+  (void) !write (STDERR_FILENO, path, strlen (path));
   _exit (EXEC_FAILED);
 }
 
