--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -9,6 +9,10 @@
 #define PUBLISH_TIMEOUT_MS 10000
 #define DEFAULT_STEP_US 1000
 #define N_DATA_CENTRES 2
+#define FOLDERS_MAX 16
+
+/* Folders of clusters that were not destroyed; read by another thread after an interrupt. */
+static char *folders[FOLDERS_MAX];
 
 static const char *const data_centres[N_DATA_CENTRES] = { "rubavu", "karongi" };
 
@@ -71,6 +75,26 @@
   g_remove (path);
 }
 
+/* Replaces one entry of the table of folders. */
+static void
+remember_folder (const char *old, char *replacement)
+{
+  for (size_t i = 0; i < FOLDERS_MAX; i++)
+    if (folders[i] == old)
+      {
+        folders[i] = replacement;
+        return;
+      }
+}
+
+void
+gg_cluster_remove_folders (void)
+{
+  for (size_t i = 0; i < FOLDERS_MAX; i++)
+    if (folders[i])
+      remove_tree (folders[i]);
+}
+
 static gboolean
 start_listening (GgProcess **process, const char *program, const char *const *args, char **address)
 {
@@ -362,6 +386,7 @@
   self->n_instances = options->n_instances;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   g_assert (self->folder);
+  remember_folder (NULL, self->folder);
   self->services_folder = g_build_filename (self->folder, "services", NULL);
   gboolean started = start_platform (self) && start_runners (self, options);
   for (uint32_t i = 0; started && i < self->n_instances; i++)
@@ -409,6 +434,7 @@
   gg_process_destroy (self->platform_process);
   gg_process_destroy (self->list_process);
   remove_tree (self->folder);
+  remember_folder (self->folder, NULL);
   g_free (self->folder);
   g_free (self->services_folder);
   g_free (self->kv);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -18,6 +18,8 @@
 /** Bearer keys of the two teams; "readers" may call only the model. */
 #define GG_CLUSTER_SCHOOLS_KEY "key-of-karongi-schools"
 #define GG_CLUSTER_READERS_KEY "key-of-rubavu-readers"
+#define GG_CLUSTER_SCHOOLS_BEARER ("Bearer " GG_CLUSTER_SCHOOLS_KEY)
+#define GG_CLUSTER_READERS_BEARER ("Bearer " GG_CLUSTER_READERS_KEY)
 
 typedef enum
 {
@@ -86,6 +88,9 @@
 /** Kills all processes of the cluster and removes its folder; @p self may be NULL. */
 void gg_cluster_destroy (GgCluster *self);
 
+/** Removes the folders of all clusters that still exist, for a program that is interrupted. */
+void gg_cluster_remove_folders (void);
+
 /** Starts the process again after it ended, under the same addresses. */
 void gg_cluster_start_entry (GgCluster *self, uint32_t instance);
 void gg_cluster_start_control (GgCluster *self, uint32_t instance);
