Demo: name a missing model in an otherwise valid request

Cause: the case sent an empty message list as well, and the malformed field was reported first (400 messages instead of 404 model). Change: the case sends a valid prompt to /v1/completions, so that only the model is wrong; the expected status stays 404.

--- a/tests/process/demo.c
+++ b/tests/process/demo.c
@@ -21,6 +21,7 @@
 #define RPC_TIMEOUT_MS 2000
 #define OVERSIZED_BYTES 70000
 #define CHAT_PATH "/v1/chat/completions"
+#define COMPLETION_PATH "/v1/completions"
 #define BOOKING_PATH "/services/moorings/berths/7"
 #define BOOKING "{\"barge\":\"Kivu Reader\",\"day\":\"2027-01-12\"}"
 #define CONFIG_PATH "/v1/kv/greengage/config"
@@ -291,7 +292,7 @@
   char *large = g_strdup_printf ("{\"model\":\"reader\",\"prompt\":\"%s\"}", oversized);
   run_refusal ("malformed JSON", CHAT_PATH, key, "{\"model\":", 400);
   run_refusal ("oversized body", CHAT_PATH, key, large, 413);
-  run_refusal ("unknown model", CHAT_PATH, key, "{\"model\":\"writer\",\"messages\":[]}", 404);
+  run_refusal ("unknown model", COMPLETION_PATH, key, "{\"model\":\"writer\",\"prompt\":\"x\"}", 404);
   run_refusal ("unknown service", "/services/fees/pay", key, "{}", 404);
   run_refusal ("missing credentials", CHAT_PATH, NULL, chat, 401);
   run_refusal ("wrong credentials", CHAT_PATH, "Bearer of-nobody", chat, 401);
