--- a/src/adapters/http/http_pool.c
+++ b/src/adapters/http/http_pool.c
@@ -516,3 +516,45 @@
     gg_counter_add (&not_sent, 1);
   gg_http_exchange_unref (exchange);
 }
+
+/* Returns TRUE if the call is decided: a whole reply, or a failure on a fresh connection. */
+static gboolean
+read_on_kept (GgHttpPool *self,
+              const char *address,
+              const GgHttpRequest *request,
+              uint64_t deadline_ms,
+              GgHttpReply *reply_out,
+              GgHttpResult *result_out)
+{
+  GgHttpExchange *exchange
+      = gg_http_exchange_create (request, deadline_ms, self->limits.max_reply_bytes);
+  gboolean decided = FALSE;
+  if (assign_idle (self, address, exchange))
+    {
+      *result_out = gg_http_exchange_wait (exchange, reply_out);
+      count_result (*result_out, reply_out);
+      decided = *result_out == GG_HTTP_OK || reply_out->connection_was_fresh;
+      if (!decided)
+        gg_http_pool_discard (self, address);
+    }
+  gg_http_exchange_unref (exchange);
+  return decided;
+}
+
+GgHttpResult
+gg_http_pool_read (GgHttpPool *self,
+                   const char *address,
+                   const char *path,
+                   uint64_t deadline_ms,
+                   GgHttpReply *reply_out)
+{
+  GgHttpRequest request = { .method = "GET", .path = path, .may_repeat = TRUE };
+  GgHttpResult result = GG_HTTP_NOT_SENT;
+  uint64_t now = gg_clock_now_ms ();
+  *reply_out = (GgHttpReply){ 0 };
+  if (now < deadline_ms && is_well_formed (&request)
+      && read_on_kept (self, address, &request, now + (deadline_ms - now) / 2, reply_out, &result))
+    return result;
+  request.may_repeat = FALSE;
+  return gg_http_pool_call (self, address, &request, deadline_ms, reply_out);
+}
--- a/src/adapters/http/http_pool.h
+++ b/src/adapters/http/http_pool.h
@@ -17,7 +17,8 @@
   uint32_t max_idle_per_address;
   uint32_t idle_timeout_ms; /**< A kept connection idle for longer is not used again. */
   uint32_t max_age_ms;      /**< A connection older than this is not used again. */
-  uint32_t read_timeout_s;  /**< Bound of an abandoned connection's thread, and of connecting. */
+  uint32_t read_timeout_s;  /**< Bound of connecting and, with 250 ms added, of the thread of an
+                                 abandoned connection, counted from the deadline. */
   size_t max_reply_bytes;
 } GgHttpPoolLimits;
 
@@ -71,6 +72,14 @@
                                 uint64_t deadline_ms,
                                 GgHttpReply *reply_out);
 
+/** Makes a GET that may be sent twice: if a kept connection gives no reply in half the time, the
+ * rest of the time is for a fresh one. */
+GgHttpResult gg_http_pool_read (GgHttpPool *self,
+                                const char *address,
+                                const char *path,
+                                uint64_t deadline_ms,
+                                GgHttpReply *reply_out);
+
 /** Starts a call whose outcome nobody waits for, and returns at once. It ends by
  * @p deadline_ms and the read timeout. */
 void gg_http_pool_send (GgHttpPool *self,
--- a/src/ports/instance_list.h
+++ b/src/ports/instance_list.h
@@ -10,5 +10,7 @@
 void gg_instance_list_destroy (GgInstanceList *self);
 
 /** Reads the whole list into an array of GgMember (clear function set).
- * @return FALSE if it could not be read by @p deadline_ms or is malformed. */
+ * A malformed instance is left out and counted.
+ * @return FALSE if the list could not be read by @p deadline_ms, is malformed or holds only
+ * malformed instances; @p members_out is NULL then. */
 gboolean gg_instance_list_read (GgInstanceList *self, uint64_t deadline_ms, GArray **members_out);
--- a/src/ports/kv.h
+++ b/src/ports/kv.h
@@ -33,11 +33,13 @@
 /** Reads one key. @p deadline_ms is monotonic, here and below. */
 GgKvResult gg_kv_get (GgKv *self, const char *key, uint64_t deadline_ms, GgKvValue *value_out);
 
-/** Reads all keys under @p prefix into an array of GgKvValue (clear function set). */
+/** Reads all keys under @p prefix into an array of GgKvValue (clear function set).
+ * @param values_out NULL unless the result is GG_KV_OK; GG_KV_ABSENT if there is no such key. */
 GgKvResult gg_kv_list (GgKv *self, const char *prefix, uint64_t deadline_ms, GArray **values_out);
 
 /** Writes if the stored version is @p version; 0 creates if absent.
- * @param text at most one megabyte. */
+ * @param text at most one megabyte (2^20 bytes); a longer one is not sent and gives
+ * GG_KV_UNREACHABLE. */
 GgKvResult gg_kv_put_if_version (
     GgKv *self, const char *key, const char *text, uint64_t version, uint64_t deadline_ms);
 
