Free options of greengage-controld on errors; wait for the recorded outage in its test

Cause: LeakSanitizer failed the exit status of a settings error; the process test ended the outage before the 1 s after which it is recorded. Change: one exit path in main; the test waits for the platform-down entry of c1 and then for its platform-up entry.

--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -139,21 +139,11 @@
   _exit (EXIT_SUCCESS);
 }
 
-int
-main (int argc, char **argv)
+static int
+run_with_settings (const Options *options)
 {
-  Options options = { 0 };
   GError *error = NULL;
-  gg_log_init ("greengage-controld");
-  if (!parse_options (&argc, &argv, &options))
-    return EXIT_USAGE;
-  if (options.show_version)
-    {
-      printf ("greengage-controld %s\n", GG_VERSION);
-      return EXIT_SUCCESS;
-    }
-
-  GgSettings *settings = gg_settings_create (options.settings_path, gg_control_settings,
+  GgSettings *settings = gg_settings_create (options->settings_path, gg_control_settings,
                                              gg_control_settings_count, &error);
   if (settings == NULL)
     {
@@ -161,8 +151,23 @@
       g_error_free (error);
       return EXIT_USAGE;
     }
-  int status = options.check_only ? EXIT_SUCCESS : run (settings);
+  int status = options->check_only ? EXIT_SUCCESS : run (settings);
   gg_settings_destroy (settings);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options options = { 0 };
+  int status = EXIT_SUCCESS;
+  gg_log_init ("greengage-controld");
+  if (!parse_options (&argc, &argv, &options))
+    status = EXIT_USAGE;
+  else if (options.show_version)
+    printf ("greengage-controld %s\n", GG_VERSION);
+  else
+    status = run_with_settings (&options);
   g_free (options.settings_path);
   return status;
 }
--- a/tests/process/test_control.c
+++ b/tests/process/test_control.c
@@ -224,11 +224,12 @@
   CU_ASSERT_TRUE (copied);
   gg_process_signal (instances[0].process, SIGKILL);
   CU_ASSERT_TRUE (gg_process_wait_exit (instances[0].process, TIMEOUT_MS));
+  expect (1, GG_CONTROL_TEXT_ACCOUNT, "\"c1\"[^}]*\"platform-down\"", TIMEOUT_MS);
   set_platform ("{\"down\":0}");
   for (int i = 1; i < N_INSTANCES; i++)
     expect (i, GG_CONTROL_TEXT_ACCOUNT, "\"drain\",\"subject\":\"c0\".*\"gaps\":\\[\\]",
             TIMEOUT_MS);
-  expect (1, GG_CONTROL_TEXT_ACCOUNT, "platform-up.*answers again after [0-9]+ ms", TIMEOUT_MS);
+  expect (1, GG_CONTROL_TEXT_ACCOUNT, "\"c1\"[^}]*platform-up[^}]*after [0-9]+ ms", TIMEOUT_MS);
 }
 
 static void
