List adapter: clear members by gg_member_clear

Cause: the adapter was written before core/member.c existed and kept its own list of fields to free. Change: one clear function serves both. Measured: adapters/test_instance_list passes.

--- a/src/adapters/list/instance_list_client.c
+++ b/src/adapters/list/instance_list_client.c
@@ -44,14 +44,7 @@
 static void
 clear_member (void *data)
 {
-  GgMember *member = data;
-  g_free (member->id);
-  g_free (member->address);
-  g_free (member->control_address);
-  g_free (member->entry_rpc_address);
-  g_free (member->data_centre);
-  g_free (member->service);
-  g_free (member->accelerator);
+  gg_member_clear (data);
 }
 
 static gboolean
