--- a/src/adapters/http/http_pool.h
+++ b/src/adapters/http/http_pool.h
@@ -3,7 +3,8 @@
  *
  * neon's timeouts are whole seconds and neon hides the socket, so each connection has its own
  * thread; the caller waits on a condition variable and abandons the connection at the deadline.
- * An abandoned connection's thread ends at neon's read timeout and its reply is discarded. */
+ * An abandoned connection's thread discards its reply and ends at neon's read timeout; one that
+ * still runs later, since neon blocks in a send or the reply comes byte by byte, is cancelled. */
 #pragma once
 
 #include <glib.h>
@@ -16,7 +17,8 @@
   uint32_t max_idle_per_address;
   uint32_t idle_timeout_ms; /**< A kept connection idle for longer is not used again. */
   uint32_t max_age_ms;      /**< A connection older than this is not used again. */
-  uint32_t read_timeout_s;  /**< Bound of an abandoned connection's thread. */
+  uint32_t read_timeout_s;  /**< Bound of connecting and, with 250 ms added, of the thread of an
+                                 abandoned connection, counted from the deadline. */
   size_t max_reply_bytes;
 } GgHttpPoolLimits;
 
@@ -34,7 +36,8 @@
 typedef enum
 {
   GG_HTTP_OK,       /**< A whole reply of any status. */
-  GG_HTTP_NOT_SENT, /**< No connection could be made; no byte was sent. */
+  GG_HTTP_NOT_SENT, /**< No byte was sent and none will be: no connection could be made, or
+                         the request is malformed. */
   GG_HTTP_IN_DOUBT, /**< Sent at least in part, no whole reply by the deadline. */
 } GgHttpResult;
 
@@ -45,7 +48,8 @@
   const char *const *headers; /**< Name, value, name, value, ..., NULL; may be NULL. */
   const char *body;           /**< May be NULL. */
   size_t body_size_bytes;
-  gboolean may_repeat; /**< FALSE: goes out at most once, on a fresh connection. */
+  gboolean may_repeat; /**< FALSE: goes out at most once, on a fresh connection. TRUE: may go
+                            out a second time if a kept connection fails. */
 } GgHttpRequest;
 
 typedef struct
@@ -55,6 +59,8 @@
   size_t body_size_bytes;
   GHashTable *headers;           /**< Lower-case name to value. */
   gboolean connection_was_fresh; /**< Set for every result. */
+  gboolean was_repeated;         /**< Set for every result: the request was sent again after a kept
+                                      connection had failed; the first copy may have run. */
 } GgHttpReply;
 
 void gg_http_reply_clear (GgHttpReply *self);
@@ -66,6 +72,21 @@
                                 uint64_t deadline_ms,
                                 GgHttpReply *reply_out);
 
+/** Makes a GET that may be sent twice: if a kept connection gives no reply in half the time, the
+ * rest of the time is for a fresh one. */
+GgHttpResult gg_http_pool_read (GgHttpPool *self,
+                                const char *address,
+                                const char *path,
+                                uint64_t deadline_ms,
+                                GgHttpReply *reply_out);
+
+/** Starts a call whose outcome nobody waits for, and returns at once. It ends by
+ * @p deadline_ms and the read timeout. */
+void gg_http_pool_send (GgHttpPool *self,
+                        const char *address,
+                        const GgHttpRequest *request,
+                        uint64_t deadline_ms);
+
 /** Closes all idle connections to @p address, after one of them went silent or gave a reply
  * that belongs to another call. */
 void gg_http_pool_discard (GgHttpPool *self, const char *address);
