Name the attempt in an engine's export; format the demo

Cause: the engine client checks the attempt of an export when it is present; script/check refused the format of demo.c. Change: the fake engine's export carries its attempt; demo.c is formatted.

--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -328,7 +328,8 @@
     {
       char *kv = g_strdup_printf ("%s %u %u %s %u %s", model, first_layer, end_layer,
                                   lineage->request, lineage->next_position, lineage->chain);
-      runner_reply_reason (reply, 200, "kv", kv);
+      reply->status = 200;
+      reply->body = g_strdup_printf ("{\"attempt\":\"%s\",\"kv\":\"%s\"}", attempt, kv);
       g_free (kv);
     }
   pthread_mutex_unlock (&lock);
--- a/tests/process/demo.c
+++ b/tests/process/demo.c
@@ -292,7 +292,8 @@
   char *large = g_strdup_printf ("{\"model\":\"reader\",\"prompt\":\"%s\"}", oversized);
   run_refusal ("malformed JSON", CHAT_PATH, key, "{\"model\":", 400);
   run_refusal ("oversized body", CHAT_PATH, key, large, 413);
-  run_refusal ("unknown model", COMPLETION_PATH, key, "{\"model\":\"writer\",\"prompt\":\"x\"}", 404);
+  run_refusal ("unknown model", COMPLETION_PATH, key, "{\"model\":\"writer\",\"prompt\":\"x\"}",
+               404);
   run_refusal ("unknown service", "/services/fees/pay", key, "{}", 404);
   run_refusal ("missing credentials", CHAT_PATH, NULL, chat, 401);
   run_refusal ("wrong credentials", CHAT_PATH, "Bearer of-nobody", chat, 401);
