Use POSIX mutexes and threads in the control process

Change: account, control state and collector use pthread; the process test prints a daemon's errors when its exit status is wrong.

--- a/src/core/account.c
+++ b/src/core/account.c
@@ -1,6 +1,7 @@
 #include "core/account.h"
 
 #include <json-glib/json-glib.h>
+#include <pthread.h>
 #include <string.h>
 
 /* An entry that was last raised longer ago than this is closed; the next event opens another. */
@@ -25,7 +26,7 @@
 
 struct _GgAccount
 {
-  GMutex mutex;
+  pthread_mutex_t mutex;
   char *instance;
   uint32_t max_entries;
   uint64_t version;
@@ -49,7 +50,7 @@
 gg_account_create (const char *instance, uint32_t max_entries)
 {
   GgAccount *self = g_new0 (GgAccount, 1);
-  g_mutex_init (&self->mutex);
+  pthread_mutex_init (&self->mutex, NULL);
   self->instance = g_strdup (instance);
   self->max_entries = max_entries;
   self->own = g_ptr_array_new_with_free_func (entry_free);
@@ -64,7 +65,7 @@
     return;
   g_ptr_array_unref (self->own);
   g_ptr_array_unref (self->taken);
-  g_mutex_clear (&self->mutex);
+  pthread_mutex_destroy (&self->mutex);
   g_free (self->instance);
   g_free (self);
 }
@@ -192,7 +193,7 @@
   char *bounded_kind = bounded_text (kind);
   char *bounded_detail = bounded_text (detail);
 
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   Entry *entry = find_open (self->own, bounded_kind, bounded_subject, wall_ms);
   if (entry == NULL)
     entry = open_entry (self, bounded_kind, bounded_subject, wall_ms);
@@ -203,7 +204,7 @@
   entry->detail = g_steal_pointer (&bounded_detail);
   enforce_bound (self, self->own);
   self->version++;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 
   g_free (bounded_subject);
   g_free (bounded_kind);
@@ -256,10 +257,10 @@
 {
   JsonBuilder *builder = json_builder_new ();
   json_builder_begin_array (builder);
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   format_entries (builder, self->own, since_ms);
   format_entries (builder, self->taken, since_ms);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   json_builder_end_array (builder);
 
   JsonNode *root = json_builder_get_root (builder);
@@ -383,7 +384,7 @@
     return FALSE;
 
   gboolean changed = FALSE;
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   while (entries->len > 0)
     changed |= merge_entry (self, g_ptr_array_steal_index (entries, 0));
   if (changed)
@@ -393,7 +394,7 @@
       enforce_bound (self, self->taken);
       self->version++;
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   g_ptr_array_unref (entries);
   return TRUE;
 }
@@ -401,8 +402,8 @@
 uint64_t
 gg_account_get_version (GgAccount *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   uint64_t version = self->version;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return version;
 }
--- a/src/daemons/controld/account_store.c
+++ b/src/daemons/controld/account_store.c
@@ -41,7 +41,7 @@
   uint64_t copied_version;
   char *copy_peer; /* Control address of the peer that took the latest copy. */
   GgBackoff backoff;
-  GThread *thread;
+  pthread_t thread;
 };
 
 /* Entries that do not fit are left out from the oldest on. */
@@ -201,14 +201,14 @@
   self->save_ms = gg_settings_get_uint (settings, "account", "save_ms");
   uint32_t max_ms = (uint32_t) gg_settings_get_uint (settings, "platform", "backoff_max_ms");
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (BACKOFF_BASE_MS, max_ms);
-  self->thread = g_thread_new ("account-store", run, self);
+  gg_control_thread_start (&self->thread, run, self);
   return self;
 }
 
 void
 gg_account_store_destroy (GgAccountStore *self)
 {
-  g_thread_join (self->thread);
+  pthread_join (self->thread, NULL);
   g_free (self->copy_peer);
   g_free (self->key);
   g_free (self);
--- a/src/daemons/controld/config_watch.c
+++ b/src/daemons/controld/config_watch.c
@@ -90,5 +90,7 @@
   self->watch_ms = gg_settings_get_uint (settings, "platform", "watch_ms");
   uint32_t max_ms = (uint32_t) gg_settings_get_uint (settings, "platform", "backoff_max_ms");
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (BACKOFF_BASE_MS, max_ms);
-  g_thread_unref (g_thread_new ("config-watch", run, self));
+  pthread_t thread;
+  gg_control_thread_start (&thread, run, self);
+  pthread_detach (thread);
 }
--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -6,6 +6,7 @@
 #include "greengage/id.h"
 
 #include <string.h>
+#include <time.h>
 
 /* A single failed call is not an outage. */
 #define OUTAGE_MS 1000
@@ -20,6 +21,17 @@
 static GgCounter outages = GG_COUNTER ("greengage_platform_outages_total",
                                        "Outages of the platform that lasted over a second");
 
+static void
+init_locks (GgControlState *self)
+{
+  pthread_condattr_t attributes;
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&self->changed, &attributes);
+  pthread_condattr_destroy (&attributes);
+  pthread_mutex_init (&self->mutex, NULL);
+}
+
 GgControlState *
 gg_control_state_create (const GgSettings *settings)
 {
@@ -30,8 +42,7 @@
   self->started_at_ms = gg_clock_now_ms ();
   uint32_t max_entries = (uint32_t) gg_settings_get_uint (settings, "account", "max_entries");
   self->account = gg_account_create (self->name, max_entries);
-  g_mutex_init (&self->mutex);
-  g_cond_init (&self->changed);
+  init_locks (self);
   self->members = gg_member_table_create (gg_settings_get_uint (settings, "members", "hold_ms"));
   self->loads = gg_load_table_create ();
   self->report_sequences = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -54,59 +65,73 @@
   g_free (self->config_json);
   g_free (self->newer_config_at);
   g_hash_table_unref (self->report_sequences);
-  g_mutex_clear (&self->mutex);
-  g_cond_clear (&self->changed);
+  pthread_mutex_destroy (&self->mutex);
+  pthread_cond_destroy (&self->changed);
   g_free (self);
 }
 
+void
+gg_control_thread_start (pthread_t *thread_out, void *(*func) (void *), void *data)
+{
+  int failure = pthread_create (thread_out, NULL, func, data);
+  g_assert (failure == 0);
+}
+
 void
 gg_control_state_lock (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
 }
 
 void
 gg_control_state_unlock (GgControlState *self)
 {
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 void
 gg_control_state_stop (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   self->stopping = TRUE;
-  g_cond_broadcast (&self->changed);
-  g_mutex_unlock (&self->mutex);
+  pthread_cond_broadcast (&self->changed);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 gboolean
 gg_control_state_is_stopping (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean stopping = self->stopping;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return stopping;
 }
 
+static struct timespec
+to_timespec (uint64_t ms)
+{
+  return (struct timespec){ .tv_sec = (time_t) (ms / 1000),
+                            .tv_nsec = (long) (ms % 1000) * 1000000 };
+}
+
 static gboolean
 wait_until (GgControlState *self, uint64_t wait_ms, gboolean for_news)
 {
   uint64_t end_ms = gg_clock_now_ms () + wait_ms;
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   while (!self->stopping && !(for_news && self->has_news))
     {
       uint64_t now_ms = gg_clock_now_ms ();
       if (now_ms >= end_ms)
         break;
       uint64_t slice_ms = MIN (end_ms - now_ms, WAIT_SLICE_MS);
-      g_cond_wait_until (&self->changed, &self->mutex,
-                         g_get_monotonic_time () + (gint64) slice_ms * 1000);
+      struct timespec until = to_timespec (now_ms + slice_ms);
+      pthread_cond_timedwait (&self->changed, &self->mutex, &until);
     }
   if (for_news)
     self->has_news = FALSE;
   gboolean goes_on = !self->stopping;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return goes_on;
 }
 
@@ -126,7 +151,7 @@
 set_news (GgControlState *self)
 {
   self->has_news = TRUE;
-  g_cond_broadcast (&self->changed);
+  pthread_cond_broadcast (&self->changed);
 }
 
 static gboolean
@@ -153,9 +178,9 @@
 gboolean
 gg_control_state_is_recorder (GgControlState *self, const char *subject)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean recorder = is_recorder (self, subject);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return recorder;
 }
 
@@ -170,9 +195,9 @@
 gboolean
 gg_control_state_is_watcher (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean watcher = is_watcher (self);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return watcher;
 }
 
@@ -264,7 +289,7 @@
                                 gboolean from_list,
                                 uint64_t now_ms)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   if (from_list || !self->list_was_read)
     {
       self->list_was_read |= from_list;
@@ -277,7 +302,7 @@
       gg_load_table_expire (self->loads, now_ms);
       gg_counter_set (&members_gauge, gg_member_table_get_size (self->members));
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 gboolean
@@ -287,7 +312,7 @@
                                GgMemberSource source,
                                uint64_t now_ms)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   const GgMember *member = gg_member_table_find (self->members, id);
   if (incarnation == 0 && member != NULL)
     incarnation = member->incarnation;
@@ -299,16 +324,16 @@
       record_leaving (self, id, incarnation, source);
       set_news (self);
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return known;
 }
 
 void
 gg_control_state_confirm (GgControlState *self, const char *id, uint64_t now_ms)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gg_member_table_confirm (self->members, id, now_ms);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 static void
@@ -322,7 +347,7 @@
 {
   GArray *copies = g_array_new (FALSE, FALSE, sizeof (GgMember));
   g_array_set_clear_func (copies, clear_member);
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   for (guint i = 0; i < gg_member_table_get_size (self->members); i++)
     {
       const GgMember *member = gg_member_table_get (self->members, i);
@@ -332,7 +357,7 @@
       gg_member_copy (&copy, member);
       g_array_append_val (copies, copy);
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return copies;
 }
 
@@ -348,7 +373,7 @@
 static gboolean
 replace_config (GgControlState *self, GgConfigDocument *document, GgConfig *config)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean newer = gg_config_document_supersedes (document, self->document);
   gboolean watcher = is_watcher (self);
   uint64_t generation = gg_config_document_get_generation (document);
@@ -362,7 +387,7 @@
       self->config_json = gg_config_document_format (document);
       set_news (self);
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 
   if (newer && watcher)
     {
@@ -377,9 +402,9 @@
 static gboolean
 is_newer (GgControlState *self, const GgConfigDocument *document)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean newer = gg_config_document_supersedes (document, self->document);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return newer;
 }
 
@@ -422,10 +447,10 @@
 uint64_t
 gg_control_state_get_generation (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   uint64_t generation
       = self->document != NULL ? gg_config_document_get_generation (self->document) : 0;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return generation;
 }
 
@@ -434,19 +459,19 @@
 {
   if (generation <= gg_control_state_get_generation (self))
     return;
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   g_free (self->newer_config_at);
   self->newer_config_at = g_strdup (address);
   set_news (self);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 gboolean
 gg_control_state_is_ready (GgControlState *self)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean ready = self->config != NULL && gg_member_table_get_size (self->members) > 0;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return ready;
 }
 
@@ -485,7 +510,7 @@
                                 gboolean up,
                                 uint64_t now_ms)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   GgControlPlatformState *state = &self->platform[which];
   uint64_t lasted_ms = now_ms - state->changed_at_ms;
   if (!state->known || state->up != up)
@@ -500,14 +525,14 @@
       gg_counter_add (&outages, 1);
       record_platform (self, which, FALSE, lasted_ms);
     }
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
 }
 
 gboolean
 gg_control_state_is_platform_down (GgControlState *self, GgControlPlatform which)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean down = self->platform[which].known && !self->platform[which].up;
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   return down;
 }
--- a/src/daemons/controld/control_state.h
+++ b/src/daemons/controld/control_state.h
@@ -10,6 +10,8 @@
 #include "core/member.h"
 #include "daemons/controld/load_table.h"
 
+#include <pthread.h>
+
 #define GG_CONTROL_CONFIG_KEY "greengage/config"
 /** Instances of each data centre that watch the configuration. */
 #define GG_CONTROL_WATCHERS 2
@@ -39,8 +41,8 @@
   GgAccount *account; /**< Thread-safe. */
 
   /* Guarded by the mutex. */
-  GMutex mutex;
-  GCond changed;
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
   gboolean stopping;
   gboolean has_news; /**< Something that peers should hear at once. */
   GgMemberTable *members;
@@ -57,6 +59,9 @@
 GgControlState *gg_control_state_create (const GgSettings *settings);
 void gg_control_state_destroy (GgControlState *self);
 
+/** Starts a thread; that it can't be started is a broken invariant. */
+void gg_control_thread_start (pthread_t *thread_out, void *(*func) (void *), void *data);
+
 void gg_control_state_lock (GgControlState *self);
 void gg_control_state_unlock (GgControlState *self);
 
--- a/src/daemons/controld/list_reader.c
+++ b/src/daemons/controld/list_reader.c
@@ -20,7 +20,7 @@
   GgInstanceList *list;
   uint64_t poll_ms;
   GgBackoff backoff;
-  GThread *thread;
+  pthread_t thread;
 };
 
 /* Returns the pause before the next reading. */
@@ -62,14 +62,14 @@
   self->poll_ms = gg_settings_get_uint (settings, "platform", "list_poll_ms");
   uint32_t max_ms = (uint32_t) gg_settings_get_uint (settings, "platform", "backoff_max_ms");
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (BACKOFF_BASE_MS, max_ms);
-  self->thread = g_thread_new ("list-reader", run, self);
+  gg_control_thread_start (&self->thread, run, self);
   return self;
 }
 
 void
 gg_list_reader_destroy (GgListReader *self)
 {
-  g_thread_join (self->thread);
+  pthread_join (self->thread, NULL);
   gg_instance_list_destroy (self->list);
   g_free (self);
 }
--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -25,8 +25,8 @@
   GgHttpPool *http;
   uint64_t poll_ms;
   GThreadPool *workers;
-  GThread *thread;
-  GMutex mutex;
+  pthread_t thread;
+  pthread_mutex_t mutex;
   GHashTable *in_flight;    /* Ids that a worker polls; guarded by the mutex. */
   GArray *runners;          /* GgMember; used by the thread alone. */
   uint64_t members_version; /* For which runners was computed. */
@@ -110,9 +110,9 @@
   if (!gg_control_state_is_stopping (self->state))
     call_runner (self, runner);
 
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   g_hash_table_remove (self->in_flight, runner->id);
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   gg_member_clear (runner);
   g_free (runner);
 }
@@ -153,9 +153,9 @@
 static void
 start_poll (GgLoadCollector *self, const GgMember *runner)
 {
-  g_mutex_lock (&self->mutex);
+  pthread_mutex_lock (&self->mutex);
   gboolean idle = g_hash_table_add (self->in_flight, g_strdup (runner->id));
-  g_mutex_unlock (&self->mutex);
+  pthread_mutex_unlock (&self->mutex);
   if (!idle)
     return;
   GgMember *copy = g_new (GgMember, 1);
@@ -187,21 +187,21 @@
   self->state = state;
   self->http = gg_http_pool_create (&limits);
   self->poll_ms = gg_settings_get_uint (settings, "loads", "poll_ms");
-  g_mutex_init (&self->mutex);
+  pthread_mutex_init (&self->mutex, NULL);
   self->in_flight = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->workers = g_thread_pool_new (poll_runner, self, MAX_THREADS, FALSE, NULL);
-  self->thread = g_thread_new ("load-collector", run, self);
+  gg_control_thread_start (&self->thread, run, self);
   return self;
 }
 
 void
 gg_load_collector_destroy (GgLoadCollector *self)
 {
-  g_thread_join (self->thread);
+  pthread_join (self->thread, NULL);
   g_thread_pool_free (self->workers, FALSE, TRUE);
   gg_http_pool_destroy (self->http);
   g_clear_pointer (&self->runners, g_array_unref);
   g_hash_table_unref (self->in_flight);
-  g_mutex_clear (&self->mutex);
+  pthread_mutex_destroy (&self->mutex);
   g_free (self);
 }
--- a/src/daemons/controld/peer_exchange.c
+++ b/src/daemons/controld/peer_exchange.c
@@ -41,7 +41,7 @@
   guint fanout;
   char **seeds;
   GHashTable *health; /* Peer id or address to PeerHealth. */
-  GThread *thread;
+  pthread_t thread;
 };
 
 static gboolean
@@ -224,14 +224,14 @@
   self->fanout = (guint) gg_settings_get_uint (settings, "peers", "fanout");
   self->seeds = gg_settings_get_list (settings, "peers", "seeds");
   self->health = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  self->thread = g_thread_new ("peer-exchange", run, self);
+  gg_control_thread_start (&self->thread, run, self);
   return self;
 }
 
 void
 gg_peer_exchange_destroy (GgPeerExchange *self)
 {
-  g_thread_join (self->thread);
+  pthread_join (self->thread, NULL);
   g_strfreev (self->seeds);
   g_hash_table_unref (self->health);
   g_free (self);
--- a/tests/process/test_control.c
+++ b/tests/process/test_control.c
@@ -133,6 +133,18 @@
   g_free (errors);
 }
 
+static void
+expect_clean_exit (const Instance *instance)
+{
+  CU_ASSERT_TRUE (gg_process_wait_exit (instance->process, 2 * TIMEOUT_MS));
+  CU_ASSERT_EQUAL (gg_process_get_status (instance->process), 0);
+  if (gg_process_get_status (instance->process) == 0)
+    return;
+  char *errors = gg_process_read_errors (instance->process);
+  fprintf (stderr, "%s: %s\n", instance->name, errors);
+  g_free (errors);
+}
+
 static int
 run_ctl (int instance, const char *command, const char *argument, char **output_out)
 {
@@ -186,8 +198,7 @@
   publish_config (7);
   expect (N_INSTANCES, GG_CONTROL_TEXT_STATUS, "\"generation\":7", TIMEOUT_MS);
   gg_process_signal (late->process, SIGTERM);
-  CU_ASSERT_TRUE (gg_process_wait_exit (late->process, 2 * TIMEOUT_MS));
-  CU_ASSERT_EQUAL (gg_process_get_status (late->process), 0);
+  expect_clean_exit (late);
   g_free (seeds);
   g_free (dead_kv);
   g_free (dead_list);
@@ -250,8 +261,7 @@
 {
   gg_process_signal (instances[1].process, SIGTERM);
   expect (2, GG_CONTROL_TEXT_STATUS, "\"id\":\"c1\",[^}]*\"leaving\"", LEAVING_MS);
-  CU_ASSERT_TRUE (gg_process_wait_exit (instances[1].process, 2 * TIMEOUT_MS));
-  CU_ASSERT_EQUAL (gg_process_get_status (instances[1].process), 0);
+  expect_clean_exit (&instances[1]);
   expect (2, GG_CONTROL_TEXT_ACCOUNT, "member-leaving\",\"subject\":\"c1\"", TIMEOUT_MS);
 }
 
