Give orders to runners; let other instances stand in for a silent collector

Cause: no process compared a runner's version with the configuration, and a stopped control process left its runners without load reports until the list dropped it. A stand-in of another data centre hears only sums, so it may not take missing details for silence (it polled all the time). Change: order issuer on each report; ranks 1 and 2 collect once reports are older than 1.5 s times their rank, other data centres after them. Mutations order-once and collector-no-stand-in each fail their case.

--- a/src/core/order.c
+++ b/src/core/order.c
@@ -1,5 +1,7 @@
 #include "core/order.h"
 
+#include "core/mutation.h"
+
 #include <string.h>
 
 /* Loading a version takes time, and the report that shows it is late; an order is given again
@@ -35,7 +37,8 @@
       self->attempts = 0;
       return was_ordered ? GG_ORDER_FOLLOWED : GG_ORDER_NONE;
     }
-  if (is_on_its_way (self, generation, now_ms))
+  if (is_on_its_way (self, generation, now_ms)
+      || (GG_IS_MUTATED ("order-once") && self->sent_generation == generation))
     return GG_ORDER_NONE;
   if (self->sent_generation != generation)
     self->attempts = 0;
--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -3,6 +3,8 @@
 #include "adapters/http/http_pool.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "core/mutation.h"
+#include "daemons/controld/order_issuer.h"
 #include "greengage/id.h"
 
 #include <json-glib/json-glib.h>
@@ -11,6 +13,10 @@
 /* A runner that does not answer holds one of these until the timeout. */
 #define MAX_THREADS 8
 #define CALL_TIMEOUT_MS 1000
+/* Instances per scope (data centre, all) that stand in for a collector that is silent. */
+#define MAX_STAND_INS 2
+/* Age of a runner's load at which the first stand-in collects it, times the rank. */
+#define STAND_IN_AFTER_MS 1500
 
 static GgCounter collected
     = GG_COUNTER ("greengage_load_polls_total{result=\"ok\"}", "Polls of the load of runners");
@@ -27,8 +33,10 @@
   GThreadPool *workers;
   pthread_t thread;
   pthread_mutex_t mutex;
-  GHashTable *in_flight;    /* Ids that a worker polls; guarded by the mutex. */
-  GArray *runners;          /* GgMember; used by the thread alone. */
+  GHashTable *in_flight; /* Ids that a worker polls; guarded by the mutex. */
+  GgOrderIssuer *orders;
+  GArray *runners;          /* GgMember; used by the thread alone, as the next two. */
+  GArray *ranks;            /* int, by index in runners. */
   uint64_t members_version; /* For which runners was computed. */
 };
 
@@ -45,8 +53,9 @@
   return TRUE;
 }
 
+/* Parses a report; the version is owned by the caller and NULL if there is none. */
 static gboolean
-parse_load (const char *body, GgExchangeLoad *load_out)
+parse_load (const char *body, GgExchangeLoad *load_out, char **version_out)
 {
   JsonNode *root = json_from_string (body, NULL);
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
@@ -64,6 +73,9 @@
   load_out->leaving = leaving != NULL && JSON_NODE_HOLDS_VALUE (leaving)
                       && json_node_get_value_type (leaving) == G_TYPE_BOOLEAN
                       && json_node_get_boolean (leaving);
+  JsonNode *version = json_object_get_member (object, "version");
+  if (version != NULL && JSON_NODE_HOLDS_VALUE (version))
+    *version_out = json_node_dup_string (version);
   json_node_unref (root);
   return whole;
 }
@@ -73,9 +85,11 @@
 {
   GgExchangeLoad load = { .runner_hash = gg_id_hash_instance (runner->id) };
   uint64_t now_ms = gg_clock_now_ms ();
-  if (!parse_load (body, &load))
+  char *version = NULL;
+  if (!parse_load (body, &load, &version))
     {
       gg_counter_add (&failed, 1);
+      g_free (version);
       return;
     }
   gg_counter_add (&collected, 1);
@@ -86,6 +100,8 @@
   if (load.leaving)
     gg_control_state_mark_leaving (self->state, runner->id, runner->incarnation,
                                    GG_MEMBER_SOURCE_SELF, now_ms);
+  gg_order_issuer_take_report (self->orders, runner, version);
+  g_free (version);
 }
 
 static void
@@ -119,20 +135,40 @@
 
 /* Call with the state locked. */
 static gboolean
-is_assigned (const GgControlState *state, const GgMember *member)
+has_local_entry (const GgControlState *state, const char *data_centre)
 {
-  if (member->role != GG_MEMBER_RUNNER || member->address == NULL)
-    return FALSE;
-  gboolean local = FALSE;
-  for (guint i = 0; i < gg_member_table_get_size (state->members) && !local; i++)
+  for (guint i = 0; i < gg_member_table_get_size (state->members); i++)
     {
       const GgMember *entry = gg_member_table_get (state->members, i);
-      local = entry->role == GG_MEMBER_ENTRY && entry->state == GG_MEMBER_LIVE
-              && g_strcmp0 (entry->data_centre, member->data_centre) == 0;
+      if (entry->role == GG_MEMBER_ENTRY && entry->state == GG_MEMBER_LIVE
+          && g_strcmp0 (entry->data_centre, data_centre) == 0)
+        return TRUE;
     }
-  return gg_member_table_get_rank (state->members, local ? member->data_centre : NULL, member->id,
-                                   state->name)
-         == 0;
+  return FALSE;
+}
+
+/* Place of this instance among the collectors of a runner: 0 collects, the next ones stand in
+ * while its reports stay away. Instances of other data centres come after the local ones.
+ * Call with the state locked. */
+static int
+get_rank (const GgControlState *state, const GgMember *runner)
+{
+  int rank = -1;
+  if (has_local_entry (state, runner->data_centre))
+    rank = gg_member_table_get_rank (state->members, runner->data_centre, runner->id, state->name);
+  if (rank >= 0)
+    return rank;
+  rank = gg_member_table_get_rank (state->members, NULL, runner->id, state->name);
+  return rank >= 0 && has_local_entry (state, runner->data_centre) ? rank + MAX_STAND_INS : rank;
+}
+
+static gboolean
+is_candidate (const GgControlState *state, const GgMember *member)
+{
+  if (member->role != GG_MEMBER_RUNNER || member->address == NULL)
+    return FALSE;
+  int rank = get_rank (state, member);
+  return rank >= 0 && rank <= 2 * MAX_STAND_INS;
 }
 
 /* Ranks cost a pass over all entries per runner, so they are computed once per change. */
@@ -145,9 +181,40 @@
   if (self->runners != NULL && version == self->members_version)
     return;
   g_clear_pointer (&self->runners, g_array_unref);
-  self->runners = gg_control_state_copy_members (self->state, is_assigned);
+  self->runners = gg_control_state_copy_members (self->state, is_candidate);
   self->members_version = version;
-  gg_counter_set (&assigned, self->runners->len);
+
+  uint32_t n_assigned = 0;
+  g_array_set_size (self->ranks, 0);
+  gg_control_state_lock (self->state);
+  for (guint i = 0; i < self->runners->len; i++)
+    {
+      int rank = get_rank (self->state, &g_array_index (self->runners, GgMember, i));
+      g_array_append_val (self->ranks, rank);
+      n_assigned += rank == 0 ? 1 : 0;
+    }
+  gg_control_state_unlock (self->state);
+  gg_counter_set (&assigned, n_assigned);
+}
+
+/* A stand-in collects once the reports that it hears from the collectors before it are old. */
+static gboolean
+is_due (GgLoadCollector *self, const GgMember *runner, int rank)
+{
+  if (rank == 0 || GG_IS_MUTATED ("collector-no-stand-in"))
+    return rank == 0;
+  uint64_t wait_ms = STAND_IN_AFTER_MS * (uint64_t) rank;
+  uint64_t now_ms = gg_clock_now_ms ();
+  GgLoadTable *loads = self->state->loads;
+  gg_control_state_lock (self->state);
+  uint64_t measured_ms = gg_load_table_get_measured_ms (loads, gg_id_hash_instance (runner->id));
+  /* Of another data centre only sums are heard. */
+  const GgLoadSum *sum
+      = gg_load_table_get_sum (loads, runner->data_centre, runner->service, now_ms);
+  if (sum != NULL && g_strcmp0 (runner->data_centre, self->state->data_centre) != 0)
+    measured_ms = MAX (measured_ms, sum->received_ms);
+  gg_control_state_unlock (self->state);
+  return now_ms > MAX (measured_ms, self->state->started_at_ms) + wait_ms;
 }
 
 static void
@@ -171,7 +238,11 @@
     {
       update_runners (self);
       for (guint i = 0; i < self->runners->len; i++)
-        start_poll (self, &g_array_index (self->runners, GgMember, i));
+        {
+          const GgMember *runner = &g_array_index (self->runners, GgMember, i);
+          if (is_due (self, runner, g_array_index (self->ranks, int, i)))
+            start_poll (self, runner);
+        }
     }
   while (gg_control_state_wait (self->state, self->poll_ms));
   return NULL;
@@ -186,6 +257,8 @@
   limits.max_reply_bytes = 64 * 1024;
   self->state = state;
   self->http = gg_http_pool_create (&limits);
+  self->orders = gg_order_issuer_create (state, self->http);
+  self->ranks = g_array_new (FALSE, FALSE, sizeof (int));
   self->poll_ms = gg_settings_get_uint (settings, "loads", "poll_ms");
   pthread_mutex_init (&self->mutex, NULL);
   self->in_flight = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -199,8 +272,10 @@
 {
   pthread_join (self->thread, NULL);
   g_thread_pool_free (self->workers, FALSE, TRUE);
+  gg_order_issuer_destroy (self->orders);
   gg_http_pool_destroy (self->http);
   g_clear_pointer (&self->runners, g_array_unref);
+  g_array_unref (self->ranks);
   g_hash_table_unref (self->in_flight);
   pthread_mutex_destroy (&self->mutex);
   g_free (self);
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -124,10 +124,23 @@
                                 'a' + (int) (number % GG_CLUSTER_ENGINES_PER_RANGE));
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
   char *step = g_strdup_printf ("%u", step_us);
-  const char *args[] = { "--listen",  "127.0.0.1:0", "--id",      runner->id,
-                         "--model",   "reader",      "--version", "1",
-                         "--layers",  range,         "--of",      G_STRINGIFY (GG_CLUSTER_LAYERS),
-                         "--step-us", step,          NULL };
+  const char *args[] = { "--listen",
+                         "127.0.0.1:0",
+                         "--id",
+                         runner->id,
+                         "--model",
+                         "reader",
+                         "--version",
+                         "1",
+                         "--layers",
+                         range,
+                         "--of",
+                         G_STRINGIFY (GG_CLUSTER_LAYERS),
+                         "--step-us",
+                         step,
+                         "--checks-fencing",
+                         number % 2 ? "1" : "0",
+                         NULL };
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
   g_free (range);
   g_free (step);
