Compare members before copying them

Cause: each reading of the list copied every member, changed or not. Change: update_slot compares first; only runners are confirmed by loads. Measured: trial with 400 entries and 810 runners on one control process: 3.9 to 4.5 % of a core before, 4.0 and 4.6 % after at list_poll_ms = 500; 1.1 % before and 1.2 % after at 5000; 14.5 MB resident. Conclusion: no measurable gain; most of the cost follows the rate of list readings and is not in the table.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -156,15 +156,13 @@
   if (shown->incarnation < slot->member.incarnation)
     return FALSE;
 
+  /* Most members of most readings are unchanged; they are compared before anything is copied. */
+  GgMember wanted = *shown;
+  wanted.state = is_marked (self, shown) ? GG_MEMBER_LEAVING : GG_MEMBER_LIVE;
+  if (same_member (&slot->member, &wanted))
+    return FALSE;
   GgMember next;
-  gg_member_copy (&next, shown);
-  next.state = is_marked (self, shown) ? GG_MEMBER_LEAVING : GG_MEMBER_LIVE;
-  gboolean changed = !same_member (&slot->member, &next);
-  if (!changed)
-    {
-      gg_member_clear (&next);
-      return FALSE;
-    }
+  gg_member_copy (&next, &wanted);
   g_hash_table_steal (self->by_id, slot->member.id);
   gg_member_clear (&slot->member);
   slot->member = next;
--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -276,6 +276,8 @@
   for (guint i = 0; i < gg_member_table_get_size (self->members); i++)
     {
       const GgMember *member = gg_member_table_get (self->members, i);
+      if (member->role != GG_MEMBER_RUNNER)
+        continue;
       uint64_t measured_ms
           = gg_load_table_get_measured_ms (self->loads, gg_id_hash_instance (member->id));
       if (measured_ms != 0)
