Mark an instance as leaving by its entry process, not by a restart of controld

Cause: SIGTERM of the control process marked the incarnation as leaving for good, so an upgrade of controld alone took the instance out of the collection of loads until it was replaced. The drain of the entry process was not told to peers at all. Change: a draining entry process reports its instance as leaving; the control process only hands over what it knows when it stops.

--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -90,20 +90,14 @@
           daemon->state->rpc_address);
 }
 
+/* The instance is not marked as leaving: its entry process goes on, and reports that mark itself
+ * when it drains. The servers answer until the account is saved. */
 static void
-announce_stop (Daemon *daemon)
+stop (Daemon *daemon)
 {
   gg_log (LOG_NOTICE, "event=stopping");
-  gg_control_state_mark_leaving (daemon->state, daemon->state->name, 0, GG_MEMBER_SOURCE_SELF,
-                                 gg_clock_now_ms ());
+  /* Peers take over what this process heard last. */
   gg_peer_exchange_announce (daemon->state);
-}
-
-/* The servers answer until the account is saved, so that peers still learn of the stop. */
-static void
-stop (Daemon *daemon)
-{
-  announce_stop (daemon);
   gg_control_state_stop (daemon->state);
   gg_peer_exchange_destroy (daemon->exchange);
   gg_list_reader_destroy (daemon->list);
--- a/src/daemons/entryd/drain.c
+++ b/src/daemons/entryd/drain.c
@@ -44,6 +44,7 @@
   gg_caller_reply_set_closing (TRUE);
   gg_snapshot_client_report_event (entry->snapshots, "drain", entry->instance, "planned stop",
                                    FALSE);
+  gg_snapshot_client_report_leaving (entry->snapshots, entry->instance, 0);
   g_usleep ((gulong) limits->balancer_settle_ms * 1000);
   gg_caller_http_stop_accepting (http);
 
--- a/src/daemons/entryd/snapshot_client.h
+++ b/src/daemons/entryd/snapshot_client.h
@@ -56,7 +56,8 @@
 /** Appends a JSON object with the runners as this process sees them. */
 void gg_snapshot_client_dump (GgSnapshotClient *self, GString *json_out);
 
-/** Reports a leaving instance to the control process, at once. */
+/** Reports a leaving instance to the control process, at once.
+ * @param incarnation 0 for the one that the control process knows. */
 void
 gg_snapshot_client_report_leaving (GgSnapshotClient *self, const char *id, uint64_t incarnation);
 
--- a/tests/process/test_prove_orders.c
+++ b/tests/process/test_prove_orders.c
@@ -11,8 +11,8 @@
 #define IN_FORCE_MS 5000
 #define ANSWER_MS 8000
 
-static const char *const headers[] = { "Authorization", "Bearer " GG_CLUSTER_SCHOOLS_KEY,
-                                       "Content-Type", "application/json", NULL };
+#define BEARER "Bearer " GG_CLUSTER_SCHOOLS_KEY
+static const char *const headers[] = { "Authorization", BEARER, NULL };
 
 /* The declaration of the usual model with another version. */
 static void
