Share the daemons' command line; print the settings reference

Cause: both daemons parsed the same options in two copies, and the settings reference could only be copied from the source by hand.

--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -1,5 +1,5 @@
+#include "base/daemon_options.h"
 #include "base/log.h"
-#include "base/clock.h"
 #include "daemons/controld/account_store.h"
 #include "daemons/controld/config_watch.h"
 #include "daemons/controld/control_http.h"
@@ -15,42 +15,6 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#define EXIT_USAGE 2
-
-typedef struct
-{
-  gboolean show_version;
-  gboolean check_only;
-  char *settings_path;
-} Options;
-
-static gboolean
-parse_options (int *argc, char ***argv, Options *options)
-{
-  const GOptionEntry entries[] = { { "settings", 0, 0, G_OPTION_ARG_FILENAME,
-                                     &options->settings_path, "Read settings from FILE", "FILE" },
-                                   { "check-settings", 0, 0, G_OPTION_ARG_NONE,
-                                     &options->check_only, "Check the settings and exit", NULL },
-                                   { "version", 0, 0, G_OPTION_ARG_NONE, &options->show_version,
-                                     "Print the version and exit", NULL },
-                                   { 0 } };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new ("- control process of greengagepost");
-  g_option_context_add_main_entries (context, entries, NULL);
-  gboolean valid = g_option_context_parse (context, argc, argv, &error);
-  g_option_context_free (context);
-  if (!valid)
-    fprintf (stderr, "greengage-controld: %s; see --help\n", error->message);
-  else if (*argc > 1)
-    fprintf (stderr, "greengage-controld: unexpected argument '%s'; see --help\n", (*argv)[1]);
-  else if (!options->show_version && options->settings_path == NULL)
-    fprintf (stderr, "greengage-controld: --settings FILE is missing; see --help\n");
-  else
-    return TRUE;
-  g_clear_error (&error);
-  return FALSE;
-}
-
 typedef struct
 {
   GgControlState *state;
@@ -134,7 +98,7 @@
 }
 
 static int
-run_with_settings (const Options *options)
+run_with_settings (const GgDaemonOptions *options)
 {
   GError *error = NULL;
   GgSettings *settings = gg_settings_create (options->settings_path, gg_control_settings,
@@ -143,9 +107,13 @@
     {
       fprintf (stderr, "greengage-controld: %s\n", error->message);
       g_error_free (error);
-      return EXIT_USAGE;
+      return GG_EXIT_USAGE;
     }
-  int status = options->check_only ? EXIT_SUCCESS : run (settings);
+  int status = EXIT_SUCCESS;
+  if (options->check_only)
+    printf ("%s: settings are valid\n", options->settings_path);
+  else
+    status = run (settings);
   gg_settings_destroy (settings);
   return status;
 }
@@ -153,15 +121,16 @@
 int
 main (int argc, char **argv)
 {
-  Options options = { 0 };
-  int status = EXIT_SUCCESS;
-  gg_log_init ("greengage-controld");
-  if (!parse_options (&argc, &argv, &options))
-    status = EXIT_USAGE;
-  else if (options.show_version)
-    printf ("greengage-controld %s\n", GG_VERSION);
-  else
+  const GgDaemonInfo info = { .program = "greengage-controld",
+                              .summary = "Control process of greengagepost: configuration, "
+                                         "membership, loads and the account.",
+                              .settings = gg_control_settings,
+                              .n_settings = gg_control_settings_count };
+  GgDaemonOptions options;
+  int status;
+  gg_log_init (info.program);
+  if (gg_daemon_options_parse (&options, &info, argc, argv, &status))
     status = run_with_settings (&options);
-  g_free (options.settings_path);
+  gg_daemon_options_clear (&options);
   return status;
 }
--- a/src/daemons/entryd/entryd_main.c
+++ b/src/daemons/entryd/entryd_main.c
@@ -2,6 +2,7 @@
 #include "adapters/http/http_pool.h"
 #include "adapters/rpc/rpc_server.h"
 #include "base/clock.h"
+#include "base/daemon_options.h"
 #include "base/log.h"
 #include "base/settings.h"
 #include "base/timer_service.h"
@@ -19,7 +20,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define EXIT_USAGE 2
 #define RPC_MAX_RECORD_BYTES (1 << 20)
 #define RETRY_RESERVE 10
 #define EXPIRE_PERIOD_MS 500
@@ -230,56 +230,44 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
-int
-main (int argc, char **argv)
+static int
+run_with_settings (const GgDaemonOptions *options)
 {
-  static char *settings_path;
-  static gboolean check_only;
-  static gboolean show_version;
-  static const GOptionEntry options[] = {
-    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &settings_path, "Settings file (INI)", "FILE" },
-    { "check-settings", 'c', 0, G_OPTION_ARG_NONE, &check_only, "Check the settings and exit",
-      NULL },
-    { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version, "Print the version and exit", NULL },
-    { 0 },
-  };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new ("- route requests of callers to runners");
-  g_option_context_add_main_entries (context, options, NULL);
-  gboolean parsed = g_option_context_parse (context, &argc, &argv, &error);
-  g_option_context_free (context);
-  if (!parsed || argc > 1 || (settings_path == NULL && !show_version))
-    {
-      fprintf (stderr, "greengage-entryd: %s; see --help\n",
-               error != NULL ? error->message
-               : argc > 1    ? "unexpected argument"
-                             : "--settings FILE is missing");
-      return EXIT_USAGE;
-    }
-  if (show_version)
-    {
-      printf ("greengage-entryd %s\n", GG_VERSION);
-      return EXIT_SUCCESS;
-    }
-
   Daemon daemon = { 0 };
   int policy = 0;
   int layout = 0;
-  daemon.settings = load_settings (settings_path, &policy, &layout, &error);
+  GError *error = NULL;
+  daemon.settings = load_settings (options->settings_path, &policy, &layout, &error);
   if (daemon.settings == NULL)
     {
       fprintf (stderr, "greengage-entryd: %s\n", error->message);
-      return EXIT_USAGE;
+      g_error_free (error);
+      return GG_EXIT_USAGE;
     }
-  if (check_only)
+  if (options->check_only)
     {
-      printf ("%s: settings are valid\n", settings_path);
+      printf ("%s: settings are valid\n", options->settings_path);
       gg_settings_destroy (daemon.settings);
       return EXIT_SUCCESS;
     }
-
   sigset_t signals;
-  gg_log_init ("greengage-entryd");
   block_signals (&signals);
   return run (&daemon, &signals, policy, layout);
 }
+
+int
+main (int argc, char **argv)
+{
+  const GgDaemonInfo info = { .program = "greengage-entryd",
+                              .summary = "Entry process of greengagepost: serves callers and "
+                                         "routes their requests to runners.",
+                              .settings = gg_entry_settings,
+                              .n_settings = gg_entry_settings_count };
+  GgDaemonOptions options;
+  int status;
+  gg_log_init (info.program);
+  if (gg_daemon_options_parse (&options, &info, argc, argv, &status))
+    status = run_with_settings (&options);
+  gg_daemon_options_clear (&options);
+  return status;
+}
