--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -21,7 +21,6 @@
     = GG_COUNTER ("greengage_answers_total{outcome=\"not-run\"}", "Answers by outcome");
 static GgCounter answers_unknown
     = GG_COUNTER ("greengage_answers_total{outcome=\"unknown\"}", "Answers by outcome");
-static GgCounter steps = GG_COUNTER ("greengage_stage_steps_total", "Calls of a pipeline stage");
 static GgCounter tokens = GG_COUNTER ("greengage_tokens_total", "Tokens appended to answers");
 static GgCounter replacements
     = GG_COUNTER ("greengage_stage_replacements_total", "Stages replaced during an answer");
@@ -203,7 +202,6 @@
   uint64_t started_us = gg_clock_now_us ();
   GgStageResult result = gg_stage_client_step (answer->entry->stages, runner->address, &step,
                                                step_deadline (answer, is_long), &reply);
-  gg_counter_add (&steps, 1);
   if (result == GG_STAGE_OK)
     {
       answer->reached_runner = TRUE;
--- a/src/daemons/entryd/plain_call.c
+++ b/src/daemons/entryd/plain_call.c
@@ -10,7 +10,6 @@
 #define MAX_SENDS 8
 #define RETRY_PAUSE_MS 10
 
-static GgCounter sends = GG_COUNTER ("greengage_service_sends_total", "Calls sent to services");
 static GgCounter retries
     = GG_COUNTER ("greengage_retries_total", "Calls of services that were sent again");
 
@@ -77,7 +76,6 @@
 send_once (GgPlainCall *self, GgRunner *runner, GgServiceReply *reply_out)
 {
   uint64_t started_us = gg_clock_now_us ();
-  gg_counter_add (&sends, 1);
   gg_runner_begin_work (runner);
   GgServiceResult result = gg_service_client_call (self->entry->services, runner->address,
                                                    &self->call, try_deadline (self), reply_out);
