Add golden files of sessions to the frame of the proofs

Cause: each promise needs a whole session compared byte for byte, but ids, addresses and times differ in every run.

--- a/tests/support/prove.c
+++ b/tests/support/prove.c
@@ -1,5 +1,7 @@
 #include "prove.h"
 
+#include "golden.h"
+
 #include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
@@ -68,6 +70,7 @@
 int
 gg_prove_main (const char *suite_name, const GgProofCase *cases, size_t n, int argc, char **argv)
 {
+  gg_golden_parse_args (&argc, argv);
   all_cases = cases;
   n_cases = n;
   CU_initialize_registry ();
--- a/tests/support/prove.h
+++ b/tests/support/prove.h
@@ -2,7 +2,8 @@
  * Process-level proofs: one case per promise and fault.
  *
  * A program lists its cases and calls gg_prove_main(). Each case prints
- * "PROMISE FAULT verdict recovery_ms"; the arguments PROMISE and FAULT select cases. */
+ * "PROMISE FAULT verdict recovery_ms"; the arguments PROMISE and FAULT select cases, and --write
+ * writes the golden files instead of comparing them. */
 #pragma once
 
 #include <glib.h>
