--- a/tests/fakes/common_runner.c
+++ b/tests/fakes/common_runner.c
@@ -25,6 +25,7 @@
 } LoadSample;
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_mutex_t output_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t faults_changed = PTHREAD_COND_INITIALIZER;
 static RunnerFaults faults;
 static RunnerProfile *profile;
@@ -78,19 +79,45 @@
   return copy;
 }
 
+/* One write per line, so that a killed process leaves whole lines. The lock keeps two writes from
+ * taking the same offset, which the kernel does not prevent for a memfd. */
+static void
+write_line (const char *kind, const char *text)
+{
+  char *line = g_strconcat (kind, text, "\n", NULL);
+  pthread_mutex_lock (&output_lock);
+  (void) !write (STDOUT_FILENO, line, strlen (line));
+  pthread_mutex_unlock (&output_lock);
+  g_free (line);
+}
+
 void
 runner_record (const char *format, ...)
 {
+  if (profile->keep_no_lines)
+    return;
   va_list args;
   va_start (args, format);
+  char *text = g_strdup_vprintf (format, args);
+  va_end (args);
   pthread_mutex_lock (&lock);
-  if (!profile->keep_no_lines)
-    {
-      g_string_append_vprintf (records, format, args);
-      g_string_append_c (records, '\n');
-    }
+  g_string_append_printf (records, "%s\n", text);
+  write_line ("record ", text);
   pthread_mutex_unlock (&lock);
+  g_free (text);
+}
+
+void
+runner_trace (const char *format, ...)
+{
+  if (profile->keep_no_lines)
+    return;
+  va_list args;
+  va_start (args, format);
+  char *text = g_strdup_vprintf (format, args);
   va_end (args);
+  write_line ("", text);
+  g_free (text);
 }
 
 /* Drops samples that are older than the one that was current load_lag_ms ago. */
--- a/tests/fakes/common_runner.h
+++ b/tests/fakes/common_runner.h
@@ -61,9 +61,13 @@
 /** Adds to the outstanding work of the load report. */
 void runner_add_outstanding (int32_t tokens);
 
-/** Adds one line to GET /records. */
+/** Adds one line to GET /records, and to standard output after "record ", where it outlives the
+ * process. */
 void runner_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
+/** Writes one line to standard output unless the profile keeps no lines. */
+void runner_trace (const char *format, ...) G_GNUC_PRINTF (1, 2);
+
 /** Sleeps for @p us microseconds. */
 void runner_sleep_us (uint64_t us);
 
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -299,6 +299,20 @@
   g_ptr_array_unref (outputs);
 }
 
+/* "call TIME KIND REQUEST ATTEMPT EPOCH POSITION N STATUS", written when the reply is ready. */
+static void
+trace_call (const char *kind, JsonObject *call, uint64_t time_us, const RunnerReply *reply)
+{
+  JsonNode *inputs = json_object_get_member (call, "inputs");
+  guint n = inputs && JSON_NODE_HOLDS_ARRAY (inputs)
+                ? json_array_get_length (json_node_get_array (inputs))
+                : 0;
+  runner_trace ("call %" G_GUINT64_FORMAT " %s %s %s %u %u %u %u", time_us, kind,
+                json_object_get_string_member_with_default (call, "request", "-"),
+                get_text (call, "attempt"), get_number (call, "epoch"),
+                get_number (call, "position"), n, reply->status);
+}
+
 /* Also marks an attempt that is not known yet, since its step may arrive after the cancel. */
 static void
 handle_cancel (JsonObject *order, RunnerReply *reply)
@@ -396,6 +410,7 @@
 static void
 handle (const RunnerCall *call, RunnerReply *reply)
 {
+  uint64_t time_us = gg_clock_now_us ();
   gboolean is_get = strcmp (call->method, "GET") == 0;
   JsonObject *object = is_get ? NULL : runner_json_parse (call->body->str);
   if (is_get && strcmp (call->path, "/v1/stage/kv") == 0)
@@ -405,9 +420,15 @@
   else if (!object)
     runner_reply_reason (reply, 400, "reason", "malformed");
   else if (strcmp (call->path, "/v1/stage/step") == 0)
-    handle_step (object, reply);
+    {
+      handle_step (object, reply);
+      trace_call ("step", object, time_us, reply);
+    }
   else if (strcmp (call->path, "/v1/stage/cancel") == 0)
-    handle_cancel (object, reply);
+    {
+      handle_cancel (object, reply);
+      trace_call ("cancel", object, time_us, reply);
+    }
   else if (strcmp (call->path, "/v1/stage/kv") == 0)
     handle_import (object, reply);
   else if (strcmp (call->path, "/v1/orders") == 0)
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -112,35 +112,74 @@
   return start_listening (&runner->relay, "gg-fake-relay", args, &runner->listed_address);
 }
 
-static gboolean
-start_engine (GgClusterRunner *runner, uint32_t number, const GgClusterOptions *options)
+static void
+prepare_engine (GgClusterRunner *runner, uint32_t number)
 {
   uint32_t layers = GG_CLUSTER_LAYERS / GG_CLUSTER_RANGES;
-  uint32_t step_us = options->step_us ? options->step_us : DEFAULT_STEP_US;
   runner->service = "reader";
   runner->first_layer = number / GG_CLUSTER_ENGINES_PER_RANGE * layers;
   runner->end_layer = runner->first_layer + layers;
   runner->id = g_strdup_printf ("reader-%u%c", number / GG_CLUSTER_ENGINES_PER_RANGE,
                                 'a' + (int) (number % GG_CLUSTER_ENGINES_PER_RANGE));
+}
+
+static const char *
+get_listen_address (const GgClusterRunner *runner)
+{
+  return runner->address ? runner->address : "127.0.0.1:0";
+}
+
+static gboolean
+start_engine (GgClusterRunner *runner, uint32_t step_us)
+{
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
   char *step = g_strdup_printf ("%u", step_us);
-  const char *args[] = { "--listen",  "127.0.0.1:0", "--id",      runner->id,
-                         "--model",   "reader",      "--version", "1",
-                         "--layers",  range,         "--of",      G_STRINGIFY (GG_CLUSTER_LAYERS),
-                         "--step-us", step,          NULL };
+  char *address = g_strdup (get_listen_address (runner));
+  const char *args[]
+      = { "--listen",  address, "--id",     runner->id, "--model", "reader",
+          "--version", "1",     "--layers", range,      "--of",    G_STRINGIFY (GG_CLUSTER_LAYERS),
+          "--step-us", step,    NULL };
+  g_free (runner->address);
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
+  g_free (address);
   g_free (range);
   g_free (step);
   return started;
 }
 
-static gboolean
-start_service (GgClusterRunner *runner, uint32_t number)
+static void
+prepare_service (GgClusterRunner *runner, uint32_t number)
 {
   runner->service = "moorings";
   runner->id = g_strdup_printf ("moorings-%u", number);
-  const char *args[] = { "--listen", "127.0.0.1:0", "--id", runner->id, NULL };
-  return start_listening (&runner->process, "gg-fake-service", args, &runner->address);
+}
+
+static gboolean
+start_service (GgClusterRunner *runner)
+{
+  char *address = g_strdup (get_listen_address (runner));
+  const char *args[] = { "--listen", address, "--id", runner->id, NULL };
+  g_free (runner->address);
+  gboolean started = start_listening (&runner->process, "gg-fake-service", args, &runner->address);
+  g_free (address);
+  return started;
+}
+
+static gboolean
+start_runner (const GgCluster *self, GgClusterRunner *runner)
+{
+  return runner->end_layer > 0 ? start_engine (runner, self->step_us) : start_service (runner);
+}
+
+gboolean
+gg_cluster_start_runner (GgCluster *self, uint32_t number)
+{
+  GgClusterRunner *runner = &self->runners[number];
+  char *output = gg_cluster_read_output (self, number);
+  g_free (runner->past_output);
+  runner->past_output = output;
+  gg_process_destroy (runner->process);
+  return start_runner (self, runner);
 }
 
 static gboolean
@@ -151,9 +190,11 @@
       GgClusterRunner *runner = &self->runners[i];
       runner->data_centre = data_centres[i % N_DATA_CENTRES];
       runner->incarnation = 1;
-      gboolean started = i < GG_CLUSTER_ENGINES ? start_engine (runner, i, options)
-                                                : start_service (runner, i - GG_CLUSTER_ENGINES);
-      if (!started)
+      if (i < GG_CLUSTER_ENGINES)
+        prepare_engine (runner, i);
+      else
+        prepare_service (runner, i - GG_CLUSTER_ENGINES);
+      if (!start_runner (self, runner))
         return FALSE;
       runner->listed_address = g_strdup (runner->address);
       if (options->with_relays && !start_relay (runner))
@@ -384,6 +425,7 @@
   GgCluster *self = g_new0 (GgCluster, 1);
   g_assert (options->n_instances <= GG_CLUSTER_INSTANCES_MAX);
   self->n_instances = options->n_instances;
+  self->step_us = options->step_us ? options->step_us : DEFAULT_STEP_US;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   g_assert (self->folder);
   remember_folder (NULL, self->folder);
@@ -430,6 +472,7 @@
       g_free (self->runners[i].id);
       g_free (self->runners[i].address);
       g_free (self->runners[i].listed_address);
+      g_free (self->runners[i].past_output);
     }
   gg_process_destroy (self->platform_process);
   gg_process_destroy (self->list_process);
@@ -456,18 +499,28 @@
   return (left->time_us > right->time_us) - (left->time_us < right->time_us);
 }
 
+char *
+gg_cluster_read_output (GgCluster *self, uint32_t number)
+{
+  const GgClusterRunner *runner = &self->runners[number];
+  char *output = gg_process_read_output (runner->process);
+  char *all = g_strconcat (runner->past_output ? runner->past_output : "", output, NULL);
+  g_free (output);
+  return all;
+}
+
 GArray *
 gg_cluster_read_records (GgCluster *self)
 {
   GArray *records = g_array_new (FALSE, TRUE, sizeof (GgClusterRecord));
   for (uint32_t i = 0; i < GG_CLUSTER_ENGINES; i++)
     {
-      char *text = gg_test_get (self->runners[i].address, "/records");
-      char **lines = g_strsplit (text ? text : "", "\n", -1);
+      char *text = gg_cluster_read_output (self, i);
+      char **lines = g_strsplit (text, "\n", -1);
       for (size_t k = 0; lines[k]; k++)
         {
-          GgClusterRecord record;
-          if (sscanf (lines[k], "%32s %32s %u %u %u %" G_GUINT64_FORMAT, record.request,
+          GgClusterRecord record = { .runner = i };
+          if (sscanf (lines[k], "record %32s %32s %u %u %u %" G_GUINT64_FORMAT, record.request,
                       record.attempt, &record.epoch, &record.position, &record.layer,
                       &record.time_us)
               == 6)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -41,6 +41,7 @@
   GgProcess *relay; /**< NULL without relays. */
   GgListed listed;
   uint64_t incarnation;
+  char *past_output; /**< Of processes that were replaced; NULL for none. */
 } GgClusterRunner;
 
 typedef struct
@@ -79,6 +80,7 @@
   GgClusterRunner runners[GG_CLUSTER_RUNNERS]; /**< Engines by range, then services. */
   GgClusterInstance instances[GG_CLUSTER_INSTANCES_MAX];
   uint32_t n_instances;
+  uint32_t step_us;
 } GgCluster;
 
 /** Starts everything and waits until all instances are ready.
@@ -95,6 +97,12 @@
 void gg_cluster_start_entry (GgCluster *self, uint32_t instance);
 void gg_cluster_start_control (GgCluster *self, uint32_t instance);
 
+/** Starts a runner again under the same address; what its earlier processes wrote is kept. */
+gboolean gg_cluster_start_runner (GgCluster *self, uint32_t runner);
+
+/** Standard output of a runner's present and past processes, owned by the caller. */
+char *gg_cluster_read_output (GgCluster *self, uint32_t runner);
+
 /** Returns whether GET /readyz of an instance gives 200 within @p timeout_ms. */
 gboolean gg_cluster_wait_ready (GgCluster *self, uint32_t instance, uint64_t timeout_ms);
 
@@ -120,9 +128,10 @@
   uint32_t position;
   uint32_t layer;
   uint64_t time_us;
+  uint32_t runner;
 } GgClusterRecord;
 
-/** Reads the records of all engines that answer, ordered by time. */
+/** Reads the records of all engines, also of killed and stopped ones, ordered by time. */
 GArray *gg_cluster_read_records (GgCluster *self);
 
 /** Returns whether positions 0 to @p n_positions - 1 of @p request ran every layer exactly once
--- a/tests/support/prove.c
+++ b/tests/support/prove.c
@@ -45,7 +45,7 @@
 run_current (void)
 {
   const GgProofCase *proof_case = find_case (CU_get_current_test ()->pName);
-  GgProof proof = { .recovery_ms = -1 };
+  GgProof proof = { .recovery_ms = -1, .fault = proof_case->fault };
   proof_case->run (&proof);
   printf ("%s %s %s ", proof_case->promise, proof_case->fault, proof.failed ? "FAILED" : "proved");
   if (proof.recovery_ms >= 0)
--- a/tests/support/prove.h
+++ b/tests/support/prove.h
@@ -14,7 +14,8 @@
 {
   int64_t recovery_ms; /**< Set by the case; -1 where nothing had to recover. */
   gboolean failed;
-  char *reason; /**< First failure. */
+  const char *fault; /**< Name of the case's fault. */
+  char *reason;      /**< First failure. */
 } GgProof;
 
 /** Records a failure with its reason; the first one is printed. */
