--- a/tests/support/prove.h
+++ b/tests/support/prove.h
@@ -2,7 +2,8 @@
  * Process-level proofs: one case per promise and fault.
  *
  * A program lists its cases and calls gg_prove_main(). Each case prints
- * "PROMISE FAULT verdict recovery_ms"; the arguments PROMISE and FAULT select cases. */
+ * "PROMISE FAULT verdict recovery_ms"; the arguments PROMISE and FAULT select cases, and --write
+ * writes the golden files instead of comparing them. */
 #pragma once
 
 #include <glib.h>
@@ -13,7 +14,8 @@
 {
   int64_t recovery_ms; /**< Set by the case; -1 where nothing had to recover. */
   gboolean failed;
-  char *reason; /**< First failure. */
+  const char *fault; /**< Name of the case's fault. */
+  char *reason;      /**< First failure. */
 } GgProof;
 
 /** Records a failure with its reason; the first one is printed. */
