Prove at-most-once, not-run and configuration at the real processes

Cause: the promises on calls and on the configuration were tested per module only. Change: test_prove_bookings (both ledger layouts) and test_prove_config, the shared tests/support/trial.[ch] and control_view.[ch]; the fake platform limits lost replies to a prefix and holds reads after one, the fake relay confirms each fault; mutations for record before send, settling, shard versions, repeats in doubt, doubtful answers, older documents, a publisher's base and leaving marks. One of the first runs answered the model call of all-runners-cut with unknown, which is right on a connection that was open, so that case repeats it until it is not-run.

--- a/src/core/config_document.c
+++ b/src/core/config_document.c
@@ -1,6 +1,7 @@
 #include "core/config_document.h"
 
 #include "core/config.h"
+#include "core/mutation.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -285,7 +286,8 @@
 gboolean
 gg_config_document_supersedes (const GgConfigDocument *candidate, const GgConfigDocument *current)
 {
-  return current == NULL || candidate->generation > current->generation;
+  return current == NULL || candidate->generation > current->generation
+         || (GG_IS_MUTATED ("config-accept-older") && candidate->generation != current->generation);
 }
 
 static const char *
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -112,6 +112,8 @@
 reply_and_settle (GgLedgerCall *self, GgLedgerReplyType type, GgLedgerEffect *effect_out)
 {
   reply (self, type, effect_out);
+  if (GG_IS_MUTATED ("ledger-skip-settle"))
+    return;
   self->phase = PHASE_WAIT_SETTLE;
   effect_out->type = GG_LEDGER_EFFECT_REPLY_SETTLE;
 }
@@ -179,7 +181,10 @@
     {
       self->started_at_ms = now_ms;
       self->started_at_wall_ms = event->start.wall_ms;
-      create (self, 0, now_ms, effect_out);
+      if (GG_IS_MUTATED ("ledger-send-first"))
+        send_call (self, now_ms, effect_out);
+      else
+        create (self, 0, now_ms, effect_out);
     }
   else if (self->phase == PHASE_WAIT_SETTLE)
     {
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -1,5 +1,6 @@
 #include "core/member.h"
 
+#include "core/mutation.h"
 #include "greengage/id.h"
 
 #include <string.h>
@@ -187,7 +188,7 @@
 static gboolean
 apply_shown (GgMemberTable *self, const GgMember *shown, uint64_t now_ms)
 {
-  if (shown->state == GG_MEMBER_LEAVING)
+  if (shown->state == GG_MEMBER_LEAVING && !GG_IS_MUTATED ("member-ignore-list"))
     raise_mark (self, shown->id, shown->incarnation, now_ms);
   Slot *slot = g_hash_table_lookup (self->by_id, shown->id);
   if (slot != NULL)
@@ -317,7 +318,7 @@
                               GgMemberSource source,
                               uint64_t now_ms)
 {
-  if (!raise_mark (self, id, incarnation, now_ms))
+  if (GG_IS_MUTATED ("member-ignore-reports") || !raise_mark (self, id, incarnation, now_ms))
     return FALSE;
   Slot *slot = g_hash_table_lookup (self->by_id, id);
   if (slot == NULL)
@@ -376,7 +377,9 @@
 static gboolean
 is_candidate (const Slot *slot, const char *data_centre)
 {
-  return slot->member.role == GG_MEMBER_ENTRY && slot->member.state == GG_MEMBER_LIVE
+  gboolean is_live
+      = slot->member.state == GG_MEMBER_LIVE || GG_IS_MUTATED ("member-choose-leaving");
+  return slot->member.role == GG_MEMBER_ENTRY && is_live
          && (data_centre == NULL || g_strcmp0 (slot->member.data_centre, data_centre) == 0);
 }
 
--- a/src/core/publish.c
+++ b/src/core/publish.c
@@ -3,6 +3,7 @@
 #include "core/backoff.h"
 #include "core/config.h"
 #include "core/config_document.h"
+#include "core/mutation.h"
 
 #include <string.h>
 
@@ -256,7 +257,8 @@
   GgConfigDocument *merged = NULL;
   char *conflict = NULL;
   GHashTable *changes = collect_changes (self, self->base);
-  if (gg_config_document_merge (&merged, &conflict, self->base, changes, current, self->publish_id))
+  const GgConfigDocument *base = GG_IS_MUTATED ("publish-ignore-base") ? current : self->base;
+  if (gg_config_document_merge (&merged, &conflict, base, changes, current, self->publish_id))
     write_merged (self, merged, current, version, effect_out);
   else
     fail (self, GG_PUBLISH_ERROR_CONFLICT, effect_out,
--- a/src/daemons/entryd/ledger_shard.c
+++ b/src/daemons/entryd/ledger_shard.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "core/mutation.h"
 
 #include <json-glib/json-glib.h>
 #include <pthread.h>
@@ -138,7 +139,7 @@
 apply_write (JsonObject *records, Write *write)
 {
   JsonObject *old = find_record (records, write->record);
-  if (get_version (old) != write->version)
+  if (get_version (old) != write->version && !GG_IS_MUTATED ("ledger-shard-skip-version"))
     {
       write->result = GG_KV_CONFLICT;
       return FALSE;
--- a/src/daemons/entryd/plain_call.c
+++ b/src/daemons/entryd/plain_call.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "core/mutation.h"
 #include "core/runner_health.h"
 
 /* An idempotent call leaves time for this many tries before its deadline. */
@@ -97,7 +98,7 @@
     case GG_SERVICE_NOT_SENT:
       return TRUE;
     case GG_SERVICE_IN_DOUBT:
-      return self->call.idempotent;
+      return self->call.idempotent || GG_IS_MUTATED ("plain-repeat-doubtful");
     }
   g_assert_not_reached ();
 }
--- a/src/daemons/entryd/plain_handler.c
+++ b/src/daemons/entryd/plain_handler.c
@@ -1,5 +1,6 @@
 /* ANY /services/NAME/PATH. */
 #include "base/clock.h"
+#include "core/mutation.h"
 #include "daemons/entryd/caller_reply.h"
 #include "daemons/entryd/caller_request.h"
 #include "daemons/entryd/keyed_call.h"
@@ -58,7 +59,8 @@
     case GG_SERVICE_NOT_SENT:
       return reply_not_run (request);
     case GG_SERVICE_IN_DOUBT:
-      return reply_unknown (request);
+      return GG_IS_MUTATED ("plain-doubtful-not-run") ? reply_not_run (request)
+                                                      : reply_unknown (request);
     }
   g_assert_not_reached ();
 }
--- a/tests/fakes/fake_platform.c
+++ b/tests/fakes/fake_platform.c
@@ -1,5 +1,7 @@
 /* Stand-in for the platform's key-value service: compare-and-swap, blocking queries, recursive
- * reads and sessions. POST /control {"down":bool,"delay_ms":N,"lose_replies":N} injects faults. */
+ * reads and sessions. POST /control {"down":bool,"delay_ms":N,"lose_replies":N} injects faults;
+ * "prefix":TEXT limits lost replies to keys that start with it, and with "hold":true reads of such
+ * keys block from the next lost reply until "hold":false. */
 #include "common_http.h"
 
 #include "base/clock.h"
@@ -10,6 +12,7 @@
 #define KV_PATH "/v1/kv/"
 #define MAX_VALUE_BYTES (1024 * 1024)
 #define DEFAULT_WAIT_MS (5 * 60 * 1000)
+#define HOLD_STEP_MS 50
 #define MAX_WAIT_MS (10 * 60 * 1000)
 
 /* A removed key stays as an item without value, so that its index never goes back. */
@@ -38,6 +41,9 @@
   gboolean is_down;
   gint64 delay_ms;
   gint64 lose_replies;
+  char *prefix; /* of the keys whose replies are lost */
+  gboolean may_hold;
+  gboolean is_holding;
   GString *records;
   guint64 reads, watches, writes, session_calls, conflicts, closed, lost;
   guint64 blocked; /* queries that wait now */
@@ -175,11 +181,19 @@
   return query.index;
 }
 
+static void
+wait_while_held (Platform *p, const char *key)
+{
+  while (p->is_holding && g_str_has_prefix (key, p->prefix) && !p->is_stopping)
+    wait_for_change (p, gg_clock_now_ms () + HOLD_STEP_MS);
+}
+
 static void
 read_keys (Platform *p, const GgFakeCall *call, const char *key, GgFakeReply *reply)
 {
   Query query = { .prefix = key, .index = 1 };
   query.is_recursive = gg_fake_call_get_argument (call, "recurse") != NULL;
+  wait_while_held (p, key);
   const char *index = gg_fake_call_get_argument (call, "index");
   if (index == NULL)
     p->reads++;
@@ -311,6 +325,14 @@
     gg_fake_reply_set (reply, MHD_HTTP_NOT_FOUND, "no such call");
 }
 
+static gboolean
+takes_loss (const Platform *p, const GgFakeCall *call)
+{
+  gboolean is_kv = g_str_has_prefix (call->path, KV_PATH);
+  const char *key = is_kv ? call->path + strlen (KV_PATH) : call->path;
+  return p->lose_replies > 0 && g_str_has_prefix (key, p->prefix);
+}
+
 static void
 handle_write (Platform *p, const GgFakeCall *call, GgFakeReply *reply)
 {
@@ -321,10 +343,11 @@
     gg_fake_reply_set (reply, MHD_HTTP_CONTENT_TOO_LARGE, "value exceeds one megabyte");
   else
     reply->body = g_strdup (write_key (p, call, call->path + strlen (KV_PATH)) ? "true" : "false");
-  if (p->lose_replies > 0)
+  if (takes_loss (p, call))
     {
       p->lose_replies--;
       p->lost++;
+      p->is_holding = p->may_hold;
       reply->is_closed = TRUE;
     }
 }
@@ -393,6 +416,13 @@
   p->is_down = gg_fake_get_int (node, "down", p->is_down) != 0;
   p->delay_ms = MAX (0, gg_fake_get_int (node, "delay_ms", p->delay_ms));
   p->lose_replies = MAX (0, gg_fake_get_int (node, "lose_replies", p->lose_replies));
+  const char *prefix = json_object_get_string_member_with_default (json_node_get_object (node),
+                                                                   "prefix", p->prefix);
+  char *old_prefix = p->prefix;
+  p->prefix = g_strdup (prefix);
+  g_free (old_prefix);
+  p->may_hold = gg_fake_get_int (node, "hold", p->may_hold) != 0;
+  p->is_holding = p->is_holding && p->may_hold;
   g_cond_broadcast (&p->changed);
   json_node_unref (node);
 }
@@ -441,7 +471,7 @@
 int
 main (int argc, char **argv)
 {
-  Platform p = { .index = 1 };
+  Platform p = { .index = 1, .prefix = g_strdup ("") };
   g_mutex_init (&p.lock);
   g_cond_init (&p.changed);
   p.items = g_tree_new_full (compare_keys, NULL, g_free, item_free);
@@ -450,6 +480,7 @@
   int status
       = gg_fake_http_run (argc, argv, "Stand-in for the key-value service.", handle, stop, &p);
   g_string_free (p.records, TRUE);
+  g_free (p.prefix);
   g_hash_table_unref (p.sessions);
   g_tree_unref (p.items);
   return status;
--- a/tests/fakes/fake_relay.c
+++ b/tests/fakes/fake_relay.c
@@ -1,5 +1,6 @@
 /* Fake network link: relays TCP connections in one poll loop. SIGUSR1 silences all open
- * connections for good, SIGUSR2 resets them, SIGHUP starts and ends a cut of the link. */
+ * connections for good, SIGUSR2 resets them, SIGHUP starts and ends a cut of the link. A line
+ * "applied" follows each. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -180,6 +181,8 @@
     (void) open_listener ();
   else
     exit (0);
+  printf ("applied\n");
+  fflush (stdout);
 }
 
 static int
--- /dev/null
+++ b/tests/support/control_view.h
@@ -0,0 +1,28 @@
+/** @file
+ * What the processes of a cluster under test say about themselves. */
+#pragma once
+
+#include "adapters/rpc/control_client.h"
+#include "trial.h"
+
+/** Generation in force at a process; 0 if it has none or does not answer. */
+uint64_t gg_view_control_generation (const GgTrial *trial, uint32_t instance);
+uint64_t gg_view_entry_generation (const GgTrial *trial, uint32_t instance);
+
+/** Returns whether a text of a control process matches a regular expression. */
+gboolean
+gg_view_matches (const GgTrial *trial, uint32_t instance, GgControlText which, const char *pattern);
+
+/** Fails the case unless the text matches within @p timeout_ms. */
+void gg_view_expect (GgTrial *trial,
+                     uint32_t instance,
+                     GgControlText which,
+                     const char *pattern,
+                     uint64_t timeout_ms);
+
+/** Runs greengagectl with --control of an instance.
+ * @return its exit status. */
+int gg_view_run_ctl (const GgTrial *trial,
+                     uint32_t instance,
+                     const char *const *args,
+                     char **output_out);
