Show open records of the sharded layout

Cause: a shard kept each record as a text inside its document, so greengagectl records could not find the open ones. Change: the record is stored as an object. Measured: test_control with a shard document and the at-most-once proofs of both layouts pass.

--- a/src/daemons/entryd/ledger_shard.c
+++ b/src/daemons/entryd/ledger_shard.c
@@ -124,9 +124,8 @@
     {
       JsonObject *record = find_record (records, name);
       *version_out = get_version (record);
-      *text_out = record != NULL
-                      ? g_strdup (json_object_get_string_member_with_default (record, "text", ""))
-                      : NULL;
+      JsonNode *stored = record != NULL ? json_object_get_member (record, "record") : NULL;
+      *text_out = stored != NULL ? json_to_string (stored, FALSE) : NULL;
       result = record != NULL ? GG_KV_OK : GG_KV_ABSENT;
       json_object_unref (records);
     }
@@ -147,7 +146,8 @@
   JsonObject *record = json_object_new ();
   json_object_set_int_member (record, "version", (gint64) write->version + 1);
   json_object_set_int_member (record, "written_ms", (gint64) gg_clock_wall_ms ());
-  json_object_set_string_member (record, "text", write->text);
+  /* As an object and not as a text, so that greengagectl records finds it. */
+  json_object_set_member (record, "record", json_from_string (write->text, NULL));
   json_object_set_object_member (records, write->record, record);
   write->result = GG_KV_OK;
   return TRUE;
--- a/src/daemons/entryd/ledger_store.c
+++ b/src/daemons/entryd/ledger_store.c
@@ -100,7 +100,7 @@
   *version_out = 0;
   GgKvResult result = read_text (self, key, &text, version_out);
   /* A record that can't be read must not be run again, so it is not taken for absent. */
-  if (result == GG_KV_OK && !gg_ledger_record_parse (record_out, text))
+  if (result == GG_KV_OK && (text == NULL || !gg_ledger_record_parse (record_out, text)))
     result = GG_KV_UNREACHABLE;
   if (result == GG_KV_ABSENT)
     *version_out = 0;
--- a/tests/process/test_control.c
+++ b/tests/process/test_control.c
@@ -253,8 +253,13 @@
                                 "{\"state\":\"unknown\",\"owner\":\"c0\"}"));
   CU_ASSERT_TRUE (gg_test_send ("PUT", kv_address, "/v1/kv/greengage/ledger/t/moorings/def",
                                 "{\"state\":\"done\"}"));
+  CU_ASSERT_TRUE (gg_test_send ("PUT", kv_address, "/v1/kv/greengage/ledger/shard-0",
+                                "{\"t/moorings/ghi\":{\"version\":1,\"written_ms\":1,"
+                                "\"record\":{\"state\":\"unknown\",\"owner\":\"c0\"}}}"));
   CU_ASSERT_EQUAL (run_ctl (1, "records", NULL, &output), 0);
-  CU_ASSERT_STRING_EQUAL (output, "unknown  greengage/ledger/t/moorings/abc\n");
+  CU_ASSERT_PTR_NOT_NULL (strstr (output, "unknown  greengage/ledger/t/moorings/abc\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (output, "unknown  greengage/ledger/shard-0 t/moorings/ghi"));
+  CU_ASSERT_PTR_NULL (strstr (output, "def"));
   g_free (output);
 }
 
