--- a/src/daemons/controld/list_reader.c
+++ b/src/daemons/controld/list_reader.c
@@ -1,7 +1,6 @@
 #include "daemons/controld/list_reader.h"
 
 #include "base/clock.h"
-#include "base/counters.h"
 #include "core/backoff.h"
 #include "daemons/controld/control_random.h"
 #include "ports/instance_list.h"
@@ -9,18 +8,13 @@
 #define READ_TIMEOUT_MS 2000
 #define BACKOFF_BASE_MS 100
 
-static GgCounter readings
-    = GG_COUNTER ("greengage_list_readings_total{result=\"ok\"}", "Readings of the instance list");
-static GgCounter failures = GG_COUNTER ("greengage_list_readings_total{result=\"failed\"}",
-                                        "Readings of the instance list");
-
 struct _GgListReader
 {
   GgControlState *state;
   GgInstanceList *list;
   uint64_t poll_ms;
   GgBackoff backoff;
-  GThread *thread;
+  pthread_t thread;
 };
 
 /* Returns the pause before the next reading. */
@@ -33,11 +27,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   gg_control_state_note_platform (self->state, GG_CONTROL_PLATFORM_LIST, read, now_ms);
   if (!read)
-    {
-      gg_counter_add (&failures, 1);
-      return gg_backoff_next_ms (&self->backoff, gg_control_random ());
-    }
-  gg_counter_add (&readings, 1);
+    return gg_backoff_next_ms (&self->backoff, gg_control_random ());
   gg_backoff_reset (&self->backoff);
   gg_control_state_apply_members (self->state, members, TRUE, now_ms);
   g_array_unref (members);
@@ -62,14 +52,14 @@
   self->poll_ms = gg_settings_get_uint (settings, "platform", "list_poll_ms");
   uint32_t max_ms = (uint32_t) gg_settings_get_uint (settings, "platform", "backoff_max_ms");
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (BACKOFF_BASE_MS, max_ms);
-  self->thread = g_thread_new ("list-reader", run, self);
+  gg_control_thread_start (&self->thread, run, self);
   return self;
 }
 
 void
 gg_list_reader_destroy (GgListReader *self)
 {
-  g_thread_join (self->thread);
+  pthread_join (self->thread, NULL);
   gg_instance_list_destroy (self->list);
   g_free (self);
 }
--- a/src/daemons/entryd/plain_call.c
+++ b/src/daemons/entryd/plain_call.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "core/mutation.h"
 #include "core/runner_health.h"
 
 /* An idempotent call leaves time for this many tries before its deadline. */
@@ -10,7 +11,6 @@
 #define MAX_SENDS 8
 #define RETRY_PAUSE_MS 10
 
-static GgCounter sends = GG_COUNTER ("greengage_service_sends_total", "Calls sent to services");
 static GgCounter retries
     = GG_COUNTER ("greengage_retries_total", "Calls of services that were sent again");
 
@@ -77,7 +77,6 @@
 send_once (GgPlainCall *self, GgRunner *runner, GgServiceReply *reply_out)
 {
   uint64_t started_us = gg_clock_now_us ();
-  gg_counter_add (&sends, 1);
   gg_runner_begin_work (runner);
   GgServiceResult result = gg_service_client_call (self->entry->services, runner->address,
                                                    &self->call, try_deadline (self), reply_out);
@@ -97,7 +96,7 @@
     case GG_SERVICE_NOT_SENT:
       return TRUE;
     case GG_SERVICE_IN_DOUBT:
-      return self->call.idempotent;
+      return self->call.idempotent || GG_IS_MUTATED ("plain-repeat-doubtful");
     }
   g_assert_not_reached ();
 }
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -34,7 +34,7 @@
 
 static char *id;
 static char *model = "reader";
-static char *version = "1";
+static char *_Atomic version = "1";
 static char *layers_text = "0-12";
 static unsigned first_layer;
 static unsigned end_layer;
@@ -342,7 +342,8 @@
     {
       char *kv = g_strdup_printf ("%s %u %u %s %u %s", model, first_layer, end_layer,
                                   lineage->request, lineage->next_position, lineage->chain);
-      runner_reply_reason (reply, 200, "kv", kv);
+      reply->status = 200;
+      reply->body = g_strdup_printf ("{\"attempt\":\"%s\",\"kv\":\"%s\"}", attempt, kv);
       g_free (kv);
     }
   pthread_mutex_unlock (&lock);
--- a/tests/fakes/fake_platform.c
+++ b/tests/fakes/fake_platform.c
@@ -1,15 +1,19 @@
 /* Stand-in for the platform's key-value service: compare-and-swap, blocking queries, recursive
- * reads and sessions. POST /control {"down":bool,"delay_ms":N,"lose_replies":N} injects faults. */
+ * reads and sessions. POST /control {"down":bool,"delay_ms":N,"lose_replies":N} injects faults;
+ * "prefix":TEXT limits lost replies to keys that start with it, and with "hold":true reads of such
+ * keys block from the next lost reply until "hold":false. */
 #include "common_http.h"
 
 #include "base/clock.h"
 #include "greengage/id.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #define KV_PATH "/v1/kv/"
 #define MAX_VALUE_BYTES (1024 * 1024)
 #define DEFAULT_WAIT_MS (5 * 60 * 1000)
+#define HOLD_STEP_MS 50
 #define MAX_WAIT_MS (10 * 60 * 1000)
 
 /* A removed key stays as an item without value, so that its index never goes back. */
@@ -29,8 +33,8 @@
 
 typedef struct
 {
-  GMutex lock;
-  GCond changed;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
   GTree *items;         /* key to Item */
   GHashTable *sessions; /* id to Session */
   guint64 index;
@@ -38,6 +42,9 @@
   gboolean is_down;
   gint64 delay_ms;
   gint64 lose_replies;
+  char *prefix; /* of the keys whose replies are lost */
+  gboolean may_hold;
+  gboolean is_holding;
   GString *records;
   guint64 reads, watches, writes, session_calls, conflicts, closed, lost;
   guint64 blocked; /* queries that wait now */
@@ -62,7 +69,7 @@
 touch (Platform *p, Item *item)
 {
   item->modify_index = ++p->index;
-  g_cond_broadcast (&p->changed);
+  pthread_cond_broadcast (&p->changed);
 }
 
 static gboolean
@@ -120,7 +127,10 @@
 {
   guint64 now = gg_clock_now_ms ();
   guint64 step_ms = until_ms > now ? MIN (until_ms - now, 50) : 0;
-  g_cond_wait_until (&p->changed, &p->lock, g_get_monotonic_time () + (gint64) step_ms * 1000);
+  gint64 until_us = g_get_monotonic_time () + (gint64) step_ms * 1000;
+  struct timespec until
+      = { .tv_sec = until_us / 1000000, .tv_nsec = (long) (until_us % 1000000) * 1000 };
+  pthread_cond_timedwait (&p->changed, &p->lock, &until);
 }
 
 static void
@@ -175,11 +185,19 @@
   return query.index;
 }
 
+static void
+wait_while_held (Platform *p, const char *key)
+{
+  while (p->is_holding && g_str_has_prefix (key, p->prefix) && !p->is_stopping)
+    wait_for_change (p, gg_clock_now_ms () + HOLD_STEP_MS);
+}
+
 static void
 read_keys (Platform *p, const GgFakeCall *call, const char *key, GgFakeReply *reply)
 {
   Query query = { .prefix = key, .index = 1 };
   query.is_recursive = gg_fake_call_get_argument (call, "recurse") != NULL;
+  wait_while_held (p, key);
   const char *index = gg_fake_call_get_argument (call, "index");
   if (index == NULL)
     p->reads++;
@@ -311,6 +329,14 @@
     gg_fake_reply_set (reply, MHD_HTTP_NOT_FOUND, "no such call");
 }
 
+static gboolean
+takes_loss (const Platform *p, const GgFakeCall *call)
+{
+  gboolean is_kv = g_str_has_prefix (call->path, KV_PATH);
+  const char *key = is_kv ? call->path + strlen (KV_PATH) : call->path;
+  return p->lose_replies > 0 && g_str_has_prefix (key, p->prefix);
+}
+
 static void
 handle_write (Platform *p, const GgFakeCall *call, GgFakeReply *reply)
 {
@@ -321,10 +347,11 @@
     gg_fake_reply_set (reply, MHD_HTTP_CONTENT_TOO_LARGE, "value exceeds one megabyte");
   else
     reply->body = g_strdup (write_key (p, call, call->path + strlen (KV_PATH)) ? "true" : "false");
-  if (p->lose_replies > 0)
+  if (takes_loss (p, call))
     {
       p->lose_replies--;
       p->lost++;
+      p->is_holding = p->may_hold;
       reply->is_closed = TRUE;
     }
 }
@@ -393,7 +420,14 @@
   p->is_down = gg_fake_get_int (node, "down", p->is_down) != 0;
   p->delay_ms = MAX (0, gg_fake_get_int (node, "delay_ms", p->delay_ms));
   p->lose_replies = MAX (0, gg_fake_get_int (node, "lose_replies", p->lose_replies));
-  g_cond_broadcast (&p->changed);
+  const char *prefix = json_object_get_string_member_with_default (json_node_get_object (node),
+                                                                   "prefix", p->prefix);
+  char *old_prefix = p->prefix;
+  p->prefix = g_strdup (prefix);
+  g_free (old_prefix);
+  p->may_hold = gg_fake_get_int (node, "hold", p->may_hold) != 0;
+  p->is_holding = p->is_holding && p->may_hold;
+  pthread_cond_broadcast (&p->changed);
   json_node_unref (node);
 }
 
@@ -413,7 +447,7 @@
 handle (void *state, const GgFakeCall *call, GgFakeReply *reply)
 {
   Platform *p = state;
-  g_mutex_lock (&p->lock);
+  pthread_mutex_lock (&p->lock);
   if (gg_fake_call_is (call, "POST", "/control"))
     control (p, call, reply);
   else if (gg_fake_call_is (call, "GET", "/records"))
@@ -425,31 +459,36 @@
     handle_platform (p, call, reply);
   else
     gg_fake_reply_set (reply, MHD_HTTP_NOT_FOUND, "no such call");
-  g_mutex_unlock (&p->lock);
+  pthread_mutex_unlock (&p->lock);
 }
 
 static void
 stop (void *state)
 {
   Platform *p = state;
-  g_mutex_lock (&p->lock);
+  pthread_mutex_lock (&p->lock);
   p->is_stopping = TRUE;
-  g_cond_broadcast (&p->changed);
-  g_mutex_unlock (&p->lock);
+  pthread_cond_broadcast (&p->changed);
+  pthread_mutex_unlock (&p->lock);
 }
 
 int
 main (int argc, char **argv)
 {
-  Platform p = { .index = 1 };
-  g_mutex_init (&p.lock);
-  g_cond_init (&p.changed);
+  Platform p = { .index = 1, .prefix = g_strdup ("") };
+  pthread_mutex_init (&p.lock, NULL);
+  pthread_condattr_t attributes;
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&p.changed, &attributes);
+  pthread_condattr_destroy (&attributes);
   p.items = g_tree_new_full (compare_keys, NULL, g_free, item_free);
   p.sessions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p.records = g_string_new (NULL);
   int status
       = gg_fake_http_run (argc, argv, "Stand-in for the key-value service.", handle, stop, &p);
   g_string_free (p.records, TRUE);
+  g_free (p.prefix);
   g_hash_table_unref (p.sessions);
   g_tree_unref (p.items);
   return status;
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -129,16 +129,36 @@
   return runner->address ? runner->address : "127.0.0.1:0";
 }
 
+/* The second engine of each range checks fencing numbers, the first one ignores them. */
+static gboolean
+is_second (const GgClusterRunner *runner)
+{
+  return g_str_has_suffix (runner->id, "b");
+}
+
 static gboolean
 start_engine (GgClusterRunner *runner, uint32_t step_us)
 {
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
   char *step = g_strdup_printf ("%u", step_us);
   char *address = g_strdup (get_listen_address (runner));
-  const char *args[]
-      = { "--listen",  address, "--id",     runner->id, "--model", "reader",
-          "--version", "1",     "--layers", range,      "--of",    G_STRINGIFY (GG_CLUSTER_LAYERS),
-          "--step-us", step,    NULL };
+  const char *args[] = { "--listen",
+                         address,
+                         "--id",
+                         runner->id,
+                         "--model",
+                         "reader",
+                         "--version",
+                         "1",
+                         "--layers",
+                         range,
+                         "--of",
+                         G_STRINGIFY (GG_CLUSTER_LAYERS),
+                         "--step-us",
+                         step,
+                         "--checks-fencing",
+                         is_second (runner) ? "1" : "0",
+                         NULL };
   g_free (runner->address);
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
   g_free (address);
