Keep runners of other data centres that answer while the list lacks them

Cause: load reports pass only within a data centre, so an instance saw no answer of the other data centres' runners and dropped them at the end of the hold time when the list lost them; an answer whose stage then failed found no replacement. Change: a runner that is missing from the list has one collector in every data centre; the member table tells that a member is missing and raises its version for it; mutations member-ignore-answers and collector-local-only. Conclusion: a list that shrinks no longer takes away runners that answer; a missing runner costs one poll per data centre and period.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -142,8 +142,9 @@
 }
 
 static void
-set_listed (Slot *slot)
+set_listed (GgMemberTable *self, Slot *slot)
 {
+  self->version += slot->missing_since_ms != 0;
   slot->listed = TRUE;
   slot->in_mass = FALSE;
   slot->replaced = FALSE;
@@ -153,7 +154,7 @@
 static gboolean
 update_slot (GgMemberTable *self, Slot *slot, const GgMember *shown)
 {
-  set_listed (slot);
+  set_listed (self, slot);
   if (shown->incarnation < slot->member.incarnation)
     return FALSE;
 
@@ -218,7 +219,10 @@
       if (mass && slot->member.state == GG_MEMBER_LIVE)
         slot->in_mass = TRUE;
       if (slot->missing_since_ms == 0)
-        slot->missing_since_ms = MAX (now_ms, 1);
+        {
+          slot->missing_since_ms = MAX (now_ms, 1);
+          self->version++;
+        }
     }
 }
 
@@ -250,7 +254,7 @@
   uint64_t since_ms = slot->missing_since_ms;
   if (slot->in_mass && now_ms <= since_ms)
     return FALSE;
-  if (!slot->replaced && slot->confirmed_ms > since_ms)
+  if (!slot->replaced && slot->confirmed_ms > since_ms && !GG_IS_MUTATED ("member-ignore-answers"))
     since_ms = slot->confirmed_ms;
   return now_ms >= since_ms && now_ms - since_ms >= self->hold_ms;
 }
@@ -309,6 +313,13 @@
   return changed;
 }
 
+gboolean
+gg_member_table_is_missing (const GgMemberTable *self, const char *id)
+{
+  const Slot *slot = g_hash_table_lookup (self->by_id, id);
+  return slot != NULL && slot->missing_since_ms != 0;
+}
+
 gboolean
 gg_member_table_mark_leaving (GgMemberTable *self,
                               const char *id,
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -74,7 +74,10 @@
 /** Records that a member answered, which ends doubts about a vanished one. */
 void gg_member_table_confirm (GgMemberTable *self, const char *id, uint64_t now_ms);
 
-/** Grows by one with each change. */
+/** Returns whether @p id is held although the list no longer shows it. */
+gboolean gg_member_table_is_missing (const GgMemberTable *self, const char *id);
+
+/** Grows with each change, also when a member goes missing from the list or is back in it. */
 uint64_t gg_member_table_get_version (const GgMemberTable *self);
 
 guint gg_member_table_get_size (const GgMemberTable *self);
--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -151,12 +151,19 @@
 }
 
 /* Place of this instance among the collectors of a runner: 0 collects, the next ones stand in
- * while its reports stay away. Instances of other data centres come after the local ones.
+ * while its reports stay away. Instances of other data centres come after the local ones. A
+ * runner that the list no longer shows has a collector in every data centre: it stays in use
+ * there only while it is seen to answer, and reports don't pass between data centres.
  * Call with the state locked. */
 static int
 get_rank (const GgControlState *state, const GgMember *runner)
 {
   int rank = -1;
+  if (gg_member_table_is_missing (state->members, runner->id)
+      && !GG_IS_MUTATED ("collector-local-only"))
+    rank = gg_member_table_get_rank (state->members, state->data_centre, runner->id, state->name);
+  if (rank == 0)
+    return rank;
   if (has_local_entry (state, runner->data_centre))
     rank = gg_member_table_get_rank (state->members, runner->data_centre, runner->id, state->name);
   if (rank >= 0)
--- a/tests/core/test_member.c
+++ b/tests/core/test_member.c
@@ -252,6 +252,31 @@
   gg_member_table_destroy (table);
 }
 
+/* Without a new version the collectors of the other data centres would not learn that they have to
+ * ask a member that went missing. */
+static void
+test_missing_member (void)
+{
+  GgMemberTable *table = gg_member_table_create (HOLD_MS);
+  GgMember all[3];
+  for (int i = 0; i < 3; i++)
+    all[i] = make_member (i, 1, GG_MEMBER_LIVE);
+  gg_member_table_apply_list (table, all, 3, 1000);
+  CU_ASSERT_FALSE (gg_member_table_is_missing (table, "m02"));
+  uint64_t version = gg_member_table_get_version (table);
+  gg_member_table_apply_list (table, all, 2, 1001);
+  CU_ASSERT_TRUE (gg_member_table_is_missing (table, "m02"));
+  CU_ASSERT_FALSE (gg_member_table_is_missing (table, "m01"));
+  CU_ASSERT (gg_member_table_get_version (table) > version);
+  version = gg_member_table_get_version (table);
+  gg_member_table_apply_list (table, all, 2, 1002);
+  CU_ASSERT_EQUAL (gg_member_table_get_version (table), version);
+  gg_member_table_apply_list (table, all, 3, 1003);
+  CU_ASSERT_FALSE (gg_member_table_is_missing (table, "m02"));
+  CU_ASSERT (gg_member_table_get_version (table) > version);
+  gg_member_table_destroy (table);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -261,6 +286,7 @@
     { "replaced address", test_replaced_address },
     { "mark before list", test_mark_before_list },
     { "ranks", test_ranks },
+    { "missing member", test_missing_member },
   };
   if (argc > 1)
     first_seed = (guint32) strtoul (argv[1], NULL, 10);
