Do not let a leaving instance watch the configuration; prove "leaving"

Cause: an instance without a rank counted as a watcher, and one that leaves has none, so it went on watching until it ended.

--- a/src/core/runner_health.c
+++ b/src/core/runner_health.c
@@ -1,5 +1,7 @@
 #include "core/runner_health.h"
 
+#include "core/mutation.h"
+
 #define EJECTION_BASE_MS 250
 #define EJECTION_MAX_MS 10000
 #define EJECTION_MAX_SHIFT 6
@@ -45,7 +47,7 @@
     case GG_RUNNER_EVENT_FAILED_FRESH:
       return eject (runner, now_ms);
     case GG_RUNNER_EVENT_LEAVING:
-      return atomic_exchange (&runner->leaving, 1) == 0;
+      return !GG_IS_MUTATED ("runner-ignore-refusal") && atomic_exchange (&runner->leaving, 1) == 0;
     }
   g_assert_not_reached ();
 }
--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -184,9 +184,14 @@
   return recorder;
 }
 
+/* An instance that the list does not show yet has no rank and watches as well; one that leaves is
+ * not chosen while another is live. */
 static gboolean
 is_watcher (const GgControlState *self)
 {
+  const GgMember *own = gg_member_table_find (self->members, self->name);
+  if (own != NULL && own->state == GG_MEMBER_LEAVING && has_live_entry (self))
+    return FALSE;
   return gg_member_table_get_rank (self->members, self->data_centre, GG_CONTROL_CONFIG_KEY,
                                    self->name)
          < GG_CONTROL_WATCHERS;
--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -72,7 +72,8 @@
   JsonNode *leaving = json_object_get_member (object, "leaving");
   load_out->leaving = leaving != NULL && JSON_NODE_HOLDS_VALUE (leaving)
                       && json_node_get_value_type (leaving) == G_TYPE_BOOLEAN
-                      && json_node_get_boolean (leaving);
+                      && json_node_get_boolean (leaving)
+                      && !GG_IS_MUTATED ("runner-ignore-refusal");
   JsonNode *version = json_object_get_member (object, "version");
   if (version != NULL && JSON_NODE_HOLDS_VALUE (version))
     *version_out = json_node_dup_string (version);
