--- a/src/core/route.c
+++ b/src/core/route.c
@@ -22,6 +22,7 @@
   uint32_t end_layer;
   uint32_t start; /* index in entries */
   uint32_t count;
+  uint32_t next; /* round robin; changed atomically */
 } Range;
 
 typedef struct
@@ -34,8 +35,7 @@
 {
   GgRouteEntry *entries; /* by service, first_layer, end_layer */
   size_t n_entries;
-  GHashTable *services;  /* name to Service */
-  _Atomic uint32_t next; /* round robin */
+  GHashTable *services; /* name to Service */
 };
 
 /* Cost of one runner for one token. */
@@ -103,7 +103,7 @@
       last->count++;
       return;
     }
-  Range range = { runner->first_layer, runner->end_layer, i, 1 };
+  Range range = { runner->first_layer, runner->end_layer, i, 1, 0 };
   g_array_append_val (service->ranges, range);
 }
 
@@ -325,7 +325,8 @@
       return choose_from (self, range, query,
                           (uint32_t) (mix (query->random ^ range->start) >> 16));
     case GG_ROUTE_POLICY_ROUND_ROBIN:
-      return choose_from (self, range, query, atomic_fetch_add (&((GgRouteTable *) self)->next, 1));
+      return choose_from (self, range, query,
+                          __atomic_fetch_add (&((Range *) range)->next, 1, __ATOMIC_RELAXED));
     case GG_ROUTE_POLICY_LEAST_REPORTED:
       return choose_least_reported (self, range, query);
     }
--- a/tests/core/test_route.c
+++ b/tests/core/test_route.c
@@ -226,6 +226,35 @@
   teardown (&f);
 }
 
+/* One counter for all ranges gave each range the same runner every time when the number of ranges
+ * was a multiple of the number of runners. */
+static void
+test_round_robin_uses_all (void)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < 9; i++)
+    {
+      char id[8];
+      g_snprintf (id, sizeof id, "r%u", i);
+      add (&f, id, i / 3 * 4, i / 3 * 4 + 4, 0);
+    }
+  seal (&f);
+  for (int i = 0; i < 30; i++)
+    {
+      GgRouteQuery q = query (12, 1);
+      q.policy = GG_ROUTE_POLICY_ROUND_ROBIN;
+      GgRoutePlan plan;
+      CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+      for (uint32_t stage = 0; stage < plan.n_stages; stage++)
+        gg_runner_begin_work (plan.stages[stage]);
+      gg_route_plan_clear (&plan);
+    }
+  for (guint i = 0; i < 9; i++)
+    CU_ASSERT_EQUAL (atomic_load (&entry_at (&f, i)->runner->outstanding_tokens), 10);
+  teardown (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -235,6 +264,7 @@
     { "replacement of one range", test_replacement },
     { "random tables", test_random_tables },
     { "own work counts", test_own_work_counts },
+    { "round robin uses all runners", test_round_robin_uses_all },
   };
   if (argc > 1)
     {
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -104,6 +104,8 @@
   lineage->chain = g_strdup ("");
   lineage->epoch = epoch;
   g_hash_table_insert (lineages, g_strdup (attempt), lineage);
+  /* A live lineage has one token in progress, as continuous batching counts it. */
+  runner_add_outstanding (1);
   return lineage;
 }
 
@@ -170,7 +172,6 @@
 execute (JsonObject *step, uint32_t n)
 {
   const char *attempt = get_text (step, "attempt");
-  runner_add_outstanding ((int32_t) n);
   pthread_mutex_lock (&lock);
   while (busy_slots >= slots)
     pthread_cond_wait (&slot_freed, &lock);
@@ -185,7 +186,6 @@
   busy_slots--;
   pthread_cond_signal (&slot_freed);
   pthread_mutex_unlock (&lock);
-  runner_add_outstanding (-(int32_t) n);
   return !cancelled;
 }
 
@@ -308,6 +308,8 @@
   Lineage *lineage = g_hash_table_lookup (lineages, attempt);
   if (!lineage)
     lineage = add_lineage_locked (attempt, "", 0);
+  if (!lineage->cancelled)
+    runner_add_outstanding (-1);
   lineage->cancelled = TRUE;
   pthread_mutex_unlock (&lock);
   runner_reply_reason (reply, 200, "attempt", attempt);
--- a/tests/fakes/fake_relay.c
+++ b/tests/fakes/fake_relay.c
@@ -1,5 +1,8 @@
 /* Fake network link: relays TCP connections in one poll loop. SIGUSR1 silences all open
- * connections for good, SIGUSR2 resets them, SIGHUP starts and ends a cut of the link. */
+ * connections for good, SIGUSR2 resets them, SIGHUP starts and ends a cut of the link. --delay-us
+ * is the one-way time of the link. */
+#include "base/clock.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -11,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,7 +27,8 @@
 {
   int fd;
   gboolean read_ended;
-  size_t used; /**< Bytes read here that the other side has not taken yet. */
+  size_t used;     /**< Bytes read here that the other side has not taken yet. */
+  uint64_t due_us; /**< When they may go on. */
   char buffer[BUFFER_BYTES];
 } Side;
 
@@ -36,6 +41,7 @@
 static struct sockaddr_in listen_address;
 static struct sockaddr_in target_address;
 static int listener = -1;
+static int delay_us;
 static GPtrArray *links;
 
 static gboolean
@@ -108,6 +114,12 @@
     }
 }
 
+static gboolean
+is_due (const Side *side, uint64_t now_us)
+{
+  return side->due_us <= now_us;
+}
+
 /* Moves bytes from one side to the other; returns FALSE when the link is to be reset. */
 static gboolean
 move (Side *from, Side *to, short from_events, short to_events)
@@ -119,11 +131,12 @@
         return FALSE;
       from->read_ended = n == 0;
       from->used = n > 0 ? (size_t) n : 0;
+      from->due_us = delay_us > 0 ? gg_clock_now_us () + (uint64_t) delay_us : 0;
       to_events |= POLLOUT;
       if (from->read_ended)
         shutdown (to->fd, SHUT_WR);
     }
-  if (from->used == 0 || !(to_events & (POLLOUT | POLLERR)))
+  if (from->used == 0 || !is_due (from, gg_clock_now_us ()) || !(to_events & (POLLOUT | POLLERR)))
     return TRUE;
   ssize_t n = send (to->fd, from->buffer, from->used, MSG_NOSIGNAL);
   if (n < 0)
@@ -134,10 +147,30 @@
 }
 
 static short
-wanted_events (const Side *side, const Side *other)
+wanted_events (const Side *side, const Side *other, uint64_t now_us)
 {
   short events = side->used == 0 && !side->read_ended ? POLLIN : 0;
-  return (short) (events | (other->used > 0 ? POLLOUT : 0));
+  return (short) (events | (other->used > 0 && is_due (other, now_us) ? POLLOUT : 0));
+}
+
+/* Time until the first delayed bytes are due; NULL if there are none. */
+static const struct timespec *
+wait_for_due (uint64_t now_us, struct timespec *span)
+{
+  uint64_t due_us = G_MAXUINT64;
+  for (guint i = 0; i < links->len; i++)
+    for (int side = 0; side < 2; side++)
+      {
+        const Side *from = &((const Link *) links->pdata[i])->sides[side];
+        if (from->used > 0 && !is_due (from, now_us))
+          due_us = MIN (due_us, from->due_us);
+      }
+  if (due_us == G_MAXUINT64)
+    return NULL;
+  uint64_t left_us = due_us - now_us;
+  span->tv_sec = (time_t) (left_us / 1000000);
+  span->tv_nsec = (long) (left_us % 1000000) * 1000;
+  return span;
 }
 
 static void
@@ -197,6 +230,8 @@
 static void
 poll_once (int signals, GArray *polled)
 {
+  uint64_t now_us = delay_us > 0 ? gg_clock_now_us () : 0;
+  struct timespec span;
   g_array_set_size (polled, 0);
   struct pollfd entry = { .fd = signals, .events = POLLIN };
   g_array_append_val (polled, entry);
@@ -207,14 +242,14 @@
       {
         const Link *link = links->pdata[i];
         entry.fd = link->silent ? -1 : link->sides[side].fd;
-        entry.events = wanted_events (&link->sides[side], &link->sides[1 - side]);
+        entry.events = wanted_events (&link->sides[side], &link->sides[1 - side], now_us);
         /* A side with nothing left to do would report its hang-up without end. */
         if (entry.events == 0)
           entry.fd = -1;
         g_array_append_val (polled, entry);
       }
   struct pollfd *entries = (struct pollfd *) polled->data;
-  if (poll (entries, polled->len, -1) < 0)
+  if (ppoll (entries, polled->len, wait_for_due (now_us, &span), NULL) < 0)
     return;
   serve_links (entries + N_FIXED, links->len);
   if (entries[1].revents)
@@ -232,6 +267,7 @@
   const GOptionEntry options[] = {
     { "listen", 0, 0, G_OPTION_ARG_STRING, &listen_text, "Address of the link", "IP:PORT" },
     { "to", 0, 0, G_OPTION_ARG_STRING, &target_text, "Address of the target", "IP:PORT" },
+    { "delay-us", 0, 0, G_OPTION_ARG_INT, &delay_us, "One-way time of the link", "N" },
     G_OPTION_ENTRY_NULL,
   };
   GOptionContext *context = g_option_context_new (NULL);
@@ -244,6 +280,8 @@
       fputs ("gg-fake-relay: expected --listen IP:PORT --to IP:PORT\n", stderr);
       return 2;
     }
+  /* The default slack of 50 us would lengthen short delays. */
+  prctl (PR_SET_TIMERSLACK, 1, 0, 0, 0);
   int signals = open_signals ();
   links = g_ptr_array_new_with_free_func (link_free);
   if (!open_listener ())
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -8,8 +8,11 @@
 #define READY_TIMEOUT_MS 15000
 #define PUBLISH_TIMEOUT_MS 10000
 #define DEFAULT_STEP_US 1000
+#define DEFAULT_SLOTS 8
 #define N_DATA_CENTRES 2
 #define FOLDERS_MAX 16
+#define TEAM_REQUESTS_PER_S 1000
+#define BEARER_PREFIX "Bearer "
 
 /* Folders of clusters that were not destroyed; read by another thread after an interrupt. */
 static char *folders[FOLDERS_MAX];
@@ -46,7 +49,7 @@
                                        "key_sha256 = %s\n"
                                        "weight = 1\n"
                                        "services = %s\n"
-                                       "requests_per_s = 1000\n"
+                                       "requests_per_s = %u\n"
                                        "max_body_bytes = 65536\n\n";
 
 static void
@@ -105,32 +108,68 @@
 }
 
 static gboolean
-start_relay (GgClusterRunner *runner)
+start_relay (GgClusterRunner *runner, const GgClusterOptions *options)
 {
-  const char *args[] = { "--listen", "127.0.0.1:0", "--to", runner->address, NULL };
+  gboolean is_remote = strcmp (runner->data_centre, data_centres[0]) != 0;
+  char *delay = g_strdup_printf ("%u", is_remote ? options->remote_delay_us : 0);
+  const char *args[]
+      = { "--listen", "127.0.0.1:0", "--to", runner->address, "--delay-us", delay, NULL };
   g_free (runner->listed_address);
-  return start_listening (&runner->relay, "gg-fake-relay", args, &runner->listed_address);
+  gboolean started
+      = start_listening (&runner->relay, "gg-fake-relay", args, &runner->listed_address);
+  g_free (delay);
+  return started;
+}
+
+static uint32_t
+get_engines_per_range (const GgClusterOptions *options)
+{
+  return options->engines_per_range ? options->engines_per_range : GG_CLUSTER_ENGINES_PER_RANGE;
 }
 
 static gboolean
 start_engine (GgClusterRunner *runner, uint32_t number, const GgClusterOptions *options)
 {
   uint32_t layers = GG_CLUSTER_LAYERS / GG_CLUSTER_RANGES;
+  uint32_t per_range = get_engines_per_range (options);
   uint32_t step_us = options->step_us ? options->step_us : DEFAULT_STEP_US;
+  if (options->steps_us)
+    step_us = options->steps_us[number % per_range];
   runner->service = "reader";
-  runner->first_layer = number / GG_CLUSTER_ENGINES_PER_RANGE * layers;
+  runner->first_layer = number / per_range * layers;
   runner->end_layer = runner->first_layer + layers;
-  runner->id = g_strdup_printf ("reader-%u%c", number / GG_CLUSTER_ENGINES_PER_RANGE,
-                                'a' + (int) (number % GG_CLUSTER_ENGINES_PER_RANGE));
+  runner->id
+      = g_strdup_printf ("reader-%u%c", number / per_range, 'a' + (int) (number % per_range));
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
   char *step = g_strdup_printf ("%u", step_us);
-  const char *args[] = { "--listen",  "127.0.0.1:0", "--id",      runner->id,
-                         "--model",   "reader",      "--version", "1",
-                         "--layers",  range,         "--of",      G_STRINGIFY (GG_CLUSTER_LAYERS),
-                         "--step-us", step,          NULL };
+  char *slots = g_strdup_printf ("%u", options->slots ? options->slots : DEFAULT_SLOTS);
+  char *lag = g_strdup_printf ("%u", options->load_lag_ms);
+  const char *args[] = { "--listen",
+                         "127.0.0.1:0",
+                         "--id",
+                         runner->id,
+                         "--model",
+                         "reader",
+                         "--version",
+                         "1",
+                         "--layers",
+                         range,
+                         "--of",
+                         G_STRINGIFY (GG_CLUSTER_LAYERS),
+                         "--step-us",
+                         step,
+                         "--slots",
+                         slots,
+                         "--load-lag-ms",
+                         lag,
+                         "--records",
+                         options->without_records ? "0" : "1",
+                         NULL };
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
   g_free (range);
   g_free (step);
+  g_free (slots);
+  g_free (lag);
   return started;
 }
 
@@ -146,17 +185,20 @@
 static gboolean
 start_runners (GgCluster *self, const GgClusterOptions *options)
 {
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  self->n_engines = get_engines_per_range (options) * GG_CLUSTER_RANGES;
+  self->n_runners = self->n_engines + GG_CLUSTER_SERVICES;
+  g_assert (self->n_runners <= GG_CLUSTER_RUNNERS_MAX);
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       GgClusterRunner *runner = &self->runners[i];
       runner->data_centre = data_centres[i % N_DATA_CENTRES];
       runner->incarnation = 1;
-      gboolean started = i < GG_CLUSTER_ENGINES ? start_engine (runner, i, options)
-                                                : start_service (runner, i - GG_CLUSTER_ENGINES);
+      gboolean started = i < self->n_engines ? start_engine (runner, i, options)
+                                             : start_service (runner, i - self->n_engines);
       if (!started)
         return FALSE;
       runner->listed_address = g_strdup (runner->address);
-      if (options->with_relays && !start_relay (runner))
+      if (options->with_relays && !start_relay (runner, options))
         return FALSE;
     }
   return TRUE;
@@ -198,7 +240,7 @@
 {
   GgClusterInstance *instance = &self->instances[number];
   instance->name = g_strdup_printf ("entry-%u", number);
-  instance->data_centre = data_centres[number % N_DATA_CENTRES];
+  instance->data_centre = data_centres[options->one_entry_centre ? 0 : number % N_DATA_CENTRES];
   instance->incarnation = 1;
   instance->callers = gg_process_reserve_address ();
   instance->entry_rpc = gg_process_reserve_address ();
@@ -209,6 +251,8 @@
   g_key_file_set_string (entry, "listen", "rpc", instance->entry_rpc);
   g_key_file_set_string (entry, "control", "rpc", instance->control_rpc);
   set_all (entry, options->entry_settings);
+  if (options->instance_entry_settings)
+    set_all (entry, options->instance_entry_settings[number]);
   instance->entry_settings = write_settings (self, entry, instance->name, "entryd");
   GKeyFile *control = create_settings (self, instance, usual_control_settings);
   g_key_file_set_string (control, "listen", "rpc", instance->control_rpc);
@@ -275,7 +319,7 @@
 gg_cluster_publish_list (GgCluster *self)
 {
   GString *text = g_string_new ("{\"instances\":[");
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       const GgClusterRunner *runner = &self->runners[i];
       if (runner->listed != GG_LISTED_ABSENT)
@@ -314,10 +358,19 @@
   g_free (path);
 }
 
+static void
+append_team (GString *text, const char *name, const char *key, const char *services, uint32_t limit)
+{
+  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  g_string_append_printf (text, team_declaration, name, hash, services, limit);
+  g_free (hash);
+}
+
 static void
 write_declarations (GgCluster *self)
 {
-  gg_cluster_write_declaration (self, "reader.ini", reader_declaration);
+  gg_cluster_write_declaration (
+      self, "reader.ini", self->reader_declaration ? self->reader_declaration : reader_declaration);
   gg_cluster_write_declaration (self, "moorings.ini", moorings_declaration);
   const char *const teams[][3] = {
     { "karongi-schools", GG_CLUSTER_SCHOOLS_KEY, "reader;moorings" },
@@ -325,10 +378,14 @@
   };
   GString *text = g_string_new (NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    append_team (text, teams[i][0], teams[i][1], teams[i][2], TEAM_REQUESTS_PER_S);
+  for (uint32_t i = 0; i < self->n_teams; i++)
     {
-      char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, teams[i][1], -1);
-      g_string_append_printf (text, team_declaration, teams[i][0], hash, teams[i][2]);
-      g_free (hash);
+      char *name = g_strdup_printf ("team-%u", i);
+      char *key = g_strdup_printf (GG_CLUSTER_TEAM_BEARER, i);
+      append_team (text, name, key + strlen (BEARER_PREFIX), "reader;moorings", 0);
+      g_free (name);
+      g_free (key);
     }
   gg_cluster_write_declaration (self, "teams.ini", text->str);
   g_string_free (text, TRUE);
@@ -384,6 +441,8 @@
   GgCluster *self = g_new0 (GgCluster, 1);
   g_assert (options->n_instances <= GG_CLUSTER_INSTANCES_MAX);
   self->n_instances = options->n_instances;
+  self->n_teams = options->n_teams;
+  self->reader_declaration = options->reader_declaration;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   g_assert (self->folder);
   remember_folder (NULL, self->folder);
@@ -423,7 +482,7 @@
     return;
   for (uint32_t i = 0; i < self->n_instances; i++)
     clear_instance (&self->instances[i]);
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       gg_process_destroy (self->runners[i].process);
       gg_process_destroy (self->runners[i].relay);
@@ -460,7 +519,7 @@
 gg_cluster_read_records (GgCluster *self)
 {
   GArray *records = g_array_new (FALSE, TRUE, sizeof (GgClusterRecord));
-  for (uint32_t i = 0; i < GG_CLUSTER_ENGINES; i++)
+  for (uint32_t i = 0; i < self->n_engines; i++)
     {
       char *text = gg_test_get (self->runners[i].address, "/records");
       char **lines = g_strsplit (text ? text : "", "\n", -1);
@@ -508,7 +567,7 @@
 gg_cluster_read_calls (GgCluster *self)
 {
   GString *calls = g_string_new (NULL);
-  for (uint32_t i = GG_CLUSTER_ENGINES; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = self->n_engines; i < self->n_runners; i++)
     {
       char *text = gg_test_get (self->runners[i].address, "/records");
       g_string_append (calls, text ? text : "");
@@ -531,7 +590,7 @@
 {
   print_errors ("platform", self->platform_process);
   print_errors ("list", self->list_process);
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     print_errors (self->runners[i].id, self->runners[i].process);
   for (uint32_t i = 0; i < self->n_instances; i++)
     {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -13,8 +13,12 @@
 #define GG_CLUSTER_ENGINES (GG_CLUSTER_RANGES * GG_CLUSTER_ENGINES_PER_RANGE)
 #define GG_CLUSTER_SERVICES 2
 #define GG_CLUSTER_RUNNERS (GG_CLUSTER_ENGINES + GG_CLUSTER_SERVICES)
+#define GG_CLUSTER_RUNNERS_MAX 40
 #define GG_CLUSTER_INSTANCES_MAX 8
 
+/** Bearer header of team number N of GgClusterOptions.n_teams, which is called "team-N". */
+#define GG_CLUSTER_TEAM_BEARER "Bearer key-of-team-%u"
+
 /** Bearer keys of the two teams; "readers" may call only the model. */
 #define GG_CLUSTER_SCHOOLS_KEY "key-of-karongi-schools"
 #define GG_CLUSTER_READERS_KEY "key-of-rubavu-readers"
@@ -64,8 +68,18 @@
   uint32_t n_instances;
   gboolean with_relays;
   uint32_t step_us;                    /**< Time per position of an engine; 0 for 1000. */
+  uint32_t engines_per_range;          /**< 0 for the usual two. */
+  const uint32_t *steps_us;            /**< Per engine of a range, instead of step_us; or NULL. */
+  uint32_t slots;                      /**< Steps that an engine runs at once; 0 for its default. */
+  uint32_t load_lag_ms;                /**< Age of the load that engines report. */
+  gboolean without_records;            /**< Engines keep no records, for long runs. */
+  uint32_t remote_delay_us;            /**< One-way time of relays of the second data centre. */
+  gboolean one_entry_centre;           /**< All instances are in the first data centre. */
+  uint32_t n_teams;                    /**< Further teams "team-0" and so on, without rate limit. */
+  const char *reader_declaration;      /**< Instead of the usual declaration of the model. */
   const char *const *entry_settings;   /**< Section, key, value, ..., NULL; override the usual. */
   const char *const *control_settings; /**< As above. */
+  const char *const *const *instance_entry_settings; /**< Per instance; as above; or NULL. */
 } GgClusterOptions;
 
 typedef struct
@@ -76,7 +90,11 @@
   char *list;
   GgProcess *platform_process;
   GgProcess *list_process;
-  GgClusterRunner runners[GG_CLUSTER_RUNNERS]; /**< Engines by range, then services. */
+  GgClusterRunner runners[GG_CLUSTER_RUNNERS_MAX]; /**< Engines by range, then services. */
+  uint32_t n_engines;
+  uint32_t n_runners;
+  uint32_t n_teams;
+  const char *reader_declaration;
   GgClusterInstance instances[GG_CLUSTER_INSTANCES_MAX];
   uint32_t n_instances;
 } GgCluster;
