--- a/bench/load.c
+++ b/bench/load.c
@@ -66,7 +66,7 @@
     {
       GgLoadRequest *request = g_new0 (GgLoadRequest, 1);
       request->due_us = self->run->started_us + g_array_index (times, uint64_t, i);
-      request->team = choose_team (plan, rand);
+      request->team = plan->first_team + choose_team (plan, rand);
       request->address = (uint32_t) g_rand_int_range (rand, 0, (gint32) plan->n_addresses);
       request->token_us = g_array_new (FALSE, FALSE, sizeof (uint64_t));
       g_ptr_array_add (self->run->requests, request);
@@ -292,6 +292,35 @@
   print_quantiles ("refusal", refusals);
 }
 
+double
+gg_load_read_processor_s (int process)
+{
+  char *path = g_strdup_printf ("/proc/%d/stat", process);
+  char *text = NULL;
+  unsigned long user = 0;
+  unsigned long system = 0;
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    (void) sscanf (strrchr (text, ')') + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+                   &user, &system);
+  g_free (text);
+  g_free (path);
+  return (double) (user + system) / (double) sysconf (_SC_CLK_TCK);
+}
+
+uint64_t
+gg_load_read_memory_kib (int process)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", process);
+  char *text = NULL;
+  uint64_t kib = 0;
+  const char *line = NULL;
+  if (g_file_get_contents (path, &text, NULL, NULL) && (line = strstr (text, "VmRSS:")))
+    kib = g_ascii_strtoull (line + strlen ("VmRSS:"), NULL, 10);
+  g_free (text);
+  g_free (path);
+  return kib;
+}
+
 void
 gg_load_print_machine (const char *name, uint32_t seed)
 {
--- a/bench/load.h
+++ b/bench/load.h
@@ -16,7 +16,8 @@
 {
   const char *const *addresses; /**< Of entry instances, chosen uniformly. */
   uint32_t n_addresses;
-  uint32_t n_teams;      /**< Teams "team-N" of the cluster. */
+  uint32_t first_team; /**< The teams are "team-N" of the cluster, from this N on. */
+  uint32_t n_teams;
   const double *weights; /**< Share of each team in the requests; NULL for equal shares. */
   double rate_per_s;
   uint64_t duration_ms; /**< Time in which requests are sent. */
@@ -70,5 +71,11 @@
 /** Quantile of an array of uint64_t, which is sorted; 0 if it is empty. */
 uint64_t gg_load_quantile (GArray *values, double q);
 
+/** Processor time of a process so far, seconds, from its stat file. */
+double gg_load_read_processor_s (int process);
+
+/** Resident memory of a process, KiB. */
+uint64_t gg_load_read_memory_kib (int process);
+
 /** Prints seed and machine. */
 void gg_load_print_machine (const char *name, uint32_t seed);
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -383,7 +383,8 @@
     {
       char *name = g_strdup_printf ("team-%u", i);
       char *key = g_strdup_printf (GG_CLUSTER_TEAM_BEARER, i);
-      append_team (text, name, key + strlen (BEARER_PREFIX), "reader;moorings", 0);
+      append_team (text, name, key + strlen (BEARER_PREFIX), "reader;moorings",
+                   i + 1 == self->n_teams ? self->last_team_requests_per_s : 0);
       g_free (name);
       g_free (key);
     }
@@ -442,6 +443,7 @@
   g_assert (options->n_instances <= GG_CLUSTER_INSTANCES_MAX);
   self->n_instances = options->n_instances;
   self->n_teams = options->n_teams;
+  self->last_team_requests_per_s = options->last_team_requests_per_s;
   self->reader_declaration = options->reader_declaration;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   g_assert (self->folder);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -76,6 +76,7 @@
   uint32_t remote_delay_us;            /**< One-way time of relays of the second data centre. */
   gboolean one_entry_centre;           /**< All instances are in the first data centre. */
   uint32_t n_teams;                    /**< Further teams "team-0" and so on, without rate limit. */
+  uint32_t last_team_requests_per_s;   /**< Limit of the last of them; 0 for none. */
   const char *reader_declaration;      /**< Instead of the usual declaration of the model. */
   const char *const *entry_settings;   /**< Section, key, value, ..., NULL; override the usual. */
   const char *const *control_settings; /**< As above. */
@@ -94,6 +95,7 @@
   uint32_t n_engines;
   uint32_t n_runners;
   uint32_t n_teams;
+  uint32_t last_team_requests_per_s;
   const char *reader_declaration;
   GgClusterInstance instances[GG_CLUSTER_INSTANCES_MAX];
   uint32_t n_instances;
