Predict the wait from a step time without queueing

Cause: the time of an unloaded step was a moving average of observed steps, which includes their queue. Under overload the predicted wait was therefore near zero, admission refused almost nothing and answers passed their deadline.

Change: a runner also keeps the floor of its step times, which rises with a time constant of 30 s. Wait is what exceeds the floor. The average above the floor loses weight with the age of the last observation.

--- a/src/core/route.c
+++ b/src/core/route.c
@@ -11,6 +11,9 @@
 #define REPORT_HALF_LIFE_MS 1000
 /* Share of the step time that a warm prefix cache may save, in 1/8. */
 #define AFFINITY_EIGHTHS 2
+/* Weight of an observed step time above the floor, by the age of the observation; a runner that
+ * got no work meanwhile would otherwise keep the time of its last queue. */
+#define OBSERVED_HALF_LIFE_MS 1000
 #define DEFAULT_STEP_US 10000
 #define EJECTED_PENALTY_US (60 * 1000 * 1000)
 #define MAX_BOUNDARIES 64
@@ -41,8 +44,9 @@
 /* Cost of one runner for one token. */
 typedef struct
 {
-  uint64_t unloaded_us;
-  uint64_t loaded_us;
+  uint64_t unloaded_us; /* without a queue */
+  uint64_t observed_us; /* as seen lately, with the queue */
+  uint64_t loaded_us;   /* share of the runner's speed with all work there */
 } Cost;
 
 typedef struct
@@ -187,14 +191,21 @@
 static Cost
 predict_cost (const GgRouteEntry *entry, uint64_t now_ms)
 {
-  uint32_t step_us = atomic_load_explicit (&entry->runner->step_time_us, memory_order_relaxed);
+  const GgRunner *runner = entry->runner;
+  uint32_t step_us = atomic_load_explicit (&runner->step_time_us, memory_order_relaxed);
+  uint32_t floor_us = atomic_load_explicit (&runner->step_floor_us, memory_order_relaxed);
+  uint64_t seen_ms = atomic_load_explicit (&runner->step_seen_ms, memory_order_relaxed);
+  uint64_t age_ms = now_ms > seen_ms ? now_ms - seen_ms : 0;
   uint64_t outstanding = estimate_outstanding (entry, now_ms);
-  if (step_us == 0)
-    step_us = DEFAULT_STEP_US;
+  if (floor_us == 0)
+    floor_us = step_us = DEFAULT_STEP_US;
+  uint64_t queue_us = step_us > floor_us ? step_us - floor_us : 0;
   Cost cost;
-  cost.unloaded_us = step_us + 2ULL * entry->link_us;
+  cost.unloaded_us = floor_us + 2ULL * entry->link_us;
+  cost.observed_us
+      = cost.unloaded_us + queue_us * OBSERVED_HALF_LIFE_MS / (OBSERVED_HALF_LIFE_MS + age_ms);
   cost.loaded_us = entry->tokens_per_s > 0 ? (outstanding + 1) * 1000000 / entry->tokens_per_s
-                                           : (outstanding + 1) * step_us;
+                                           : (outstanding + 1) * floor_us;
   return cost;
 }
 
@@ -208,7 +219,7 @@
 rate (const GgRouteEntry *entry, const GgRouteQuery *query, gboolean is_warm)
 {
   Candidate candidate = { .entry = entry, .cost = predict_cost (entry, query->now_ms) };
-  candidate.score_us = candidate.cost.unloaded_us + candidate.cost.loaded_us;
+  candidate.score_us = candidate.cost.observed_us + candidate.cost.loaded_us;
   if (is_warm)
     candidate.score_us -= candidate.cost.unloaded_us * AFFINITY_EIGHTHS / 8;
   if (gg_runner_health_is_ejected (entry->runner))
@@ -382,13 +393,15 @@
 set_prediction (GgRoutePlan *plan, const Cost *costs, uint32_t tokens)
 {
   uint64_t unloaded_us = 0;
+  uint64_t observed_us = 0;
   uint64_t slowest_us = 0;
   for (uint32_t i = 0; i < plan->n_stages; i++)
     {
       unloaded_us += costs[i].unloaded_us;
+      observed_us += costs[i].observed_us;
       slowest_us = MAX (slowest_us, costs[i].loaded_us);
     }
-  uint64_t interval_us = MAX (unloaded_us, slowest_us);
+  uint64_t interval_us = MAX (observed_us, slowest_us);
   uint32_t n = MAX (tokens, 1);
   plan->predicted_ms = interval_us * n / 1000;
   plan->predicted_wait_ms = (interval_us - unloaded_us) * n / 1000;
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -27,6 +27,8 @@
   _Atomic uint32_t outstanding_tokens; /**< Own answers and calls in progress; an answer has
                                         * one token in progress at a time. */
   _Atomic uint32_t step_time_us;       /**< Moving average of one step or call as seen here. */
+  _Atomic uint32_t step_floor_us;      /**< Time of a step that found no queue; see below. */
+  _Atomic uint64_t step_seen_ms;       /**< Monotonic time of the last observation; 0: none. */
   _Atomic uint32_t leaving;            /**< 1 after the runner itself refused as leaving. */
   _Atomic uint32_t suspect;            /**< 1 from a failure to the next success or probe. */
   _Atomic uint32_t failures;           /**< Consecutive failures on fresh connections. */
@@ -47,8 +49,9 @@
 void gg_runner_begin_work (GgRunner *self);
 void gg_runner_end_work (GgRunner *self);
 
-/** Learns the time of one step or call, microseconds. */
-void gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us);
+/** Learns the time of one step or call, microseconds. The floor follows a shorter time at once
+ * and a longer one slowly, so that queueing does not pass for the runner's own time. */
+void gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us, uint64_t now_ms);
 
 /** Reported load of one runner, with its age. */
 typedef struct
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -2,6 +2,9 @@
 
 /* Weight of a new observation in the moving average of the step time: 1/8. */
 #define STEP_TIME_SHIFT 3
+/* Time constant with which the floor rises to longer times: longer than a peak that admission
+ * must see as queueing, short enough for a runner that has become slower for good. */
+#define FLOOR_RISE_MS 30000
 
 GgRunner *
 gg_runner_create (const char *id,
@@ -56,8 +59,21 @@
   atomic_fetch_sub_explicit (&self->outstanding_tokens, 1, memory_order_relaxed);
 }
 
+static void
+update_floor (GgRunner *self, uint32_t sample, uint64_t now_ms)
+{
+  uint64_t seen_ms = atomic_load_explicit (&self->step_seen_ms, memory_order_relaxed);
+  uint32_t floor = atomic_load_explicit (&self->step_floor_us, memory_order_relaxed);
+  if (floor == 0 || sample <= floor)
+    floor = sample;
+  else if (now_ms > seen_ms)
+    floor += (uint32_t) ((sample - floor) * MIN (now_ms - seen_ms, FLOOR_RISE_MS) / FLOOR_RISE_MS);
+  atomic_store_explicit (&self->step_floor_us, floor, memory_order_relaxed);
+  atomic_store_explicit (&self->step_seen_ms, now_ms, memory_order_relaxed);
+}
+
 void
-gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us)
+gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us, uint64_t now_ms)
 {
   uint32_t sample = (uint32_t) MIN (elapsed_us, G_MAXINT32);
   uint32_t old = atomic_load_explicit (&self->step_time_us, memory_order_relaxed);
@@ -65,6 +81,7 @@
       = old == 0 ? sample
                  : (uint32_t) ((int64_t) old
                                + ((int64_t) sample - (int64_t) old) / (1 << STEP_TIME_SHIFT));
+  update_floor (self, sample, now_ms);
   /* A lost update of two threads costs one sample of an average. */
   atomic_store_explicit (&self->step_time_us, updated, memory_order_relaxed);
 }
--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -209,7 +209,7 @@
       answer->reached_runner = TRUE;
       gg_entry_note_runner (answer->entry, runner, GG_RUNNER_EVENT_SUCCESS);
       if (!is_long)
-        gg_runner_observe_step (runner, gg_clock_now_us () - started_us);
+        gg_runner_observe_step (runner, gg_clock_now_us () - started_us, gg_clock_now_ms ());
       GgPipelineEvent event = { .type = GG_PIPELINE_EVENT_REPLY,
                                 .reply = { .attempt = step.attempt,
                                            .epoch = epoch,
--- a/src/daemons/entryd/plain_call.c
+++ b/src/daemons/entryd/plain_call.c
@@ -46,7 +46,7 @@
   switch (result)
     {
     case GG_SERVICE_OK:
-      gg_runner_observe_step (runner, elapsed_us);
+      gg_runner_observe_step (runner, elapsed_us, gg_clock_now_ms ());
       gg_entry_note_runner (self->entry, runner, GG_RUNNER_EVENT_SUCCESS);
       break;
     case GG_SERVICE_REFUSED:
--- a/tests/core/test_route.c
+++ b/tests/core/test_route.c
@@ -255,6 +255,33 @@
   teardown (&f);
 }
 
+/* A moving average of step times alone took queueing for the runner's own time, so that the
+ * predicted wait was zero under overload and admission refused nothing. */
+static void
+test_queue_is_wait (void)
+{
+  Fixture f;
+  setup (&f);
+  add (&f, "a", 0, 4, 0);
+  seal (&f);
+  GgRunner *runner = entry_at (&f, 0)->runner;
+  gg_runner_observe_step (runner, 10000, 1000);
+  for (uint64_t now = 1001; now < 2000; now++)
+    gg_runner_observe_step (runner, 100000, now);
+  GgRouteQuery q = query (4, 1);
+  q.now_ms = 2000;
+  GgRoutePlan plan;
+  CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+  CU_ASSERT_TRUE (plan.predicted_wait_ms > 500);
+  gg_route_plan_clear (&plan);
+  /* The queue that was seen long ago counts little. */
+  q.now_ms = 62000;
+  CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+  CU_ASSERT_TRUE (plan.predicted_wait_ms < 50);
+  gg_route_plan_clear (&plan);
+  teardown (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -265,6 +292,7 @@
     { "random tables", test_random_tables },
     { "own work counts", test_own_work_counts },
     { "round robin uses all runners", test_round_robin_uses_all },
+    { "a queue shows as wait", test_queue_is_wait },
   };
   if (argc > 1)
     {
