Allow a step the queue at its runner before it counts as failed

Cause: after a data centre is cut off the remaining engines hold all answers, so a step waits for longer than token_timeout_ms. Each such step was taken for a failure of the engine; its replacement replays the answer's inputs at another full engine, and the replays keep the engines full.

Change: the time limit of a step is extended by four times the queue that the runner's reported speed and outstanding work let expect, at most by first_token_timeout_ms.

--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -14,6 +14,9 @@
 #define RECOVERY_PAUSE_MS 10
 /* Pause between tries to find a plan while no sequence of runners covers the model. */
 #define NO_PLAN_PAUSE_MS 50
+/* Expected queueing times that a step is given beyond its time limit; the expectation lags behind
+ * the work that other routers move at the same moment. */
+#define QUEUE_ALLOWANCE 4
 
 static GgCounter answers_complete
     = GG_COUNTER ("greengage_answers_total{outcome=\"complete\"}", "Answers by outcome");
@@ -164,11 +167,15 @@
     }
 }
 
+/* A step that waits behind others at a full runner has not failed: to replace it adds a replay
+ * to the load, and the replays of many answers keep the runners full. */
 static uint64_t
-step_deadline (const Answer *answer, gboolean is_long)
+step_deadline (const Answer *answer, const GgRunner *runner, gboolean is_long)
 {
-  uint64_t bound
-      = is_long ? answer->service->first_token_timeout_ms : answer->service->token_timeout_ms;
+  const GgService *service = answer->service;
+  uint64_t bound = is_long ? service->first_token_timeout_ms : service->token_timeout_ms;
+  uint64_t queue_ms = gg_runner_expect_queue_us (runner) * QUEUE_ALLOWANCE / 1000;
+  bound += MIN (queue_ms, service->first_token_timeout_ms);
   return MIN (gg_clock_now_ms () + bound, answer->deadline_ms);
 }
 
@@ -202,7 +209,7 @@
 
   uint64_t started_us = gg_clock_now_us ();
   GgStageResult result = gg_stage_client_step (answer->entry->stages, runner->address, &step,
-                                               step_deadline (answer, is_long), &reply);
+                                               step_deadline (answer, runner, is_long), &reply);
   gg_counter_add (&steps, 1);
   if (result == GG_STAGE_OK)
     {
--- a/src/daemons/entryd/snapshot_client.c
+++ b/src/daemons/entryd/snapshot_client.c
@@ -266,6 +266,11 @@
   entry.reported_at_ms = known->reported_at_ms;
   entry.own_tokens_at_report = known->own_tokens_at_report;
   entry.leaving = entry.leaving || load->leaving;
+  uint32_t others = load->outstanding_tokens > known->own_tokens_at_report
+                        ? load->outstanding_tokens - known->own_tokens_at_report
+                        : 0;
+  atomic_store (&known->runner->tokens_per_s, load->tokens_per_s);
+  atomic_store (&known->runner->others_tokens, others);
   return entry;
 }
 
