Prefer the least failed of several ejected runners

Cause: with all runners of a range ejected, all had the same penalty, so those that answer nothing came first, since they hold no work.

Change: the penalty grows with the failures on fresh connections.

--- a/src/core/route.c
+++ b/src/core/route.c
@@ -15,7 +15,9 @@
  * got no work meanwhile would otherwise keep the time of its last queue. */
 #define OBSERVED_HALF_LIFE_MS 1000
 #define DEFAULT_STEP_US 10000
-#define EJECTED_PENALTY_US (60 * 1000 * 1000)
+#define EJECTED_PENALTY_US (60ULL * 1000 * 1000)
+/* Failures on fresh connections that make a difference between ejected runners. */
+#define EJECTED_FAILURES_MAX 6
 #define MAX_BOUNDARIES 64
 
 /* Runners that hold the same layer range of one service. */
@@ -215,6 +217,17 @@
   return mix (prefix_hash ^ entry->runner->id_hash);
 }
 
+/* Of ejected runners the one that is suspect for a slow step alone comes first: runners that
+ * don't answer at all hold no work and would look like the best. */
+static uint64_t
+get_penalty_us (const GgRunner *runner)
+{
+  if (!gg_runner_health_is_ejected (runner))
+    return 0;
+  uint32_t failures = atomic_load_explicit (&runner->failures, memory_order_relaxed);
+  return EJECTED_PENALTY_US * (1 + MIN (failures, EJECTED_FAILURES_MAX));
+}
+
 static Candidate
 rate (const GgRouteEntry *entry, const GgRouteQuery *query, gboolean is_warm)
 {
@@ -222,8 +235,7 @@
   candidate.score_us = candidate.cost.observed_us + candidate.cost.loaded_us;
   if (is_warm)
     candidate.score_us -= candidate.cost.unloaded_us * AFFINITY_EIGHTHS / 8;
-  if (gg_runner_health_is_ejected (entry->runner))
-    candidate.score_us += EJECTED_PENALTY_US;
+  candidate.score_us += get_penalty_us (entry->runner);
   return candidate;
 }
 
@@ -318,8 +330,7 @@
         continue;
       Candidate candidate = rate (entry, query, FALSE);
       candidate.score_us = entry->reported_outstanding_tokens;
-      if (gg_runner_health_is_ejected (entry->runner))
-        candidate.score_us += EJECTED_PENALTY_US;
+      candidate.score_us += get_penalty_us (entry->runner);
       keep_better (&best, &candidate);
     }
   return best;
--- a/tests/core/test_route.c
+++ b/tests/core/test_route.c
@@ -282,6 +282,29 @@
   teardown (&f);
 }
 
+/* With all runners of a range ejected, those that answer nothing hold no work and were chosen
+ * before the one that is only slow. */
+static void
+test_least_failed_is_last_resort (void)
+{
+  Fixture f;
+  setup (&f);
+  add (&f, "cut", 0, 4, 0);
+  add (&f, "slow", 0, 4, 50);
+  seal (&f);
+  gg_runner_health_apply (entry_at (&f, 0)->runner, GG_RUNNER_EVENT_FAILED_FRESH, 1000);
+  gg_runner_health_apply (entry_at (&f, 1)->runner, GG_RUNNER_EVENT_FAILED_KEPT, 1000);
+  for (uint64_t random = 0; random < 20; random++)
+    {
+      GgRouteQuery q = query (4, random);
+      GgRoutePlan plan;
+      CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+      CU_ASSERT_STRING_EQUAL (plan.stages[0]->id, "slow");
+      gg_route_plan_clear (&plan);
+    }
+  teardown (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -293,6 +316,7 @@
     { "own work counts", test_own_work_counts },
     { "round robin uses all runners", test_round_robin_uses_all },
     { "a queue shows as wait", test_queue_is_wait },
+    { "the least failed is the last resort", test_least_failed_is_last_resort },
   };
   if (argc > 1)
     {
