Keep answers away from runners that are known not to answer

Cause, from a trial with a line per failed step: after a data centre is cut off, every replacement excluded the runner just left, so an answer on the only working runner of a range went to a stopped one; the working one was suspect after each slow step; and answers planned before the cut waited out the time limit of each stopped stage in turn.

Change: a replacement goes back to the same runner if all others are ejected; a runner that answered another step meanwhile is not suspect; a step to a runner that is known not to answer is not sent but its stage replaced; the inputs of a replay count as work at the runner; the queue allowed to a step may reach three first-token limits.

--- a/src/core/route.h
+++ b/src/core/route.h
@@ -33,6 +33,7 @@
   _Atomic uint32_t others_tokens;      /**< Outstanding at the last report, without own work. */
   _Atomic uint32_t leaving;            /**< 1 after the runner itself refused as leaving. */
   _Atomic uint32_t suspect;            /**< 1 from a failure to the next success or probe. */
+  _Atomic uint64_t answered_ms;        /**< Monotonic time of the last success. */
   _Atomic uint32_t failures;           /**< Consecutive failures on fresh connections. */
   _Atomic uint64_t ejected_until_ms;   /**< Monotonic; earliest time of the next probe. */
 };
@@ -51,6 +52,9 @@
 void gg_runner_begin_work (GgRunner *self);
 void gg_runner_end_work (GgRunner *self);
 
+/** Counts the inputs of a replay while it runs; a negative number ends it. */
+void gg_runner_add_replay (GgRunner *self, int32_t n_inputs);
+
 /** Learns the time of one step or call, microseconds. The floor follows a shorter time at once
  * and a longer one slowly, so that queueing does not pass for the runner's own time. */
 void gg_runner_observe_step (GgRunner *self, uint64_t elapsed_us, uint64_t now_ms);
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -59,6 +59,12 @@
   atomic_fetch_sub_explicit (&self->outstanding_tokens, 1, memory_order_relaxed);
 }
 
+void
+gg_runner_add_replay (GgRunner *self, int32_t n_inputs)
+{
+  atomic_fetch_add_explicit (&self->outstanding_tokens, (uint32_t) n_inputs, memory_order_relaxed);
+}
+
 static void
 update_floor (GgRunner *self, uint32_t sample, uint64_t now_ms)
 {
--- a/src/core/runner_health.c
+++ b/src/core/runner_health.c
@@ -31,6 +31,7 @@
   switch (event)
     {
     case GG_RUNNER_EVENT_SUCCESS:
+      atomic_store_explicit (&runner->answered_ms, now_ms, memory_order_relaxed);
       if (atomic_load_explicit (&runner->failures, memory_order_relaxed) != 0)
         atomic_store (&runner->failures, 0);
       if (atomic_load_explicit (&runner->suspect, memory_order_relaxed) == 0)
--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -17,6 +17,8 @@
 /* Expected queueing times that a step is given beyond its time limit; the expectation lags behind
  * the work that other routers move at the same moment. */
 #define QUEUE_ALLOWANCE 4
+/* Bound of the same, in time limits of a first token. */
+#define QUEUE_TIMEOUTS_MAX 3
 
 static GgCounter answers_complete
     = GG_COUNTER ("greengage_answers_total{outcome=\"complete\"}", "Answers by outcome");
@@ -25,6 +27,8 @@
 static GgCounter answers_unknown
     = GG_COUNTER ("greengage_answers_total{outcome=\"unknown\"}", "Answers by outcome");
 static GgCounter steps = GG_COUNTER ("greengage_stage_steps_total", "Calls of a pipeline stage");
+static GgCounter skipped = GG_COUNTER ("greengage_stage_steps_skipped_total",
+                                       "Steps not sent, since the runner was known not to answer");
 static GgCounter tokens = GG_COUNTER ("greengage_tokens_total", "Tokens appended to answers");
 static GgCounter replacements
     = GG_COUNTER ("greengage_stage_replacements_total", "Stages replaced during an answer");
@@ -50,6 +54,7 @@
   uint64_t deadline_ms;
   uint32_t max_tokens;
   uint32_t failures;       /* steps failed since the last token */
+  uint32_t skips;          /* steps not sent since the last token, see is_known_lost() */
   uint64_t failed_at_ms;   /* of the first of them */
   gboolean reached_runner; /* a byte may have reached a runner that did not refuse it */
 } Answer;
@@ -143,8 +148,25 @@
     }
 }
 
+/* A runner that answered another step meanwhile works: the fault is the connection's, or the step
+ * was only slow. */
 static void
-note_failure (Answer *answer, GgRunner *runner, GgStageResult result, const GgStageReply *reply)
+note_doubt (Answer *answer, GgRunner *runner, const GgStageReply *reply, uint64_t started_ms)
+{
+  answer->reached_runner = TRUE;
+  if (atomic_load (&runner->answered_ms) > started_ms)
+    return;
+  gg_entry_note_runner (answer->entry, runner,
+                        reply->connection_was_fresh ? GG_RUNNER_EVENT_FAILED_FRESH
+                                                    : GG_RUNNER_EVENT_FAILED_KEPT);
+}
+
+static void
+note_failure (Answer *answer,
+              GgRunner *runner,
+              GgStageResult result,
+              const GgStageReply *reply,
+              uint64_t started_ms)
 {
   if (answer->failures++ == 0)
     answer->failed_at_ms = gg_clock_now_ms ();
@@ -159,10 +181,7 @@
       gg_entry_note_runner (answer->entry, runner, GG_RUNNER_EVENT_FAILED_FRESH);
       break;
     case GG_STAGE_IN_DOUBT:
-      answer->reached_runner = TRUE;
-      gg_entry_note_runner (answer->entry, runner,
-                            reply->connection_was_fresh ? GG_RUNNER_EVENT_FAILED_FRESH
-                                                        : GG_RUNNER_EVENT_FAILED_KEPT);
+      note_doubt (answer, runner, reply, started_ms);
       break;
     }
 }
@@ -175,7 +194,7 @@
   const GgService *service = answer->service;
   uint64_t bound = is_long ? service->first_token_timeout_ms : service->token_timeout_ms;
   uint64_t queue_ms = gg_runner_expect_queue_us (runner) * QUEUE_ALLOWANCE / 1000;
-  bound += MIN (queue_ms, service->first_token_timeout_ms);
+  bound += MIN (queue_ms, QUEUE_TIMEOUTS_MAX * service->first_token_timeout_ms);
   return MIN (gg_clock_now_ms () + bound, answer->deadline_ms);
 }
 
@@ -197,19 +216,50 @@
   };
 }
 
+/* Whether a step would only find out again what other answers already know: that the runner does
+ * not answer. A lineage that has not begun moves from a suspect runner at once; one in progress
+ * moves when a fresh connection has failed as well. Without a better runner the step is sent. */
+static gboolean
+is_known_lost (const Answer *answer, const GgRunner *runner, const GgPipelineEffect *effect)
+{
+  gboolean has_lineage = effect->step.position > 0 && !effect->step.is_replay;
+  return answer->skips < answer->plan.n_stages && gg_runner_health_is_ejected (runner)
+         && (!has_lineage || atomic_load (&runner->failures) > 0);
+}
+
+static void
+skip_step (Answer *answer, GgPipelineEffect *effect)
+{
+  GgPipelineEvent event
+      = { .type = GG_PIPELINE_EVENT_FAILED,
+          .failed = { .stage = effect->step.stage, .epoch = effect->step.epoch } };
+  answer->skips++;
+  gg_counter_add (&skipped, 1);
+  apply (answer, &event, effect);
+}
+
 static void
 perform_step (Answer *answer, GgPipelineEffect *effect)
 {
   uint32_t stage = effect->step.stage;
   uint32_t epoch = effect->step.epoch;
   GgRunner *runner = answer->plan.stages[stage];
+  if (is_known_lost (answer, runner, effect))
+    {
+      skip_step (answer, effect);
+      return;
+    }
   GgStageStep step = make_step (answer, effect);
   gboolean is_long = effect->step.is_replay || effect->step.position == 0;
   GgStageReply reply = { 0 };
+  /* The answer itself counts as one. */
+  int32_t n_replayed = effect->step.is_replay ? (int32_t) step.n_inputs - 1 : 0;
 
+  gg_runner_add_replay (runner, n_replayed);
   uint64_t started_us = gg_clock_now_us ();
   GgStageResult result = gg_stage_client_step (answer->entry->stages, runner->address, &step,
                                                step_deadline (answer, runner, is_long), &reply);
+  gg_runner_add_replay (runner, -n_replayed);
   gg_counter_add (&steps, 1);
   if (result == GG_STAGE_OK)
     {
@@ -228,7 +278,7 @@
     }
   else
     {
-      note_failure (answer, runner, result, &reply);
+      note_failure (answer, runner, result, &reply, started_us / 1000);
       GgPipelineEvent event
           = { .type = GG_PIPELINE_EVENT_FAILED, .failed = { .stage = stage, .epoch = epoch } };
       apply (answer, &event, effect);
@@ -242,6 +292,7 @@
   gboolean appended = gg_stream_append (answer->stream, effect->emit.number, effect->emit.token);
   g_assert (appended);
   gg_counter_add (&tokens, 1);
+  answer->skips = 0;
   if (answer->failures > 0)
     {
       gg_counter_add (&recoveries, 1);
@@ -260,8 +311,13 @@
   query.end_layer = lost->end_layer;
   query.excluded_id = lost->id;
   if (gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out))
-    return TRUE;
-  /* The only runner of the range may be well and only its connection lost. */
+    {
+      if (!gg_runner_health_is_ejected (plan_out->stages[0]))
+        return TRUE;
+      gg_route_plan_clear (plan_out);
+    }
+  /* The only runner of the range that works may be this one, and only its connection lost or its
+   * step slow. */
   query.excluded_id = NULL;
   return gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out);
 }
