--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -8,8 +8,11 @@
 #define READY_TIMEOUT_MS 15000
 #define PUBLISH_TIMEOUT_MS 10000
 #define DEFAULT_STEP_US 1000
+#define DEFAULT_SLOTS 8
 #define N_DATA_CENTRES 2
 #define FOLDERS_MAX 16
+#define TEAM_REQUESTS_PER_S 1000
+#define BEARER_PREFIX "Bearer "
 
 /* Folders of clusters that were not destroyed; read by another thread after an interrupt. */
 static char *folders[FOLDERS_MAX];
@@ -46,7 +49,7 @@
                                        "key_sha256 = %s\n"
                                        "weight = 1\n"
                                        "services = %s\n"
-                                       "requests_per_s = 1000\n"
+                                       "requests_per_s = %u\n"
                                        "max_body_bytes = 65536\n\n";
 
 static void
@@ -105,22 +108,35 @@
 }
 
 static gboolean
-start_relay (GgClusterRunner *runner)
+start_relay (GgClusterRunner *runner, const GgClusterOptions *options)
 {
-  const char *args[] = { "--listen", "127.0.0.1:0", "--to", runner->address, NULL };
+  gboolean is_remote = strcmp (runner->data_centre, data_centres[0]) != 0;
+  char *delay = g_strdup_printf ("%u", is_remote ? options->remote_delay_us : 0);
+  const char *args[]
+      = { "--listen", "127.0.0.1:0", "--to", runner->address, "--delay-us", delay, NULL };
   g_free (runner->listed_address);
-  return start_listening (&runner->relay, "gg-fake-relay", args, &runner->listed_address);
+  gboolean started
+      = start_listening (&runner->relay, "gg-fake-relay", args, &runner->listed_address);
+  g_free (delay);
+  return started;
+}
+
+static uint32_t
+get_engines_per_range (const GgClusterOptions *options)
+{
+  return options->engines_per_range ? options->engines_per_range : GG_CLUSTER_ENGINES_PER_RANGE;
 }
 
 static void
-prepare_engine (GgClusterRunner *runner, uint32_t number)
+prepare_engine (GgClusterRunner *runner, uint32_t number, const GgClusterOptions *options)
 {
   uint32_t layers = GG_CLUSTER_LAYERS / GG_CLUSTER_RANGES;
+  uint32_t per_range = get_engines_per_range (options);
   runner->service = "reader";
-  runner->first_layer = number / GG_CLUSTER_ENGINES_PER_RANGE * layers;
+  runner->first_layer = number / per_range * layers;
   runner->end_layer = runner->first_layer + layers;
-  runner->id = g_strdup_printf ("reader-%u%c", number / GG_CLUSTER_ENGINES_PER_RANGE,
-                                'a' + (int) (number % GG_CLUSTER_ENGINES_PER_RANGE));
+  runner->id
+      = g_strdup_printf ("reader-%u%c", number / per_range, 'a' + (int) (number % per_range));
 }
 
 static const char *
@@ -129,19 +145,30 @@
   return runner->address ? runner->address : "127.0.0.1:0";
 }
 
-/* The second engine of each range checks fencing numbers, the first one ignores them. */
-static gboolean
-is_second (const GgClusterRunner *runner)
+static uint32_t
+get_engine_index (const GgClusterRunner *runner)
+{
+  return (uint32_t) (runner->id[strlen (runner->id) - 1] - 'a');
+}
+
+static uint32_t
+get_step_us (const GgClusterRunner *runner, const GgClusterOptions *options)
 {
-  return g_str_has_suffix (runner->id, "b");
+  if (options->steps_us)
+    return options->steps_us[get_engine_index (runner)];
+  return options->step_us ? options->step_us : DEFAULT_STEP_US;
 }
 
 static gboolean
-start_engine (GgClusterRunner *runner, uint32_t step_us)
+start_engine (GgClusterRunner *runner, const GgClusterOptions *options)
 {
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
-  char *step = g_strdup_printf ("%u", step_us);
+  char *step = g_strdup_printf ("%u", get_step_us (runner, options));
+  char *slots = g_strdup_printf ("%u", options->slots ? options->slots : DEFAULT_SLOTS);
+  char *lag = g_strdup_printf ("%u", options->load_lag_ms);
   char *address = g_strdup (get_listen_address (runner));
+  /* The second engine of each range checks fencing numbers, the others ignore them. */
+  gboolean checks_fencing = get_engine_index (runner) == 1;
   const char *args[] = { "--listen",
                          address,
                          "--id",
@@ -156,14 +183,22 @@
                          G_STRINGIFY (GG_CLUSTER_LAYERS),
                          "--step-us",
                          step,
+                         "--slots",
+                         slots,
+                         "--load-lag-ms",
+                         lag,
+                         "--records",
+                         options->without_records ? "0" : "1",
                          "--checks-fencing",
-                         is_second (runner) ? "1" : "0",
+                         checks_fencing ? "1" : "0",
                          NULL };
   g_free (runner->address);
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
   g_free (address);
   g_free (range);
   g_free (step);
+  g_free (slots);
+  g_free (lag);
   return started;
 }
 
@@ -188,7 +223,7 @@
 static gboolean
 start_runner (const GgCluster *self, GgClusterRunner *runner)
 {
-  return runner->end_layer > 0 ? start_engine (runner, self->step_us) : start_service (runner);
+  return runner->end_layer > 0 ? start_engine (runner, &self->options) : start_service (runner);
 }
 
 gboolean
@@ -205,19 +240,22 @@
 static gboolean
 start_runners (GgCluster *self, const GgClusterOptions *options)
 {
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  self->n_engines = get_engines_per_range (options) * GG_CLUSTER_RANGES;
+  self->n_runners = self->n_engines + GG_CLUSTER_SERVICES;
+  g_assert (self->n_runners <= GG_CLUSTER_RUNNERS_MAX);
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       GgClusterRunner *runner = &self->runners[i];
       runner->data_centre = data_centres[i % N_DATA_CENTRES];
       runner->incarnation = 1;
-      if (i < GG_CLUSTER_ENGINES)
-        prepare_engine (runner, i);
+      if (i < self->n_engines)
+        prepare_engine (runner, i, options);
       else
-        prepare_service (runner, i - GG_CLUSTER_ENGINES);
+        prepare_service (runner, i - self->n_engines);
       if (!start_runner (self, runner))
         return FALSE;
       runner->listed_address = g_strdup (runner->address);
-      if (options->with_relays && !start_relay (runner))
+      if (options->with_relays && !start_relay (runner, options))
         return FALSE;
     }
   return TRUE;
@@ -259,7 +297,7 @@
 {
   GgClusterInstance *instance = &self->instances[number];
   instance->name = g_strdup_printf ("entry-%u", number);
-  instance->data_centre = data_centres[number % N_DATA_CENTRES];
+  instance->data_centre = data_centres[options->one_entry_centre ? 0 : number % N_DATA_CENTRES];
   instance->incarnation = 1;
   instance->callers = gg_process_reserve_address ();
   instance->entry_rpc = gg_process_reserve_address ();
@@ -270,6 +308,8 @@
   g_key_file_set_string (entry, "listen", "rpc", instance->entry_rpc);
   g_key_file_set_string (entry, "control", "rpc", instance->control_rpc);
   set_all (entry, options->entry_settings);
+  if (options->instance_entry_settings)
+    set_all (entry, options->instance_entry_settings[number]);
   instance->entry_settings = write_settings (self, entry, instance->name, "entryd");
   GKeyFile *control = create_settings (self, instance, usual_control_settings);
   g_key_file_set_string (control, "listen", "rpc", instance->control_rpc);
@@ -336,7 +376,7 @@
 gg_cluster_publish_list (GgCluster *self)
 {
   GString *text = g_string_new ("{\"instances\":[");
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       const GgClusterRunner *runner = &self->runners[i];
       if (runner->listed != GG_LISTED_ABSENT)
@@ -375,10 +415,19 @@
   g_free (path);
 }
 
+static void
+append_team (GString *text, const char *name, const char *key, const char *services, uint32_t limit)
+{
+  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  g_string_append_printf (text, team_declaration, name, hash, services, limit);
+  g_free (hash);
+}
+
 static void
 write_declarations (GgCluster *self)
 {
-  gg_cluster_write_declaration (self, "reader.ini", reader_declaration);
+  gg_cluster_write_declaration (
+      self, "reader.ini", self->reader_declaration ? self->reader_declaration : reader_declaration);
   gg_cluster_write_declaration (self, "moorings.ini", moorings_declaration);
   const char *const teams[][3] = {
     { "karongi-schools", GG_CLUSTER_SCHOOLS_KEY, "reader;moorings" },
@@ -386,10 +435,15 @@
   };
   GString *text = g_string_new (NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (teams); i++)
+    append_team (text, teams[i][0], teams[i][1], teams[i][2], TEAM_REQUESTS_PER_S);
+  for (uint32_t i = 0; i < self->n_teams; i++)
     {
-      char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, teams[i][1], -1);
-      g_string_append_printf (text, team_declaration, teams[i][0], hash, teams[i][2]);
-      g_free (hash);
+      char *name = g_strdup_printf ("team-%u", i);
+      char *key = g_strdup_printf (GG_CLUSTER_TEAM_BEARER, i);
+      append_team (text, name, key + strlen (BEARER_PREFIX), "reader;moorings",
+                   i + 1 == self->n_teams ? self->last_team_requests_per_s : 0);
+      g_free (name);
+      g_free (key);
     }
   gg_cluster_write_declaration (self, "teams.ini", text->str);
   g_string_free (text, TRUE);
@@ -445,7 +499,10 @@
   GgCluster *self = g_new0 (GgCluster, 1);
   g_assert (options->n_instances <= GG_CLUSTER_INSTANCES_MAX);
   self->n_instances = options->n_instances;
-  self->step_us = options->step_us ? options->step_us : DEFAULT_STEP_US;
+  self->options = *options;
+  self->n_teams = options->n_teams;
+  self->last_team_requests_per_s = options->last_team_requests_per_s;
+  self->reader_declaration = options->reader_declaration;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   g_assert (self->folder);
   remember_folder (NULL, self->folder);
@@ -485,7 +542,7 @@
     return;
   for (uint32_t i = 0; i < self->n_instances; i++)
     clear_instance (&self->instances[i]);
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     {
       gg_process_destroy (self->runners[i].process);
       gg_process_destroy (self->runners[i].relay);
@@ -533,7 +590,7 @@
 gg_cluster_read_records (GgCluster *self)
 {
   GArray *records = g_array_new (FALSE, TRUE, sizeof (GgClusterRecord));
-  for (uint32_t i = 0; i < GG_CLUSTER_ENGINES; i++)
+  for (uint32_t i = 0; i < self->n_engines; i++)
     {
       char *text = gg_cluster_read_output (self, i);
       char **lines = g_strsplit (text, "\n", -1);
@@ -581,7 +638,7 @@
 gg_cluster_read_calls (GgCluster *self)
 {
   GString *calls = g_string_new (NULL);
-  for (uint32_t i = GG_CLUSTER_ENGINES; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = self->n_engines; i < self->n_runners; i++)
     {
       char *text = gg_test_get (self->runners[i].address, "/records");
       g_string_append (calls, text ? text : "");
@@ -604,7 +661,7 @@
 {
   print_errors ("platform", self->platform_process);
   print_errors ("list", self->list_process);
-  for (uint32_t i = 0; i < GG_CLUSTER_RUNNERS; i++)
+  for (uint32_t i = 0; i < self->n_runners; i++)
     print_errors (self->runners[i].id, self->runners[i].process);
   for (uint32_t i = 0; i < self->n_instances; i++)
     {
