--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -215,6 +215,37 @@
   };
 }
 
+static gboolean
+choose_replacement (const Answer *answer, uint32_t stage, GgRoutePlan *plan_out)
+{
+  GgRunner *lost = answer->plan.stages[stage];
+  GgRouteQuery query = make_query (answer);
+  query.first_layer = lost->first_layer;
+  query.end_layer = lost->end_layer;
+  query.excluded_id = lost->id;
+  if (gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out))
+    {
+      if (!gg_runner_health_is_ejected (plan_out->stages[0]))
+        return TRUE;
+      gg_route_plan_clear (plan_out);
+    }
+  /* The only runner of the range that works may be this one, and only its connection lost or its
+   * step slow. */
+  query.excluded_id = NULL;
+  return gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out);
+}
+
+static gboolean
+has_better_runner (const Answer *answer, uint32_t stage)
+{
+  GgRoutePlan plan;
+  if (!choose_replacement (answer, stage, &plan))
+    return FALSE;
+  gboolean is_better = !gg_runner_health_is_ejected (plan.stages[0]);
+  gg_route_plan_clear (&plan);
+  return is_better;
+}
+
 /* Whether a step would only find out again what other answers already know: that the runner does
  * not answer. A lineage that has not begun moves from a suspect runner at once; one in progress
  * moves when a fresh connection has failed as well. Without a better runner the step is sent. */
@@ -223,7 +254,8 @@
 {
   gboolean has_lineage = effect->step.position > 0 && !effect->step.is_replay;
   return answer->skips < answer->plan.n_stages && gg_runner_health_is_ejected (runner)
-         && (!has_lineage || atomic_load (&runner->failures) > 0);
+         && (!has_lineage || atomic_load (&runner->failures) > 0)
+         && has_better_runner (answer, effect->step.stage);
 }
 
 static void
@@ -300,26 +332,6 @@
   gg_pipeline_next (answer->pipeline, effect);
 }
 
-static gboolean
-choose_replacement (Answer *answer, uint32_t stage, GgRoutePlan *plan_out)
-{
-  GgRunner *lost = answer->plan.stages[stage];
-  GgRouteQuery query = make_query (answer);
-  query.first_layer = lost->first_layer;
-  query.end_layer = lost->end_layer;
-  query.excluded_id = lost->id;
-  if (gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out))
-    {
-      if (!gg_runner_health_is_ejected (plan_out->stages[0]))
-        return TRUE;
-      gg_route_plan_clear (plan_out);
-    }
-  /* The only runner of the range that works may be this one, and only its connection lost or its
-   * step slow. */
-  query.excluded_id = NULL;
-  return gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out);
-}
-
 static void
 report_replacement (Answer *answer, const GgRunner *lost, const GgRunner *replacement)
 {
