Put bookings of a lost entry process into the account

Cause: the record of a booking stays in "intent" when its entry process is killed during the call; it became "unknown", and was listed, only if the caller repeated the call, so the morning shift was not told of it. Change: one instance, chosen by rendezvous hashing, searches the records every [account] sweep_ms (30 s) and records each one older than owner_lost_ms (30 s) once as booking-unknown; counter greengage_records_lost_total; test_prove_account.

--- a/src/daemons/controld/control_settings.c
+++ b/src/daemons/controld/control_settings.c
@@ -33,6 +33,10 @@
     "Entries of the account kept per instance." },
   { "account", "save_ms", GG_SETTING_UINT, "1000", 50, MINUTE_MS, "ms",
     "How often news of the account is written to the platform." },
+  { "account", "sweep_ms", GG_SETTING_UINT, "30000", 100, 60 * MINUTE_MS, "ms",
+    "How often one instance looks for bookings whose entry process was lost." },
+  { "account", "owner_lost_ms", GG_SETTING_UINT, "30000", 100, 60 * MINUTE_MS, "ms",
+    "Age at which an open booking counts as lost; above the longest timeout of a service." },
 };
 
 const size_t gg_control_settings_count = G_N_ELEMENTS (gg_control_settings);
--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -7,6 +7,7 @@
 #include "daemons/controld/control_settings.h"
 #include "daemons/controld/list_reader.h"
 #include "daemons/controld/load_collector.h"
+#include "daemons/controld/record_sweep.h"
 #include "daemons/controld/peer_exchange.h"
 #include "greengage/version.h"
 
@@ -50,6 +51,7 @@
   daemon->exchange = gg_peer_exchange_create (daemon->state, settings);
   daemon->loads = gg_load_collector_create (daemon->state, settings);
   daemon->store = gg_account_store_create (daemon->state, daemon->kv, settings);
+  gg_record_sweep_start (daemon->state, daemon->kv, settings);
   gg_log (LOG_NOTICE, "event=started instance=%s rpc=%s", daemon->state->name,
           daemon->state->rpc_address);
 }
