--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -274,60 +274,20 @@
     }
 }
 
-static char *
-make_sum_key (const GgMember *runner)
-{
-  return g_strdup_printf ("%s/%s", runner->data_centre, runner->service);
-}
-
-/* Known runners by data centre and service. */
-static GHashTable *
-count_runners (const GgControlState *self)
+/* A load report, whoever collected it, shows that the runner answered. */
+static void
+confirm_by_loads (GgControlState *self)
 {
-  GHashTable *counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < gg_member_table_get_size (self->members); i++)
     {
       const GgMember *member = gg_member_table_get (self->members, i);
       if (member->role != GG_MEMBER_RUNNER)
         continue;
-      char *key = make_sum_key (member);
-      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
-      g_hash_table_replace (counts, key, GUINT_TO_POINTER (n + 1));
-    }
-  return counts;
-}
-
-/* Time of the latest report that shows that the runner answered, whoever collected it. Of other
- * data centres only sums are heard: one that covers all known runners stands for each of them, and
- * a smaller one does not say which. */
-static uint64_t
-find_answer_ms (GgControlState *self, GHashTable *counts, const GgMember *runner, uint64_t now_ms)
-{
-  uint64_t measured_ms
-      = gg_load_table_get_measured_ms (self->loads, gg_id_hash_instance (runner->id));
-  const GgLoadSum *sum
-      = gg_load_table_get_sum (self->loads, runner->data_centre, runner->service, now_ms);
-  if (sum == NULL)
-    return measured_ms;
-  char *key = make_sum_key (runner);
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
-  g_free (key);
-  return sum->runners >= n ? MAX (measured_ms, sum->received_ms) : measured_ms;
-}
-
-static void
-confirm_by_loads (GgControlState *self, uint64_t now_ms)
-{
-  GHashTable *counts = count_runners (self);
-  for (guint i = 0; i < gg_member_table_get_size (self->members); i++)
-    {
-      const GgMember *member = gg_member_table_get (self->members, i);
-      uint64_t answer_ms
-          = member->role == GG_MEMBER_RUNNER ? find_answer_ms (self, counts, member, now_ms) : 0;
-      if (answer_ms != 0)
-        gg_member_table_confirm (self->members, member->id, answer_ms);
+      uint64_t measured_ms
+          = gg_load_table_get_measured_ms (self->loads, gg_id_hash_instance (member->id));
+      if (measured_ms != 0)
+        gg_member_table_confirm (self->members, member->id, measured_ms);
     }
-  g_hash_table_unref (counts);
 }
 
 void
@@ -341,7 +301,7 @@
     {
       self->list_was_read |= from_list;
       GHashTable *live = copy_live (self);
-      confirm_by_loads (self, now_ms);
+      confirm_by_loads (self);
       /* No peer vouches for this instance here; without a rank it would collect no loads. */
       gg_member_table_confirm (self->members, self->name, now_ms);
       if (gg_member_table_apply_list (self->members, (const GgMember *) (void *) members->data,
