--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -3,6 +3,7 @@
 #include "adapters/http/http_pool.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/tsan.h"
 #include "core/mutation.h"
 #include "daemons/controld/order_issuer.h"
 #include "greengage/id.h"
@@ -124,6 +125,7 @@
 {
   GgLoadCollector *self = user_data;
   GgMember *runner = data;
+  GG_TSAN_ACQUIRE (runner);
   if (!gg_control_state_is_stopping (self->state))
     call_runner (self, runner);
 
@@ -132,6 +134,7 @@
   pthread_mutex_unlock (&self->mutex);
   gg_member_clear (runner);
   g_free (runner);
+  GG_TSAN_RELEASE (self);
 }
 
 /* Call with the state locked. */
@@ -149,12 +152,19 @@
 }
 
 /* Place of this instance among the collectors of a runner: 0 collects, the next ones stand in
- * while its reports stay away. Instances of other data centres come after the local ones.
+ * while its reports stay away. Instances of other data centres come after the local ones. A
+ * runner that the list no longer shows has a collector in every data centre: it stays in use
+ * there only while it is seen to answer, and reports don't pass between data centres.
  * Call with the state locked. */
 static int
 get_rank (const GgControlState *state, const GgMember *runner)
 {
   int rank = -1;
+  if (gg_member_table_is_missing (state->members, runner->id)
+      && !GG_IS_MUTATED ("collector-local-only"))
+    rank = gg_member_table_get_rank (state->members, state->data_centre, runner->id, state->name);
+  if (rank == 0)
+    return rank;
   if (has_local_entry (state, runner->data_centre))
     rank = gg_member_table_get_rank (state->members, runner->data_centre, runner->id, state->name);
   if (rank >= 0)
@@ -228,6 +238,7 @@
     return;
   GgMember *copy = g_new (GgMember, 1);
   gg_member_copy (copy, runner);
+  GG_TSAN_RELEASE (copy);
   g_thread_pool_push (self->workers, copy, NULL);
 }
 
@@ -273,6 +284,7 @@
 {
   pthread_join (self->thread, NULL);
   g_thread_pool_free (self->workers, FALSE, TRUE);
+  GG_TSAN_ACQUIRE (self);
   gg_order_issuer_destroy (self->orders);
   gg_http_pool_destroy (self->http);
   g_clear_pointer (&self->runners, g_array_unref);
