Compare whole sessions of not-run, at-most-once, leaving and config with golden files

Cause: the proofs check what each promise says, and would miss a change of the bytes that callers, services or the platform see. Change: a case "session" per promise; the trial keeps the answers' headers, and names the chosen runner, its running number and versions. In not-run the record that is settled in the background is waited for, since its write is part of the session.

--- a/tests/process/test_prove_bookings.c
+++ b/tests/process/test_prove_bookings.c
@@ -1,7 +1,7 @@
 /* Guards the promises "not run" and "at most once": a booking that runs twice or after it was
  * answered not-run, with both layouts of the ledger. Every case also ends with the checks of
  * gg_trial_end(). */
-#include "trial.h"
+#include "control_view.h"
 
 #include "base/clock.h"
 
@@ -802,6 +802,48 @@
 }
 BOTH_LAYOUTS (platform_down_twice)
 
+/* The whole session: what callers, services and the platform saw. */
+static void
+at_most_once_session (GgProof *proof)
+{
+  GgTrial *trial = begin (proof, NULL);
+  if (!trial)
+    return;
+  GgGolden *golden = gg_golden_create ("at-most-once");
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, KEY, "first"));
+  gg_trial_append_booking (golden, gg_trial_book (trial, 1, KEY, "first"));
+  gg_trial_append_booking (golden, gg_trial_book (trial, 1, KEY, "another body"));
+  gg_trial_control_services (trial, "{\"drop_after_run\":1}");
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, "reply-lost", "reply lost"));
+  gg_trial_control_services (trial, "{\"drop_after_run\":0}");
+  gg_trial_append_booking (golden, gg_trial_book (trial, 1, "reply-lost", "reply lost"));
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, NULL, "without a key"));
+  gg_trial_append_calls (trial, golden, 0, "greengage/ledger/");
+  gg_golden_finish (golden, proof);
+  gg_trial_end (trial);
+}
+
+static void
+not_run_session (GgProof *proof)
+{
+  GgTrial *trial = begin (proof, NULL);
+  if (!trial)
+    return;
+  GgGolden *golden = gg_golden_create ("not-run");
+  gg_trial_control_services (trial, "{\"busy\":true}");
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, KEY, "refused"));
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, NULL, "refused without a key"));
+  gg_trial_control_services (trial, "{\"busy\":false}");
+  gg_trial_control_platform (trial, GG_TRIAL_DOWN);
+  gg_trial_append_booking (golden, gg_trial_book (trial, 0, "down", "platform down"));
+  gg_trial_control_platform (trial, GG_TRIAL_UP);
+  gg_trial_append_booking (golden, gg_trial_repeat_until (trial, 1, KEY, "refused", "complete"));
+  gg_view_expect_settled (trial);
+  gg_trial_append_calls (trial, golden, 0, "greengage/ledger/");
+  gg_golden_finish (golden, proof);
+  gg_trial_end (trial);
+}
+
 #define CASES(promise, fault, run)                                                                 \
   { promise, fault "-record", run##_record },                                                      \
   {                                                                                                \
@@ -848,6 +890,8 @@
     CASES ("not-run", "entry-paused-and-platform-down", entry_paused_and_platform_down),
     { "not-run", "all-runners-cut", all_runners_cut },
     { "not-run", "services-refuse", services_refuse },
+    { "at-most-once", "session", at_most_once_session },
+    { "not-run", "session", not_run_session },
   };
   return gg_prove_main ("bookings", cases, G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/process/test_prove_config.c
+++ b/tests/process/test_prove_config.c
@@ -596,6 +596,56 @@
   finish (&watch);
 }
 
+static void
+append_publish (Watch *watch, GgGolden *golden, const char *base)
+{
+  GgCluster *cluster = watch->trial->cluster;
+  const char *args[] = {
+    "--kv", cluster->kv, "--prefix", "authority", cluster->services_folder, base ? "--base" : NULL,
+    base,   NULL
+  };
+  char *output = NULL;
+  int status = gg_process_run ("greengage-publish", args, PUBLISH_TIMEOUT_MS, &output);
+  gg_golden_append (golden, "greengage-publish%s%s: exit %d\n%s\n", base ? " --base " : "",
+                    base ? base : "", status, output);
+  g_free (output);
+}
+
+static void
+append_generations (Watch *watch, GgGolden *golden)
+{
+  watch->wanted = read_generation (watch);
+  gg_trial_note_fault (watch->trial);
+  expect_in_force (watch);
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    gg_golden_append (golden, "%s: controld %u, entryd %u\n",
+                      watch->trial->cluster->instances[i].name,
+                      (unsigned) gg_view_control_generation (watch->trial, i),
+                      (unsigned) gg_view_entry_generation (watch->trial, i));
+  gg_golden_append (golden, "\n");
+}
+
+/* The whole session: what operators and the platform saw, and what is in force. */
+static void
+session (GgProof *proof)
+{
+  Watch watch;
+  if (!begin (&watch, proof))
+    return;
+  GgGolden *golden = gg_golden_create ("config");
+  declare_service (&watch, "fees.ini", "fees");
+  append_publish (&watch, golden, NULL);
+  append_generations (&watch, golden);
+  append_publish (&watch, golden, NULL);
+  declare_service (&watch, "fees.ini", "guild");
+  append_publish (&watch, golden, "1");
+  append_publish (&watch, golden, "2");
+  append_generations (&watch, golden);
+  gg_trial_append_calls (watch.trial, golden, 0, CONFIG_KEY);
+  gg_golden_finish (golden, proof);
+  finish (&watch);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -616,6 +666,7 @@
     { "config", "older-document", older_document },
     { "config", "list-empty", list_empty },
     { "config", "list-lags", list_lags },
+    { "config", "session", session },
   };
   return gg_prove_main ("config", cases, G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/process/test_prove_leaving.c
+++ b/tests/process/test_prove_leaving.c
@@ -409,6 +409,38 @@
   run_leaver (proof, stop_entry);
 }
 
+/* The whole session: what the operator, callers, services and the platform saw. */
+static void
+session (GgProof *proof)
+{
+  Traffic traffic;
+  if (!begin (&traffic, proof, SERVICE))
+    return;
+  GgTrial *trial = traffic.trial;
+  GgGolden *golden = gg_golden_create ("leaving");
+  const char *args[] = { "drain", trial->cluster->runners[SERVICE].id, NULL };
+  char *output = NULL;
+  int status = gg_view_run_ctl (trial, N_INSTANCES - 1, args, &output);
+  gg_golden_append (golden, "greengagectl drain at instance %d: exit %d\n%s\n", N_INSTANCES - 1,
+                    status, output);
+  g_free (output);
+  gg_trial_note_fault (trial);
+  expect_no_new_work (&traffic);
+  guint first = trial->bookings->len;
+  guint before = count_work (&traffic);
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    {
+      char *name = g_strdup_printf ("after the drain %u", i);
+      gg_trial_append_booking (golden, gg_trial_book (trial, i, name, name));
+      g_free (name);
+    }
+  gg_golden_append (golden, "calls of the runner that leaves: %u\n",
+                    count_work (&traffic) - before);
+  gg_trial_append_calls (trial, golden, first, "greengage/ledger/");
+  gg_golden_finish (golden, proof);
+  gg_trial_end (trial);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -428,6 +460,7 @@
     { "leaving", "entry-by-operator", entry_by_operator },
     { "leaving", "entry-by-list", entry_by_list },
     { "leaving", "entry-by-stop", entry_by_stop },
+    { "leaving", "session", session },
   };
   return gg_prove_main ("leaving", cases, G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/support/control_view.c
+++ b/tests/support/control_view.c
@@ -28,22 +28,51 @@
   return generation;
 }
 
-uint64_t
-gg_view_entry_generation (const GgTrial *trial, uint32_t instance)
+/* Status of an entry process, NULL if it does not answer. */
+static char *
+fetch_entry_status (const GgTrial *trial, uint32_t instance)
 {
   CLIENT *client
       = gg_rpc_client_create (trial->cluster->instances[instance].entry_rpc, GG_ENTRY_PROGRAM,
                               GG_ENTRY_V1, GG_RPC_TCP, CALL_TIMEOUT_MS);
   if (!client)
-    return 0;
+    return NULL;
   char *text = NULL;
-  uint64_t generation
-      = gg_entry_status_1 (&text, client) == RPC_SUCCESS ? find_generation (text) : 0;
+  char *copy = gg_entry_status_1 (&text, client) == RPC_SUCCESS ? g_strdup (text) : NULL;
   clnt_freeres (client, (xdrproc_t) xdr_gg_entry_text, (caddr_t) &text);
   gg_rpc_client_destroy (client);
+  return copy;
+}
+
+uint64_t
+gg_view_entry_generation (const GgTrial *trial, uint32_t instance)
+{
+  char *text = fetch_entry_status (trial, instance);
+  uint64_t generation = find_generation (text);
+  g_free (text);
   return generation;
 }
 
+static gboolean
+is_settled (void *data)
+{
+  const GgTrial *trial = data;
+  gboolean settled = TRUE;
+  for (uint32_t i = 0; i < trial->cluster->n_instances && settled; i++)
+    {
+      char *text = fetch_entry_status (trial, i);
+      settled = text && strstr (text, "\"settling\":0");
+      g_free (text);
+    }
+  return settled;
+}
+
+void
+gg_view_expect_settled (GgTrial *trial)
+{
+  gg_trial_expect_until (trial, is_settled, trial, GG_TRIAL_WAIT_MS, "no record is being settled");
+}
+
 gboolean
 gg_view_matches (const GgTrial *trial, uint32_t instance, GgControlText which, const char *pattern)
 {
--- a/tests/support/control_view.h
+++ b/tests/support/control_view.h
@@ -9,6 +9,9 @@
 uint64_t gg_view_control_generation (const GgTrial *trial, uint32_t instance);
 uint64_t gg_view_entry_generation (const GgTrial *trial, uint32_t instance);
 
+/** Waits until no entry process has records to settle in the background. */
+void gg_view_expect_settled (GgTrial *trial);
+
 /** Returns whether a text of a control process matches a regular expression. */
 gboolean
 gg_view_matches (const GgTrial *trial, uint32_t instance, GgControlText which, const char *pattern);
--- a/tests/support/trial.c
+++ b/tests/support/trial.c
@@ -21,6 +21,7 @@
   g_free (self->barge);
   g_free (self->outcome);
   g_free (self->request);
+  g_free (self->headers);
   g_free (self->body);
   g_free (self);
 }
@@ -125,6 +126,20 @@
   return g_strdup (value ? value : "");
 }
 
+static char *
+format_headers (const GgHttpReply *reply)
+{
+  GString *text = g_string_new (NULL);
+  GList *names = reply->headers ? g_hash_table_get_keys (reply->headers) : NULL;
+  names = g_list_sort (names, (GCompareFunc) strcmp);
+  for (const GList *name = names; name; name = name->next)
+    if (strcmp (name->data, "date") != 0)
+      g_string_append_printf (text, "%s: %s\n", (const char *) name->data,
+                              (const char *) g_hash_table_lookup (reply->headers, name->data));
+  g_list_free (names);
+  return g_string_free (text, FALSE);
+}
+
 static void *
 send_booking (void *data)
 {
@@ -144,6 +159,7 @@
   self->status = reply.status;
   self->outcome = copy_header (&reply, "greengage-outcome");
   self->request = copy_header (&reply, "greengage-request");
+  self->headers = format_headers (&reply);
   self->body = g_strdup (reply.body ? reply.body : "");
   gg_http_reply_clear (&reply);
   g_free (body);
@@ -453,3 +469,84 @@
   gg_booking_expect (booking, "complete");
   gg_trial_note_recovered (self);
 }
+
+/* Names what differs from run to run besides ids and times: the runner that was chosen, its
+ * running number, and versions. */
+static void
+append (GgGolden *golden, const char *text)
+{
+  GRegex *runner = g_regex_new ("\"number\":\\d+,\"runner\":\"moorings-\\d\"", 0, 0, NULL);
+  GRegex *version = g_regex_new ("cas=[1-9]\\d*", 0, 0, NULL);
+  /* Of a short answer, which has as many digits as the running number. */
+  GRegex *length = g_regex_new ("content-length: \\d\\d$", G_REGEX_MULTILINE, 0, NULL);
+  char *named = g_regex_replace_literal (runner, text, -1, 0,
+                                         "\"number\":<number>,\"runner\":<runner>", 0, NULL);
+  char *versioned = g_regex_replace_literal (version, named, -1, 0, "cas=<version>", 0, NULL);
+  char *all
+      = g_regex_replace_literal (length, versioned, -1, 0, "content-length: <length>", 0, NULL);
+  gg_golden_append (golden, "%s", all);
+  g_free (all);
+  g_free (versioned);
+  g_free (named);
+  g_regex_unref (length);
+  g_regex_unref (version);
+  g_regex_unref (runner);
+}
+
+void
+gg_trial_append_booking (GgGolden *golden, const GgBooking *booking)
+{
+  char *text = g_strdup_printf (
+      "POST %s at instance %u, Idempotency-Key %s, barge %s\nstatus %u\n%s\n%s\n\n", BOOKING_PATH,
+      booking->instance, booking->key ? booking->key : "(none)", booking->barge, booking->status,
+      booking->headers, booking->body);
+  append (golden, text);
+  g_free (text);
+}
+
+static void
+append_lines (GgGolden *golden, const char *text, const char *pattern)
+{
+  GRegex *wanted = g_regex_new (pattern, 0, 0, NULL);
+  char **lines = g_strsplit (text, "\n", -1);
+  for (size_t i = 0; lines[i]; i++)
+    if (g_regex_match (wanted, lines[i], 0, NULL))
+      {
+        append (golden, lines[i]);
+        gg_golden_append (golden, "\n");
+      }
+  g_strfreev (lines);
+  g_regex_unref (wanted);
+}
+
+static gboolean
+is_first_of_barge (const GgTrial *self, guint number)
+{
+  const GgBooking *booking = g_ptr_array_index (self->bookings, number);
+  for (guint i = 0; i < number; i++)
+    if (strcmp (((GgBooking *) g_ptr_array_index (self->bookings, i))->barge, booking->barge) == 0)
+      return FALSE;
+  return TRUE;
+}
+
+void
+gg_trial_append_calls (GgTrial *self, GgGolden *golden, guint first, const char *prefix)
+{
+  char *calls = read_calls (self);
+  char *platform = gg_test_get (self->cluster->kv, "/records");
+  gg_golden_append (golden, "calls of the services\n");
+  for (guint i = first; i < self->bookings->len; i++)
+    if (is_first_of_barge (self, i))
+      {
+        const GgBooking *booking = g_ptr_array_index (self->bookings, i);
+        char *pattern = g_strdup_printf ("\"%s\\\\\"}$", booking->barge);
+        append_lines (golden, calls, pattern);
+        g_free (pattern);
+      }
+  char *pattern = g_strdup_printf ("^PUT %s.*(true|false)$", prefix);
+  gg_golden_append (golden, "writes at the platform\n");
+  append_lines (golden, platform ? platform : "", pattern);
+  g_free (pattern);
+  g_free (platform);
+  g_free (calls);
+}
--- a/tests/support/trial.h
+++ b/tests/support/trial.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "cluster.h"
-#include "prove.h"
+#include "golden.h"
 
 /** Faults of the key-value service that are limited to records of bookings. */
 #define GG_TRIAL_LOSE_RECORD_REPLY "{\"lose_replies\":1,\"prefix\":\"greengage/ledger/\"}"
@@ -42,6 +42,7 @@
   unsigned status;  /**< 0 if the connection was cut. */
   char *outcome;    /**< "" if there was none, as below. */
   char *request;
+  char *headers; /**< "name: value" lines in order of name, without the date. */
   char *body;
 } GgBooking;
 
@@ -112,3 +113,11 @@
 /** Fails the case unless @p condition becomes true within @p timeout_ms. */
 void gg_trial_expect_until (
     GgTrial *self, GgCondition condition, void *data, uint64_t timeout_ms, const char *what);
+
+/** Appends the request of a booking and the bytes of its answer. */
+void gg_trial_append_booking (GgGolden *golden, const GgBooking *booking);
+
+/** Appends the calls of services for the bookings from number @p first on, in their order, and the
+ * writes at the platform to keys that start with @p prefix, except such as were closed during an
+ * outage. */
+void gg_trial_append_calls (GgTrial *self, GgGolden *golden, guint first, const char *prefix);
