--- a/src/daemons/controld/control_records.c
+++ b/src/daemons/controld/control_records.c
@@ -41,17 +41,6 @@
     json_array_add_string_element (list->gaps, "more records exist than fit into the reply");
 }
 
-/* In the sharded layout a record is a text within the document. */
-static JsonNode *
-parse_inner (JsonObject *object)
-{
-  JsonNode *text = json_object_get_member (object, "text");
-  if (text == NULL || !JSON_NODE_HOLDS_VALUE (text)
-      || json_node_get_value_type (text) != G_TYPE_STRING)
-    return NULL;
-  return json_from_string (json_node_get_string (text), NULL);
-}
-
 /* A value is one record, or, in the sharded layout, a document that contains records. */
 static void
 search (RecordList *list, const char *key, const char *path, JsonNode *node)
@@ -59,13 +48,6 @@
   if (!JSON_NODE_HOLDS_OBJECT (node))
     return;
   JsonObject *object = json_node_get_object (node);
-  JsonNode *inner_record = parse_inner (object);
-  if (inner_record != NULL)
-    {
-      search (list, key, path, inner_record);
-      json_node_unref (inner_record);
-      return;
-    }
   if (is_open_record (object))
     {
       add_record (list, key, path, object);
--- a/src/daemons/controld/record_sweep.c
+++ b/src/daemons/controld/record_sweep.c
@@ -9,6 +9,8 @@
 
 /* All instances agree on the one that sweeps. */
 #define SWEEP_SUBJECT "greengage/ledger"
+/* Under which a shard's document keeps the record of a key. */
+#define SHARD_MEMBER "/record"
 
 static GgCounter lost = GG_COUNTER ("greengage_records_lost_total",
                                     "Bookings found without the entry process that made them");
@@ -44,16 +46,28 @@
   g_free (detail);
 }
 
+/* Key of the record; in the sharded layout it is the member of a document that holds it. */
+static char *
+make_subject (JsonObject *shown)
+{
+  const char *path = json_object_get_string_member (shown, "path");
+  if (*path == '\0')
+    return g_strdup (json_object_get_string_member (shown, "key"));
+  size_t length = strlen (path);
+  return g_strndup (path, g_str_has_suffix (path, SHARD_MEMBER) ? length - strlen (SHARD_MEMBER)
+                                                                : length);
+}
+
 static void
 check_record (JsonArray *records, guint i, JsonNode *node, void *data)
 {
   RecordSweep *self = data;
   JsonObject *shown = json_node_get_object (node);
   JsonObject *record = json_object_get_object_member (shown, "record");
-  const char *key = json_object_get_string_member (shown, "key");
-  const char *path = json_object_get_string_member (shown, "path");
+  char *subject = make_subject (shown);
   if (is_lost (self, record))
-    report (self, *path != '\0' ? path : key, record);
+    report (self, subject, record);
+  g_free (subject);
 }
 
 static void
