Tell the account when a control process answers again

Cause: the account showed that a control process did not answer, but never that it was back, so the morning shift could not tell an outage that was over from one that went on. Change: the instance that recorded peer-unreachable records peer-reachable with the duration; account control-killed kills and restarts each control process in turn.

--- a/src/daemons/controld/peer_exchange.c
+++ b/src/daemons/controld/peer_exchange.c
@@ -32,6 +32,7 @@
   uint32_t failures;
   uint64_t since_ms;
   gboolean recorded;
+  gboolean is_in_account; /* By this process, which then also records the recovery. */
 } PeerHealth;
 
 struct _GgPeerExchange
@@ -72,13 +73,33 @@
   return health;
 }
 
+static void
+note_answer (GgPeerExchange *self, const char *peer, uint64_t now_ms)
+{
+  const PeerHealth *health = g_hash_table_lookup (self->health, peer);
+  if (health == NULL)
+    return;
+  if (health->recorded)
+    gg_log (LOG_NOTICE, "event=peer-reachable peer=%s", peer);
+  if (health->is_in_account)
+    {
+      char *detail
+          = g_strdup_printf ("control process answers again after %" G_GUINT64_FORMAT " ms",
+                             now_ms - health->since_ms);
+      gg_account_record (self->state->account, "peer-reachable", peer, detail, FALSE,
+                         gg_clock_wall_ms ());
+      g_free (detail);
+    }
+  g_hash_table_remove (self->health, peer);
+}
+
 static void
 note_result (GgPeerExchange *self, const char *peer, gboolean answered)
 {
   uint64_t now_ms = gg_clock_now_ms ();
   if (answered)
     {
-      g_hash_table_remove (self->health, peer);
+      note_answer (self, peer, now_ms);
       return;
     }
   PeerHealth *health = get_health (self, peer);
@@ -89,7 +110,8 @@
     return;
   health->recorded = TRUE;
   gg_log (LOG_WARNING, "event=peer-unreachable peer=%s failures=%u", peer, health->failures);
-  if (gg_control_state_is_recorder (self->state, peer))
+  health->is_in_account = gg_control_state_is_recorder (self->state, peer);
+  if (health->is_in_account)
     gg_account_record (self->state->account, "peer-unreachable", peer,
                        "control process does not answer", FALSE, gg_clock_wall_ms ());
 }
--- a/tests/process/test_prove_account.c
+++ b/tests/process/test_prove_account.c
@@ -118,15 +118,27 @@
 }
 
 static void
-expect_entry (GgTrial *trial, const char *kind, const char *subject, uint64_t not_before_ms)
+expect_entry_at (GgTrial *trial,
+                 uint32_t instance,
+                 const char *kind,
+                 const char *subject,
+                 uint64_t not_before_ms)
 {
-  Expected expected = {
-    .trial = trial, .instance = 1, .kind = kind, .subject = subject, .not_before_ms = not_before_ms
-  };
+  Expected expected = { .trial = trial,
+                        .instance = instance,
+                        .kind = kind,
+                        .subject = subject,
+                        .not_before_ms = not_before_ms };
   expect_shown (&expected);
   g_free (expected.detail);
 }
 
+static void
+expect_entry (GgTrial *trial, const char *kind, const char *subject, uint64_t not_before_ms)
+{
+  expect_entry_at (trial, 1, kind, subject, not_before_ms);
+}
+
 /* Key of the record of a booking of the team that all trials use. */
 static char *
 make_record_key (const char *idempotency_key)
@@ -373,17 +385,27 @@
   gg_trial_end (trial);
 }
 
+/* Whichever instance it is, another one tells. */
 static void
 control_killed (GgProof *proof)
 {
   GgTrial *trial = begin (proof, FALSE);
   if (!trial)
     return;
-  uint64_t start_ms = gg_clock_wall_ms ();
-  gg_trial_note_fault (trial);
-  gg_process_signal (trial->cluster->instances[0].control, SIGKILL);
-  expect_entry (trial, "peer-unreachable", trial->cluster->instances[0].name, start_ms);
-  gg_trial_note_recovered (trial);
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    {
+      const GgClusterInstance *instance = &trial->cluster->instances[i];
+      uint32_t other = (i + 1) % N_INSTANCES;
+      uint64_t start_ms = gg_clock_wall_ms ();
+      gg_process_signal (instance->control, SIGKILL);
+      gg_proof_check (proof, gg_process_wait_exit (instance->control, SHOWN_MS));
+      expect_entry_at (trial, other, "peer-unreachable", instance->name, start_ms);
+      uint64_t restart_ms = gg_clock_wall_ms ();
+      gg_trial_note_fault (trial);
+      gg_cluster_start_control (trial->cluster, i);
+      expect_entry_at (trial, other, "peer-reachable", instance->name, restart_ms);
+      gg_trial_note_recovered (trial);
+    }
   gg_trial_end (trial);
 }
 
