Let the next instance record the loss of the recorder's own control process

Cause: events that all instances see are recorded by the instance with the first rank for their subject; for the loss of a control process that can be the very instance that was lost, so nobody recorded it. Change: where the subject itself has the first rank, the second one records.

--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -167,11 +167,13 @@
 }
 
 /* What all instances see is recorded by one of them; otherwise each event would be written to
- * the platform once per instance. */
+ * the platform once per instance. The instance that an event concerns may be the one that failed,
+ * so the next one records it. */
 static gboolean
 is_recorder (const GgControlState *self, const char *subject)
 {
-  return gg_member_table_get_rank (self->members, NULL, subject, self->name) == 0
+  int first = gg_member_table_get_rank (self->members, NULL, subject, subject) == 0 ? 1 : 0;
+  return gg_member_table_get_rank (self->members, NULL, subject, self->name) == first
          || !has_live_entry (self);
 }
 
--- a/tests/process/test_prove_account.c
+++ b/tests/process/test_prove_account.c
@@ -409,6 +409,23 @@
   gg_trial_end (trial);
 }
 
+/* Of six instances the last one has the first rank for events that concern it. */
+static void
+recorder_killed (GgProof *proof)
+{
+  const GgClusterOptions options = { .n_instances = 6, .control_settings = control_settings };
+  GgTrial *trial = gg_trial_begin (proof, &options);
+  if (!trial)
+    return;
+  const GgClusterInstance *instance = &trial->cluster->instances[5];
+  uint64_t start_ms = gg_clock_wall_ms ();
+  gg_trial_note_fault (trial);
+  gg_process_signal (instance->control, SIGKILL);
+  expect_entry_at (trial, 0, "peer-unreachable", instance->name, start_ms);
+  gg_trial_note_recovered (trial);
+  gg_trial_end (trial);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -423,6 +440,7 @@
     { "account", "runner-cut", runner_cut },
     { "account", "entry-drained", entry_drained },
     { "account", "control-killed", control_killed },
+    { "account", "control-of-recorder-killed", recorder_killed },
   };
   return gg_prove_main ("account", cases, G_N_ELEMENTS (cases), argc, argv);
 }
