--- a/src/core/route.c
+++ b/src/core/route.c
@@ -11,8 +11,13 @@
 #define REPORT_HALF_LIFE_MS 1000
 /* Share of the step time that a warm prefix cache may save, in 1/8. */
 #define AFFINITY_EIGHTHS 2
+/* Weight of an observed step time above the floor, by the age of the observation; a runner that
+ * got no work meanwhile would otherwise keep the time of its last queue. */
+#define OBSERVED_HALF_LIFE_MS 1000
 #define DEFAULT_STEP_US 10000
-#define EJECTED_PENALTY_US (60 * 1000 * 1000)
+#define EJECTED_PENALTY_US (60ULL * 1000 * 1000)
+/* Failures on fresh connections that make a difference between ejected runners. */
+#define EJECTED_FAILURES_MAX 6
 #define MAX_BOUNDARIES 64
 
 /* Runners that hold the same layer range of one service. */
@@ -22,6 +27,7 @@
   uint32_t end_layer;
   uint32_t start; /* index in entries */
   uint32_t count;
+  uint32_t next; /* round robin; changed atomically */
 } Range;
 
 typedef struct
@@ -34,15 +40,15 @@
 {
   GgRouteEntry *entries; /* by service, first_layer, end_layer */
   size_t n_entries;
-  GHashTable *services;  /* name to Service */
-  _Atomic uint32_t next; /* round robin */
+  GHashTable *services; /* name to Service */
 };
 
 /* Cost of one runner for one token. */
 typedef struct
 {
-  uint64_t unloaded_us;
-  uint64_t loaded_us;
+  uint64_t unloaded_us; /* without a queue */
+  uint64_t observed_us; /* as seen lately, with the queue */
+  uint64_t loaded_us;   /* share of the runner's speed with all work there */
 } Cost;
 
 typedef struct
@@ -103,7 +109,7 @@
       last->count++;
       return;
     }
-  Range range = { runner->first_layer, runner->end_layer, i, 1 };
+  Range range = { runner->first_layer, runner->end_layer, i, 1, 0 };
   g_array_append_val (service->ranges, range);
 }
 
@@ -187,14 +193,21 @@
 static Cost
 predict_cost (const GgRouteEntry *entry, uint64_t now_ms)
 {
-  uint32_t step_us = atomic_load_explicit (&entry->runner->step_time_us, memory_order_relaxed);
+  const GgRunner *runner = entry->runner;
+  uint32_t step_us = atomic_load_explicit (&runner->step_time_us, memory_order_relaxed);
+  uint32_t floor_us = atomic_load_explicit (&runner->step_floor_us, memory_order_relaxed);
+  uint64_t seen_ms = atomic_load_explicit (&runner->step_seen_ms, memory_order_relaxed);
+  uint64_t age_ms = now_ms > seen_ms ? now_ms - seen_ms : 0;
   uint64_t outstanding = estimate_outstanding (entry, now_ms);
-  if (step_us == 0)
-    step_us = DEFAULT_STEP_US;
+  if (floor_us == 0)
+    floor_us = step_us = DEFAULT_STEP_US;
+  uint64_t queue_us = step_us > floor_us ? step_us - floor_us : 0;
   Cost cost;
-  cost.unloaded_us = step_us + 2ULL * entry->link_us;
+  cost.unloaded_us = floor_us + 2ULL * entry->link_us;
+  cost.observed_us
+      = cost.unloaded_us + queue_us * OBSERVED_HALF_LIFE_MS / (OBSERVED_HALF_LIFE_MS + age_ms);
   cost.loaded_us = entry->tokens_per_s > 0 ? (outstanding + 1) * 1000000 / entry->tokens_per_s
-                                           : (outstanding + 1) * step_us;
+                                           : (outstanding + 1) * floor_us;
   return cost;
 }
 
@@ -204,15 +217,25 @@
   return mix (prefix_hash ^ entry->runner->id_hash);
 }
 
+/* Of ejected runners the one that is suspect for a slow step alone comes first: runners that
+ * don't answer at all hold no work and would look like the best. */
+static uint64_t
+get_penalty_us (const GgRunner *runner)
+{
+  if (!gg_runner_health_is_ejected (runner))
+    return 0;
+  uint32_t failures = atomic_load_explicit (&runner->failures, memory_order_relaxed);
+  return EJECTED_PENALTY_US * (1 + MIN (failures, EJECTED_FAILURES_MAX));
+}
+
 static Candidate
 rate (const GgRouteEntry *entry, const GgRouteQuery *query, gboolean is_warm)
 {
   Candidate candidate = { .entry = entry, .cost = predict_cost (entry, query->now_ms) };
-  candidate.score_us = candidate.cost.unloaded_us + candidate.cost.loaded_us;
+  candidate.score_us = candidate.cost.observed_us + candidate.cost.loaded_us;
   if (is_warm)
     candidate.score_us -= candidate.cost.unloaded_us * AFFINITY_EIGHTHS / 8;
-  if (gg_runner_health_is_ejected (entry->runner))
-    candidate.score_us += EJECTED_PENALTY_US;
+  candidate.score_us += get_penalty_us (entry->runner);
   return candidate;
 }
 
@@ -307,8 +330,7 @@
         continue;
       Candidate candidate = rate (entry, query, FALSE);
       candidate.score_us = entry->reported_outstanding_tokens;
-      if (gg_runner_health_is_ejected (entry->runner))
-        candidate.score_us += EJECTED_PENALTY_US;
+      candidate.score_us += get_penalty_us (entry->runner);
       keep_better (&best, &candidate);
     }
   return best;
@@ -325,7 +347,8 @@
       return choose_from (self, range, query,
                           (uint32_t) (mix (query->random ^ range->start) >> 16));
     case GG_ROUTE_POLICY_ROUND_ROBIN:
-      return choose_from (self, range, query, atomic_fetch_add (&((GgRouteTable *) self)->next, 1));
+      return choose_from (self, range, query,
+                          __atomic_fetch_add (&((Range *) range)->next, 1, __ATOMIC_RELAXED));
     case GG_ROUTE_POLICY_LEAST_REPORTED:
       return choose_least_reported (self, range, query);
     }
@@ -381,13 +404,15 @@
 set_prediction (GgRoutePlan *plan, const Cost *costs, uint32_t tokens)
 {
   uint64_t unloaded_us = 0;
+  uint64_t observed_us = 0;
   uint64_t slowest_us = 0;
   for (uint32_t i = 0; i < plan->n_stages; i++)
     {
       unloaded_us += costs[i].unloaded_us;
+      observed_us += costs[i].observed_us;
       slowest_us = MAX (slowest_us, costs[i].loaded_us);
     }
-  uint64_t interval_us = MAX (unloaded_us, slowest_us);
+  uint64_t interval_us = MAX (observed_us, slowest_us);
   uint32_t n = MAX (tokens, 1);
   plan->predicted_ms = interval_us * n / 1000;
   plan->predicted_wait_ms = (interval_us - unloaded_us) * n / 1000;
--- a/tests/core/test_route.c
+++ b/tests/core/test_route.c
@@ -226,6 +226,85 @@
   teardown (&f);
 }
 
+/* One counter for all ranges gave each range the same runner every time when the number of ranges
+ * was a multiple of the number of runners. */
+static void
+test_round_robin_uses_all (void)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < 9; i++)
+    {
+      char id[8];
+      g_snprintf (id, sizeof id, "r%u", i);
+      add (&f, id, i / 3 * 4, i / 3 * 4 + 4, 0);
+    }
+  seal (&f);
+  for (int i = 0; i < 30; i++)
+    {
+      GgRouteQuery q = query (12, 1);
+      q.policy = GG_ROUTE_POLICY_ROUND_ROBIN;
+      GgRoutePlan plan;
+      CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+      for (uint32_t stage = 0; stage < plan.n_stages; stage++)
+        gg_runner_begin_work (plan.stages[stage]);
+      gg_route_plan_clear (&plan);
+    }
+  for (guint i = 0; i < 9; i++)
+    CU_ASSERT_EQUAL (atomic_load (&entry_at (&f, i)->runner->outstanding_tokens), 10);
+  teardown (&f);
+}
+
+/* A moving average of step times alone took queueing for the runner's own time, so that the
+ * predicted wait was zero under overload and admission refused nothing. */
+static void
+test_queue_is_wait (void)
+{
+  Fixture f;
+  setup (&f);
+  add (&f, "a", 0, 4, 0);
+  seal (&f);
+  GgRunner *runner = entry_at (&f, 0)->runner;
+  gg_runner_observe_step (runner, 10000, 1000);
+  for (uint64_t now = 1001; now < 2000; now++)
+    gg_runner_observe_step (runner, 100000, now);
+  GgRouteQuery q = query (4, 1);
+  q.now_ms = 2000;
+  GgRoutePlan plan;
+  CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+  CU_ASSERT_TRUE (plan.predicted_wait_ms > 500);
+  gg_route_plan_clear (&plan);
+  /* The queue that was seen long ago counts little. */
+  q.now_ms = 62000;
+  CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+  CU_ASSERT_TRUE (plan.predicted_wait_ms < 50);
+  gg_route_plan_clear (&plan);
+  teardown (&f);
+}
+
+/* With all runners of a range ejected, those that answer nothing hold no work and were chosen
+ * before the one that is only slow. */
+static void
+test_least_failed_is_last_resort (void)
+{
+  Fixture f;
+  setup (&f);
+  add (&f, "cut", 0, 4, 0);
+  add (&f, "slow", 0, 4, 50);
+  seal (&f);
+  gg_runner_health_apply (entry_at (&f, 0)->runner, GG_RUNNER_EVENT_FAILED_FRESH, 1000);
+  gg_runner_health_apply (entry_at (&f, 1)->runner, GG_RUNNER_EVENT_FAILED_KEPT, 1000);
+  for (uint64_t random = 0; random < 20; random++)
+    {
+      GgRouteQuery q = query (4, random);
+      GgRoutePlan plan;
+      CU_ASSERT_TRUE_FATAL (gg_route_choose (f.table, &q, &plan));
+      CU_ASSERT_STRING_EQUAL (plan.stages[0]->id, "slow");
+      gg_route_plan_clear (&plan);
+    }
+  teardown (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -235,6 +314,9 @@
     { "replacement of one range", test_replacement },
     { "random tables", test_random_tables },
     { "own work counts", test_own_work_counts },
+    { "round robin uses all runners", test_round_robin_uses_all },
+    { "a queue shows as wait", test_queue_is_wait },
+    { "the least failed is the last resort", test_least_failed_is_last_resort },
   };
   if (argc > 1)
     {
