Recover an answer over fresh connections

Cause: after a step on a silent kept connection failed, the replay at the replacement and the later ranges used kept connections again, which the same event had silenced; each cost its own time limit (300 ms, or 1000 ms for a replay). Change: from a failed step to the next token all steps of the answer go over fresh connections (GgStageStep.on_fresh_connection); case own-answer silent-idle-connections; mutations answer-trust-connections, answer-skip-grace, answer-ignore-absence, stage-accept-any-reply. Conclusion: one step limit bounds the pause, however many connections are silent.

--- a/src/adapters/engine/stage_client.c
+++ b/src/adapters/engine/stage_client.c
@@ -3,6 +3,7 @@
 #include "adapters/http/http_json.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "core/mutation.h"
 
 #include <string.h>
 
@@ -186,7 +187,7 @@
     return result;
   if (http->status != GG_STAGE_STATUS_OK)
     result = read_refused (http, object, &step->attempt, &reply_out->refusal);
-  else if (!is_reply_to (object, step))
+  else if (!is_reply_to (object, step) && !GG_IS_MUTATED ("stage-accept-any-reply"))
     gg_counter_add (&wrong_ids, 1);
   else if (read_outputs (object, step->n_inputs, reply_out))
     result = GG_STAGE_OK;
@@ -216,14 +217,15 @@
     }
 }
 
-/* Makes a call that may repeat in neon: an engine refuses a repeated position, a repeated import
- * and a repeated cancel have no further effect. */
+/* Makes a call; one that may repeat uses a kept connection and neon may send it again: an engine
+ * refuses a repeated position, a repeated import and a repeated cancel have no further effect. */
 static GgHttpResult
 call_engine (GgStageClient *self,
              const char *address,
              const char *method,
              const char *path,
              const char *body,
+             gboolean may_repeat,
              uint64_t deadline_ms,
              GgHttpReply *reply_out)
 {
@@ -233,7 +235,7 @@
                             .headers = body != NULL ? headers : NULL,
                             .body = body,
                             .body_size_bytes = body != NULL ? strlen (body) : 0,
-                            .may_repeat = TRUE };
+                            .may_repeat = may_repeat };
   return gg_http_pool_call (self->pool, address, &request, deadline_ms, reply_out);
 }
 
@@ -254,8 +256,8 @@
   gg_counter_add (&steps, 1);
   char *body = print_step (step);
   GgHttpReply http;
-  GgHttpResult sent
-      = call_engine (self, address, "POST", "/v1/stage/step", body, deadline_ms, &http);
+  GgHttpResult sent = call_engine (self, address, "POST", "/v1/stage/step", body,
+                                   !step->on_fresh_connection, deadline_ms, &http);
   g_free (body);
 
   GgStageResult result = to_stage_result (sent);
@@ -345,7 +347,7 @@
   gg_id_format (attempt, id);
   char *path = g_strdup_printf ("/v1/stage/kv?attempt=%s", id);
   GgHttpReply http;
-  GgHttpResult sent = call_engine (self, address, "GET", path, NULL, deadline_ms, &http);
+  GgHttpResult sent = call_engine (self, address, "GET", path, NULL, TRUE, deadline_ms, &http);
   g_free (path);
   *kv_out = NULL;
   return finish_transfer (self, address, attempt, sent, &http, kv_out);
@@ -367,7 +369,8 @@
   json_builder_end_object (b);
   char *body = gg_http_json_print (b);
   GgHttpReply http;
-  GgHttpResult sent = call_engine (self, address, "POST", "/v1/stage/kv", body, deadline_ms, &http);
+  GgHttpResult sent
+      = call_engine (self, address, "POST", "/v1/stage/kv", body, TRUE, deadline_ms, &http);
   g_free (body);
   return finish_transfer (self, address, attempt, sent, &http, NULL);
 }
--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "core/mutation.h"
 #include "core/pipeline.h"
 #include "core/runner_health.h"
 
@@ -54,8 +55,12 @@
 is_abandoned (Answer *answer)
 {
   uint64_t now = gg_clock_now_ms ();
-  return now >= answer->deadline_ms
-         || gg_stream_get_unread_ms (answer->stream, now) > answer->entry->grace_ms;
+  if (now >= answer->deadline_ms)
+    return TRUE;
+  uint64_t unread_ms = gg_stream_get_unread_ms (answer->stream, now);
+  if (GG_IS_MUTATED ("answer-skip-grace"))
+    return unread_ms > 0;
+  return unread_ms > answer->entry->grace_ms && !GG_IS_MUTATED ("answer-ignore-absence");
 }
 
 static GgRouteQuery
@@ -186,6 +191,8 @@
     .position = effect->step.position,
     .inputs = effect->step.inputs,
     .n_inputs = effect->step.n_inputs,
+    /* What silenced one kept connection may have silenced all, at every engine. */
+    .on_fresh_connection = answer->failures > 0 && !GG_IS_MUTATED ("answer-trust-connections"),
   };
 }
 
--- a/tests/process/test_prove_answers.c
+++ b/tests/process/test_prove_answers.c
@@ -17,6 +17,11 @@
 #define N_LONG_TOKENS 400
 #define GOLDEN_TOKENS 5
 #define QUIET_MS 600
+#define RUN_TIMEOUT_MS 5000
+#define MANY_LINEAGES 12
+/* One bound of a step (300 ms) with room for a busy machine, but not for that of a replay too
+ * (1000 ms). */
+#define SILENT_BOUND_MS 1250
 #define WRONG_REPLIES "greengage_wrong_replies_total{from=\"engine\"}"
 
 typedef struct
@@ -77,6 +82,14 @@
     gg_process_signal (cluster->runners[i].relay, SIGUSR2);
 }
 
+/* Every connection that an entry process keeps to any engine. */
+static void
+silence_all_connections (GgCluster *cluster)
+{
+  for (uint32_t i = 0; i < GG_CLUSTER_ENGINES; i++)
+    gg_process_signal (cluster->runners[i].relay, SIGUSR1);
+}
+
 static void
 kill_control (GgCluster *cluster)
 {
@@ -122,6 +135,7 @@
   { "lost-replies", lose_replies, FALSE, FALSE },
   { "killed-stage", kill_engine, FALSE, FALSE },
   { "reset-connections", reset_all_connections, FALSE, FALSE },
+  { "silent-connections", silence_all_connections, FALSE, FALSE },
   { "killed-control", kill_control, FALSE, FALSE },
   { "crossed-replies-and-killed-stage", cross_replies_and_kill_engine, FALSE, TRUE },
   { "terminated-engine", terminate_engine, FALSE, FALSE },
@@ -177,6 +191,31 @@
   gg_cluster_destroy (cluster);
 }
 
+/* Many kept connections to every engine go silent. A stream must learn this from one failure and
+ * not from each engine or connection in turn. */
+static void
+silence_idle_connections (GgProof *proof)
+{
+  GgStreamProof self;
+  if (gg_stream_proof_begin (&self, proof, N_RESUMED_TOKENS))
+    {
+      GgCallers *callers = gg_callers_create (self.cluster, N_CALLERS, 4);
+      gg_proof_check (proof, gg_callers_start (callers, 0));
+      gg_callers_finish (callers, proof);
+      gg_callers_destroy (callers);
+      gg_answer_close (self.answer);
+      self.answer = gg_answer_open (self.cluster->instances[0].callers, NULL,
+                                    GG_STREAM_PROOF_PROMPT, N_RESUMED_TOKENS);
+      gg_proof_check (proof, gg_answer_read (self.answer, GG_STREAM_PROOF_BEFORE));
+      gg_answer_mark (self.answer);
+      silence_all_connections (self.cluster);
+      gg_stream_proof_finish (&self);
+      gg_stream_proof_check_layers (&self, GG_CLUSTER_RANGES + 1, MANY_LINEAGES);
+      gg_proof_check (proof, proof->recovery_ms < SILENT_BOUND_MS);
+    }
+  gg_stream_proof_end (&self);
+}
+
 /* The caller's connection breaks and the rest comes through @p instance. */
 static void
 prove_resume (GgProof *proof, uint32_t instance)
@@ -205,6 +244,44 @@
   prove_resume (proof, 1);
 }
 
+typedef struct
+{
+  GgCluster *cluster;
+  const char *request;
+  uint32_t position;
+} Progress;
+
+static gboolean
+has_run (void *data)
+{
+  const Progress *progress = data;
+  char *calls = gg_lineage_print_calls (progress->cluster, progress->request);
+  char *wanted = g_strdup_printf (" position %u ", progress->position);
+  gboolean found = strstr (calls, wanted) != NULL;
+  g_free (wanted);
+  g_free (calls);
+  return found;
+}
+
+/* The answer goes on while its caller is away for less than the grace period. */
+static void
+return_within_grace (GgProof *proof)
+{
+  GgStreamProof self;
+  if (gg_stream_proof_begin (&self, proof, N_RESUMED_TOKENS))
+    {
+      Progress progress = { self.cluster, self.answer->request, N_RESUMED_TOKENS - 1 };
+      gg_answer_disconnect (self.answer);
+      gg_proof_check (proof, gg_wait_until (has_run, &progress, RUN_TIMEOUT_MS));
+      gg_answer_mark (self.answer);
+      gg_proof_check (proof,
+                      gg_answer_resume (self.answer, self.cluster->instances[1].callers, NULL));
+      gg_stream_proof_finish (&self);
+      gg_stream_proof_check_layers (&self, GG_CLUSTER_RANGES, GG_CLUSTER_RANGES);
+    }
+  gg_stream_proof_end (&self);
+}
+
 /* After the end of the answer, and twice. */
 static void
 resume_after_end (GgProof *proof)
@@ -363,9 +440,11 @@
   { "own-answer", "session", compare_session },
   { "own-answer", "resumed-at-same-instance", resume_here },
   { "own-answer", "resumed-at-other-instance", resume_elsewhere },
+  { "own-answer", "resumed-within-grace", return_within_grace },
   { "own-answer", "resumed-after-end", resume_after_end },
   { "own-answer", "resumed-with-other-credentials", resume_with_other_credentials },
   { "own-answer", "caller-stays-away", stay_away },
+  { "own-answer", "silent-idle-connections", silence_idle_connections },
   { "own-answer", "killed-entry", kill_entry },
   { "own-answer", "stopped-entry", stop_entry },
 };
