Show that the cases of streams fail without their mechanisms

Cause: a case that passes shows little unless it fails when its mechanism is off; two faults had no case that needed them. Conclusion: pipeline-accept-any-attempt, -epoch and -position change nothing at the processes, since the stage client rejects such replies first; they stay with the unit tests. Closing idle connections after a doubtful step is not shown by a case.

--- a/src/core/pipeline.c
+++ b/src/core/pipeline.c
@@ -311,7 +311,8 @@
   if (!GG_IS_MUTATED ("pipeline-reuse-lineage"))
     {
       st->attempt = event->replaced.attempt;
-      st->epoch = ++self->last_epoch;
+      if (!GG_IS_MUTATED ("pipeline-keep-epoch"))
+        st->epoch = ++self->last_epoch;
       if (!GG_IS_MUTATED ("pipeline-skip-replay"))
         st->confirmed = 0;
     }
--- a/src/core/runner_health.c
+++ b/src/core/runner_health.c
@@ -1,5 +1,6 @@
 #include "core/runner_health.h"
 
+#include "core/mutation.h"
 #define EJECTION_BASE_MS 250
 #define EJECTION_MAX_MS 10000
 #define EJECTION_MAX_SHIFT 6
@@ -7,7 +8,7 @@
 static gboolean
 mark_suspect (GgRunner *runner)
 {
-  return atomic_exchange (&runner->suspect, 1) == 0;
+  return !GG_IS_MUTATED ("health-skip-ejection") && atomic_exchange (&runner->suspect, 1) == 0;
 }
 
 static gboolean
--- a/src/daemons/entryd/drain.c
+++ b/src/daemons/entryd/drain.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/mutation.h"
 #include "daemons/entryd/caller_reply.h"
 
 #define POLL_MS 10
@@ -17,12 +18,13 @@
 static void
 wait_for_work (GgEntry *entry, uint64_t deadline_ms)
 {
-  while (count_in_flight (entry) > 0 && gg_clock_now_ms () < deadline_ms)
+  while (count_in_flight (entry) > 0 && gg_clock_now_ms () < deadline_ms
+         && !GG_IS_MUTATED ("drain-skip-wait"))
     g_usleep (POLL_MS * 1000);
   /* A caller that lost its connection may still come for the rest of its answer. */
   uint64_t resume_deadline_ms = MIN (deadline_ms, gg_clock_now_ms () + entry->grace_ms);
   while (gg_stream_registry_count_undelivered (entry->streams) > 0
-         && gg_clock_now_ms () < resume_deadline_ms)
+         && gg_clock_now_ms () < resume_deadline_ms && !GG_IS_MUTATED ("drain-skip-undelivered"))
     g_usleep (POLL_MS * 1000);
 }
 
@@ -45,7 +47,8 @@
   gg_snapshot_client_report_event (entry->snapshots, "drain", entry->instance, "planned stop",
                                    FALSE);
   gg_snapshot_client_report_leaving (entry->snapshots, entry->instance, 0);
-  g_usleep ((gulong) limits->balancer_settle_ms * 1000);
+  if (!GG_IS_MUTATED ("drain-skip-settle"))
+    g_usleep ((gulong) limits->balancer_settle_ms * 1000);
   gg_caller_http_stop_accepting (http);
 
   wait_for_work (entry, gg_clock_now_ms () + limits->timeout_ms);
--- a/src/daemons/entryd/prober.c
+++ b/src/daemons/entryd/prober.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/tsan.h"
+#include "core/mutation.h"
 #include "core/runner_health.h"
 
 #include <pthread.h>
@@ -67,7 +68,7 @@
       for (guint i = 0; i < due->len; i++)
         {
           GgRunner *runner = g_ptr_array_index (due, i);
-          if (!claim (self, runner))
+          if (GG_IS_MUTATED ("prober-skip") || !claim (self, runner))
             continue;
           GG_TSAN_RELEASE (runner);
           g_thread_pool_push (self->pool, gg_runner_ref (runner), NULL);
--- a/src/daemons/entryd/stream_registry.c
+++ b/src/daemons/entryd/stream_registry.c
@@ -1,5 +1,6 @@
 #include "daemons/entryd/stream_registry.h"
 
+#include "core/mutation.h"
 #include <pthread.h>
 
 typedef struct
@@ -76,7 +77,9 @@
   GgStream *stream = NULL;
   pthread_mutex_lock (&self->lock);
   Entry *entry = g_hash_table_lookup (self->entries, request_id);
-  if (entry != NULL && g_str_equal (gg_stream_get_team (entry->stream), team))
+  if (entry != NULL
+      && (g_str_equal (gg_stream_get_team (entry->stream), team)
+          || GG_IS_MUTATED ("stream-any-team")))
     stream = gg_stream_ref (entry->stream);
   pthread_mutex_unlock (&self->lock);
   return stream;
--- a/tests/process/test_prove_layers.c
+++ b/tests/process/test_prove_layers.c
@@ -1,6 +1,7 @@
 /* Promise "layers once": a fault in the middle of a streamed answer leaves its text as it is in an
  * undisturbed run, and every layer of each token ran once and in order along the lineages that
  * produced it. recovery_ms is the longest pause between two tokens from the fault on. */
+#include "base/clock.h"
 #include "golden.h"
 #include "stream_proof.h"
 
@@ -10,9 +11,16 @@
 #define N_TOKENS 80
 #define GOLDEN_TOKENS 4
 /* Longer than the hold time of members that vanish from the list, at three steps a token. */
+#define N_TOKENS_HOLD 270
 #define N_TOKENS_LONG 300
 #define QUIET_MS 600
+/* Bound of the first token of "reader"; a step at a hung engine takes at least as long. */
+#define FIRST_TOKEN_TIMEOUT_MS 1000
+#define N_FURTHER 8
+#define RETURN_TIMEOUT_MS 10000
 #define ANY_NUMBER 100
+#define N_SINGLE 3
+#define STEP_LAYERS (GG_CLUSTER_LAYERS / GG_CLUSTER_RANGES)
 #define DATA_CENTRE "rubavu"
 
 typedef struct
@@ -149,11 +157,14 @@
   gg_proof_check (self->proof, gg_cluster_publish_list (self->cluster));
 }
 
-/* The list loses all runners, and one of them does fail. */
+/* The list loses all runners, which go on answering. After a time longer than the hold time of
+ * missing members one of them does fail. */
 static void
 shrink_list (GgStreamProof *self)
 {
   set_all_runners (self, GG_LISTED_ABSENT);
+  gg_proof_check (self->proof, gg_answer_read (self->answer, N_TOKENS_HOLD));
+  gg_answer_mark (self->answer);
   kill_middle_stage (self);
 }
 
@@ -310,6 +321,77 @@
   gg_stream_proof_end (&self);
 }
 
+/* Answers that begin after a hung engine was noticed don't wait for it. Without ejection the same
+ * prompt would lead them there again. */
+static void
+avoid_hung_engine (GgProof *proof)
+{
+  GgStreamProof self;
+  if (gg_stream_proof_begin (&self, proof, N_TOKENS))
+    {
+      gg_answer_mark (self.answer);
+      hang_stage (&self);
+      gg_stream_proof_finish (&self);
+      const char *address = self.cluster->instances[0].callers;
+      for (uint32_t i = 0; i < N_FURTHER; i++)
+        {
+          uint64_t start = gg_clock_now_ms ();
+          char *text = gg_answer_ask (address, GG_STREAM_PROOF_PROMPT, 1);
+          gg_proof_check (proof, text && gg_clock_now_ms () - start < FIRST_TOKEN_TIMEOUT_MS);
+          g_free (text);
+        }
+      continue_engines (&self);
+    }
+  gg_stream_proof_end (&self);
+}
+
+typedef struct
+{
+  GgCluster *cluster;
+  uint32_t engine;
+  guint n_before;
+} Return;
+
+static guint
+count_records (GgCluster *cluster, uint32_t engine)
+{
+  GArray *records = gg_cluster_read_records (cluster);
+  guint n = 0;
+  for (guint i = 0; i < records->len; i++)
+    n += g_array_index (records, GgClusterRecord, i).runner == engine;
+  g_array_unref (records);
+  return n;
+}
+
+static gboolean
+works_again (void *data)
+{
+  const Return *ret = data;
+  char *text = gg_answer_ask (ret->cluster->instances[0].callers, GG_STREAM_PROOF_PROMPT, 1);
+  g_free (text);
+  return count_records (ret->cluster, ret->engine) > ret->n_before;
+}
+
+/* An engine that was stopped and goes on gets work again. recovery_ms counts from SIGCONT. */
+static void
+use_engine_that_returns (GgProof *proof)
+{
+  GgStreamProof self;
+  if (gg_stream_proof_begin (&self, proof, N_TOKENS))
+    {
+      Return ret = { .cluster = self.cluster, .engine = gg_stream_proof_get_engine (&self, 1) };
+      stop_stage (&self);
+      gg_stream_proof_finish (&self);
+      uint64_t start = gg_clock_now_ms ();
+      continue_engines (&self);
+      /* The step that the engine received before it stopped may still run. */
+      ret.n_before = count_records (self.cluster, ret.engine) + STEP_LAYERS;
+      gg_proof_check (proof, gg_wait_until (works_again, &ret, RETURN_TIMEOUT_MS));
+      proof->recovery_ms = (int64_t) (gg_clock_now_ms () - start);
+    }
+  gg_stream_proof_end (&self);
+}
+
 /* Both engines of the middle range run the first step and lose its reply, so the calls are the
  * same in every run. */
 static void
@@ -340,8 +422,12 @@
 int
 main (int argc, char **argv)
 {
-  GgProofCase cases[G_N_ELEMENTS (faults) + 1] = { { "layers-once", "session", compare_session } };
+  GgProofCase cases[N_SINGLE + G_N_ELEMENTS (faults)] = {
+    { "layers-once", "session", compare_session },
+    { "layers-once", "hung-stage-gets-no-new-work", avoid_hung_engine },
+    { "layers-once", "stopped-stage-returns", use_engine_that_returns },
+  };
   for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
-    cases[i + 1] = (GgProofCase){ "layers-once", faults[i].name, prove_fault };
+    cases[N_SINGLE + i] = (GgProofCase){ "layers-once", faults[i].name, prove_fault };
   return gg_prove_main ("layers once", cases, G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/process/test_prove_stop.c
+++ b/tests/process/test_prove_stop.c
@@ -131,7 +131,10 @@
 prove_stop (GgProof *proof)
 {
   const Stop *stop = find_stop (proof->fault);
-  const GgClusterOptions options = { .n_instances = 2, .step_us = GG_STREAM_PROOF_STEP_US };
+  /* Shorter than the answers, so that waiting for lost callers does not make up for them. */
+  static const char *const settings[] = { "streams", "grace_ms", "200", NULL };
+  const GgClusterOptions options
+      = { .n_instances = 2, .step_us = GG_STREAM_PROOF_STEP_US, .entry_settings = settings };
   GgCluster *cluster = gg_cluster_create (&options);
   if (!gg_proof_check (proof, cluster))
     return;
@@ -148,6 +151,38 @@
   gg_cluster_destroy (cluster);
 }
 
+static gboolean
+refuses_connections (void *data)
+{
+  GgHttpReply reply;
+  GgHttpResult result = gg_test_call ("GET", data, "/readyz", NULL, NULL, &reply);
+  gg_http_reply_clear (&reply);
+  return result == GG_HTTP_NOT_SENT;
+}
+
+/* The answer is whole and the process accepts no callers any more, but one of them has not seen
+ * the end of its answer: it gets it through the other instance. */
+static void
+resume_whole_answer_from_stopping_entry (GgProof *proof)
+{
+  GgStreamProof self;
+  if (gg_stream_proof_begin (&self, proof, N_TOKENS))
+    {
+      gg_answer_disconnect (self.answer);
+      gg_proof_check (
+          proof, gg_lineage_wait_cancels (self.cluster, self.answer->request, GG_CLUSTER_RANGES));
+      stop_entry (self.cluster, proof);
+      gg_proof_check (proof, gg_wait_until (refuses_connections, self.cluster->instances[0].callers,
+                                            STOP_TIMEOUT_MS));
+      gg_answer_mark (self.answer);
+      gg_proof_check (proof,
+                      gg_answer_resume (self.answer, self.cluster->instances[1].callers, NULL));
+      gg_stream_proof_finish (&self);
+      check_entry (self.cluster, proof);
+    }
+  gg_stream_proof_end (&self);
+}
+
 typedef struct
 {
   const char *address;
@@ -261,6 +296,7 @@
 static const GgProofCase single_cases[] = {
   { "graceful-stop", "session", compare_session },
   { "graceful-stop", "entry-with-lost-caller", resume_from_stopping_entry },
+  { "graceful-stop", "entry-with-lost-caller-after-end", resume_whole_answer_from_stopping_entry },
   { "graceful-stop", "entry-with-late-caller", serve_late_caller },
 };
 
