--- a/src/core/runner_health.c
+++ b/src/core/runner_health.c
@@ -9,7 +9,7 @@
 static gboolean
 mark_suspect (GgRunner *runner)
 {
-  return atomic_exchange (&runner->suspect, 1) == 0;
+  return !GG_IS_MUTATED ("health-skip-ejection") && atomic_exchange (&runner->suspect, 1) == 0;
 }
 
 static gboolean
