Keep the exchange of a large fleet under 3 KB/s per node

Cause: at 810 runners and 400 nodes a node would send 6.4 KB/s: two peers per round, and a name of 24 bytes for each active team.

--- a/bench/bench_exchange.c
+++ b/bench/bench_exchange.c
@@ -19,15 +19,18 @@
 /* A team's use is sent while it is above 0.05 requests a second and decays by e a second. */
 #define USE_VISIBLE_S 3.0
 
-static const char *const control_settings[]
+static const char *const two_peers[]
     = { "loads", "poll_ms", "250", "peers", "exchange_ms", "500", NULL };
+/* What a fleet of more than 32 instances does by itself. */
+static const char *const one_peer[]
+    = { "loads", "poll_ms", "250", "peers", "exchange_ms", "500", "peers", "fanout", "1", NULL };
 
 static uint64_t
 measure_digest (uint32_t runners, uint32_t teams, uint32_t models)
 {
   gg_rpc_digest digest = { .sender = "entry-rubavu-000", .data_centre = "rubavu" };
   uint8_t *records = g_malloc0 ((runners + 1) * GG_EXCHANGE_LOAD_SIZE_BYTES);
-  gg_rpc_team_use *use = g_new0 (gg_rpc_team_use, teams + 1);
+  gg_rpc_team_share *use = g_new0 (gg_rpc_team_share, teams + 1);
   gg_rpc_model_sum *sums = g_new0 (gg_rpc_model_sum, models + 1);
   for (uint32_t i = 0; i < runners; i++)
     {
@@ -35,7 +38,7 @@
       gg_exchange_load_encode (&load, records + i * GG_EXCHANGE_LOAD_SIZE_BYTES);
     }
   for (uint32_t i = 0; i < teams; i++)
-    use[i] = (gg_rpc_team_use){ "karongi-schools", 1000 };
+    use[i] = (gg_rpc_team_share){ i, 1000 };
   for (uint32_t i = 0; i < models; i++)
     sums[i] = (gg_rpc_model_sum){ "reader-large", 30, 1000, 40000 };
   digest.loads.loads_len = runners * GG_EXCHANGE_LOAD_SIZE_BYTES;
@@ -68,7 +71,7 @@
 
 /* Started exchanges per second and node. */
 static double
-measure_rate (uint32_t n_instances)
+measure_rate (uint32_t n_instances, const char *const *control_settings)
 {
   const GgClusterOptions options = { .n_instances = n_instances,
                                      .engines_per_range = 1,
@@ -117,8 +120,9 @@
 {
   uint32_t seed = argc > 1 ? (uint32_t) strtoul (argv[1], NULL, 10) : 1;
   gg_load_print_machine ("exchange", seed);
-  (void) measure_rate (2);
-  double rate = measure_rate (INSTANCES);
+  (void) measure_rate (2, two_peers);
+  double rate = measure_rate (INSTANCES, two_peers);
+  double large_rate = measure_rate (INSTANCES, one_peer);
   for (uint32_t runners = 0; runners <= 810; runners += 162)
     printf ("runners=%u digest_bytes=%" G_GUINT64_FORMAT "\n", runners,
             (guint64) measure_digest (runners, 0, 0));
@@ -128,6 +132,6 @@
           (double) (measure_digest (0, 0, 10) - measure_digest (0, 0, 0)) / 10,
           (double) measure_digest (0, 0, 0));
   print_extrapolation (rate, &(Fleet){ 30, 8, 3, 10, 100.0 });
-  print_extrapolation (rate, &(Fleet){ 810, 400, 5, 360, 2700.0 });
+  print_extrapolation (large_rate, &(Fleet){ 810, 400, 5, 360, 2700.0 });
   return 0;
 }
--- a/src/adapters/rpc/control.x
+++ b/src/adapters/rpc/control.x
@@ -83,13 +83,18 @@
   unsigned int tokens_per_s;
 };
 
+struct gg_rpc_team_share {
+  unsigned int team_hash; /* names would be most of a digest between data centres */
+  unsigned int milli_requests_per_s;
+};
+
 struct gg_rpc_digest {
   gg_rpc_name sender;
   gg_rpc_name data_centre;
   unsigned hyper generation;
   opaque loads<65536>; /* records of GG_RPC_LOAD_SIZE bytes, see core/exchange.h */
   gg_rpc_leaving leaving<>;
-  gg_rpc_team_use use<>;   /* of the sender alone */
+  gg_rpc_team_share use<>; /* of the sender alone */
   gg_rpc_model_sum sums<>;
 };
 
--- a/src/adapters/rpc/gen/control.h
+++ b/src/adapters/rpc/gen/control.h
@@ -121,6 +121,12 @@
 };
 typedef struct gg_rpc_model_sum gg_rpc_model_sum;
 
+struct gg_rpc_team_share {
+	u_int team_hash;
+	u_int milli_requests_per_s;
+};
+typedef struct gg_rpc_team_share gg_rpc_team_share;
+
 struct gg_rpc_digest {
 	gg_rpc_name sender;
 	gg_rpc_name data_centre;
@@ -135,7 +141,7 @@
 	} leaving;
 	struct {
 		u_int use_len;
-		gg_rpc_team_use *use_val;
+		gg_rpc_team_share *use_val;
 	} use;
 	struct {
 		u_int sums_len;
@@ -228,6 +234,7 @@
 extern  bool_t xdr_gg_rpc_account_event (XDR *, gg_rpc_account_event*);
 extern  bool_t xdr_gg_rpc_report (XDR *, gg_rpc_report*);
 extern  bool_t xdr_gg_rpc_model_sum (XDR *, gg_rpc_model_sum*);
+extern  bool_t xdr_gg_rpc_team_share (XDR *, gg_rpc_team_share*);
 extern  bool_t xdr_gg_rpc_digest (XDR *, gg_rpc_digest*);
 
 #else /* K&R C */
@@ -242,6 +249,7 @@
 extern bool_t xdr_gg_rpc_account_event ();
 extern bool_t xdr_gg_rpc_report ();
 extern bool_t xdr_gg_rpc_model_sum ();
+extern bool_t xdr_gg_rpc_team_share ();
 extern bool_t xdr_gg_rpc_digest ();
 
 #endif /* K&R C */
--- a/src/adapters/rpc/gen/control_xdr.c
+++ b/src/adapters/rpc/gen/control_xdr.c
@@ -236,6 +236,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gg_rpc_team_share (XDR *xdrs, gg_rpc_team_share *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->team_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->milli_requests_per_s))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gg_rpc_digest (XDR *xdrs, gg_rpc_digest *objp)
 {
@@ -253,7 +265,7 @@
 		sizeof (gg_rpc_leaving), (xdrproc_t) xdr_gg_rpc_leaving))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->use.use_val, (u_int *) &objp->use.use_len, ~0,
-		sizeof (gg_rpc_team_use), (xdrproc_t) xdr_gg_rpc_team_use))
+		sizeof (gg_rpc_team_share), (xdrproc_t) xdr_gg_rpc_team_share))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->sums.sums_val, (u_int *) &objp->sums.sums_len, ~0,
 		sizeof (gg_rpc_model_sum), (xdrproc_t) xdr_gg_rpc_model_sum))
--- a/src/daemons/controld/control_digest.c
+++ b/src/daemons/controld/control_digest.c
@@ -110,11 +110,11 @@
   const GArray *use = gg_load_table_get_use (state->loads, state->name);
   guint n = use != NULL ? use->len : 0;
   digest->use.use_len = n;
-  digest->use.use_val = calloc (n + 1, sizeof (gg_rpc_team_use));
+  digest->use.use_val = calloc (n + 1, sizeof (gg_rpc_team_share));
   for (guint i = 0; i < n; i++)
     {
       const GgTeamUse *own = &g_array_index (use, GgTeamUse, i);
-      digest->use.use_val[i].team = strdup (own->team);
+      digest->use.use_val[i].team_hash = gg_id_hash_instance (own->team);
       digest->use.use_val[i].milli_requests_per_s = own->milli_requests_per_s;
     }
 }
@@ -186,6 +186,37 @@
   gg_control_state_unlock (state);
 }
 
+/* Finds a team of the configuration by its hash. Call with the state locked. */
+static const char *
+find_team_name (const GgControlState *state, uint32_t hash)
+{
+  guint n = state->config != NULL ? gg_config_get_n_teams (state->config) : 0;
+  for (guint i = 0; i < n; i++)
+    {
+      const GgTeam *team = gg_config_get_team (state->config, i);
+      if (gg_id_hash_instance (team->name) == hash)
+        return team->name;
+    }
+  return NULL;
+}
+
+/* Shares of teams that this process does not know yet are left out. */
+static void
+merge_shares (GgControlState *state, const gg_rpc_digest *digest, uint64_t now_ms)
+{
+  GArray *use = g_array_new (FALSE, FALSE, sizeof (GgTeamUse));
+  g_array_set_clear_func (use, (GDestroyNotify) gg_team_use_clear);
+  for (u_int i = 0; i < digest->use.use_len; i++)
+    {
+      const gg_rpc_team_share *share = &digest->use.use_val[i];
+      const char *name = find_team_name (state, share->team_hash);
+      GgTeamUse copy = { g_strdup (name), share->milli_requests_per_s };
+      if (name != NULL)
+        g_array_append_val (use, copy);
+    }
+  gg_load_table_put_use (state->loads, digest->sender, use, now_ms);
+}
+
 static void
 note_sender (GgControlState *state,
              const gg_rpc_digest *digest,
@@ -213,6 +244,7 @@
   gg_control_state_lock (state);
   merge_loads (state, digest, now_ms);
   merge_sums (state, digest, now_ms);
+  merge_shares (state, digest, now_ms);
   gg_control_state_unlock (state);
 
   for (u_int i = 0; i < digest->leaving.leaving_len; i++)
@@ -222,7 +254,6 @@
         gg_control_state_mark_leaving (state, mark->id, mark->incarnation, GG_MEMBER_SOURCE_PEER,
                                        now_ms);
     }
-  gg_control_put_use (state, digest->sender, digest->use.use_val, digest->use.use_len, now_ms);
   note_sender (state, digest, address, now_ms);
 }
 
--- a/src/daemons/controld/peer_exchange.c
+++ b/src/daemons/controld/peer_exchange.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+/* Number of peers above which a round goes to one of them only. */
+#define LARGE_FLEET 32
 #define EXCHANGE_TIMEOUT_MS 300
 #define FETCH_TIMEOUT_MS 1500
 /* News wakes the exchange at once, but not more often than this. */
@@ -144,7 +146,10 @@
 {
   GArray *peers = gg_control_state_copy_members (self->state, gg_control_state_is_peer);
   shuffle (peers);
-  for (guint i = 0; i < peers->len && i < self->fanout; i++)
+  /* News wakes the exchange at once, so a large fleet needs no second peer per round; the loads
+   * of its data centres are what fills the digests. */
+  guint fanout = peers->len > LARGE_FLEET ? 1 : self->fanout;
+  for (guint i = 0; i < peers->len && i < fanout; i++)
     {
       const GgMember *peer = &g_array_index (peers, GgMember, i);
       note_result (self, peer->id,
