--- a/src/core/member.c
+++ b/src/core/member.c
@@ -1,5 +1,6 @@
 #include "core/member.h"
 
+#include "core/mutation.h"
 #include "greengage/id.h"
 
 #include <string.h>
@@ -141,8 +142,9 @@
 }
 
 static void
-set_listed (Slot *slot)
+set_listed (GgMemberTable *self, Slot *slot)
 {
+  self->version += slot->missing_since_ms != 0;
   slot->listed = TRUE;
   slot->in_mass = FALSE;
   slot->replaced = FALSE;
@@ -152,19 +154,17 @@
 static gboolean
 update_slot (GgMemberTable *self, Slot *slot, const GgMember *shown)
 {
-  set_listed (slot);
+  set_listed (self, slot);
   if (shown->incarnation < slot->member.incarnation)
     return FALSE;
 
+  /* Most members of most readings are unchanged; they are compared before anything is copied. */
+  GgMember wanted = *shown;
+  wanted.state = is_marked (self, shown) ? GG_MEMBER_LEAVING : GG_MEMBER_LIVE;
+  if (same_member (&slot->member, &wanted))
+    return FALSE;
   GgMember next;
-  gg_member_copy (&next, shown);
-  next.state = is_marked (self, shown) ? GG_MEMBER_LEAVING : GG_MEMBER_LIVE;
-  gboolean changed = !same_member (&slot->member, &next);
-  if (!changed)
-    {
-      gg_member_clear (&next);
-      return FALSE;
-    }
+  gg_member_copy (&next, &wanted);
   g_hash_table_steal (self->by_id, slot->member.id);
   gg_member_clear (&slot->member);
   slot->member = next;
@@ -187,7 +187,7 @@
 static gboolean
 apply_shown (GgMemberTable *self, const GgMember *shown, uint64_t now_ms)
 {
-  if (shown->state == GG_MEMBER_LEAVING)
+  if (shown->state == GG_MEMBER_LEAVING && !GG_IS_MUTATED ("member-ignore-list"))
     raise_mark (self, shown->id, shown->incarnation, now_ms);
   Slot *slot = g_hash_table_lookup (self->by_id, shown->id);
   if (slot != NULL)
@@ -219,7 +219,10 @@
       if (mass && slot->member.state == GG_MEMBER_LIVE)
         slot->in_mass = TRUE;
       if (slot->missing_since_ms == 0)
-        slot->missing_since_ms = MAX (now_ms, 1);
+        {
+          slot->missing_since_ms = MAX (now_ms, 1);
+          self->version++;
+        }
     }
 }
 
@@ -251,7 +254,7 @@
   uint64_t since_ms = slot->missing_since_ms;
   if (slot->in_mass && now_ms <= since_ms)
     return FALSE;
-  if (!slot->replaced && slot->confirmed_ms > since_ms)
+  if (!slot->replaced && slot->confirmed_ms > since_ms && !GG_IS_MUTATED ("member-ignore-answers"))
     since_ms = slot->confirmed_ms;
   return now_ms >= since_ms && now_ms - since_ms >= self->hold_ms;
 }
@@ -310,6 +313,13 @@
   return changed;
 }
 
+gboolean
+gg_member_table_is_missing (const GgMemberTable *self, const char *id)
+{
+  const Slot *slot = g_hash_table_lookup (self->by_id, id);
+  return slot != NULL && slot->missing_since_ms != 0;
+}
+
 gboolean
 gg_member_table_mark_leaving (GgMemberTable *self,
                               const char *id,
@@ -317,7 +327,7 @@
                               GgMemberSource source,
                               uint64_t now_ms)
 {
-  if (!raise_mark (self, id, incarnation, now_ms))
+  if (GG_IS_MUTATED ("member-ignore-reports") || !raise_mark (self, id, incarnation, now_ms))
     return FALSE;
   Slot *slot = g_hash_table_lookup (self->by_id, id);
   if (slot == NULL)
@@ -376,7 +386,9 @@
 static gboolean
 is_candidate (const Slot *slot, const char *data_centre)
 {
-  return slot->member.role == GG_MEMBER_ENTRY && slot->member.state == GG_MEMBER_LIVE
+  gboolean is_live
+      = slot->member.state == GG_MEMBER_LIVE || GG_IS_MUTATED ("member-choose-leaving");
+  return slot->member.role == GG_MEMBER_ENTRY && is_live
          && (data_centre == NULL || g_strcmp0 (slot->member.data_centre, data_centre) == 0);
 }
 
--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -1,5 +1,5 @@
+#include "base/daemon_options.h"
 #include "base/log.h"
-#include "base/clock.h"
 #include "daemons/controld/account_store.h"
 #include "daemons/controld/config_watch.h"
 #include "daemons/controld/control_http.h"
@@ -7,6 +7,7 @@
 #include "daemons/controld/control_settings.h"
 #include "daemons/controld/list_reader.h"
 #include "daemons/controld/load_collector.h"
+#include "daemons/controld/record_sweep.h"
 #include "daemons/controld/peer_exchange.h"
 #include "greengage/version.h"
 
@@ -15,42 +16,6 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#define EXIT_USAGE 2
-
-typedef struct
-{
-  gboolean show_version;
-  gboolean check_only;
-  char *settings_path;
-} Options;
-
-static gboolean
-parse_options (int *argc, char ***argv, Options *options)
-{
-  const GOptionEntry entries[] = { { "settings", 0, 0, G_OPTION_ARG_FILENAME,
-                                     &options->settings_path, "Read settings from FILE", "FILE" },
-                                   { "check-settings", 0, 0, G_OPTION_ARG_NONE,
-                                     &options->check_only, "Check the settings and exit", NULL },
-                                   { "version", 0, 0, G_OPTION_ARG_NONE, &options->show_version,
-                                     "Print the version and exit", NULL },
-                                   { 0 } };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new ("- control process of greengagepost");
-  g_option_context_add_main_entries (context, entries, NULL);
-  gboolean valid = g_option_context_parse (context, argc, argv, &error);
-  g_option_context_free (context);
-  if (!valid)
-    fprintf (stderr, "greengage-controld: %s; see --help\n", error->message);
-  else if (*argc > 1)
-    fprintf (stderr, "greengage-controld: unexpected argument '%s'; see --help\n", (*argv)[1]);
-  else if (!options->show_version && options->settings_path == NULL)
-    fprintf (stderr, "greengage-controld: --settings FILE is missing; see --help\n");
-  else
-    return TRUE;
-  g_clear_error (&error);
-  return FALSE;
-}
-
 typedef struct
 {
   GgControlState *state;
@@ -86,24 +51,19 @@
   daemon->exchange = gg_peer_exchange_create (daemon->state, settings);
   daemon->loads = gg_load_collector_create (daemon->state, settings);
   daemon->store = gg_account_store_create (daemon->state, daemon->kv, settings);
+  gg_record_sweep_start (daemon->state, daemon->kv, settings);
   gg_log (LOG_NOTICE, "event=started instance=%s rpc=%s", daemon->state->name,
           daemon->state->rpc_address);
 }
 
+/* The instance is not marked as leaving: its entry process goes on, and reports that mark itself
+ * when it drains. The servers answer until the account is saved. */
 static void
-announce_stop (Daemon *daemon)
+stop (Daemon *daemon)
 {
   gg_log (LOG_NOTICE, "event=stopping");
-  gg_control_state_mark_leaving (daemon->state, daemon->state->name, 0, GG_MEMBER_SOURCE_SELF,
-                                 gg_clock_now_ms ());
+  /* Peers take over what this process heard last. */
   gg_peer_exchange_announce (daemon->state);
-}
-
-/* The servers answer until the account is saved, so that peers still learn of the stop. */
-static void
-stop (Daemon *daemon)
-{
-  announce_stop (daemon);
   gg_control_state_stop (daemon->state);
   gg_peer_exchange_destroy (daemon->exchange);
   gg_list_reader_destroy (daemon->list);
@@ -140,7 +100,7 @@
 }
 
 static int
-run_with_settings (const Options *options)
+run_with_settings (const GgDaemonOptions *options)
 {
   GError *error = NULL;
   GgSettings *settings = gg_settings_create (options->settings_path, gg_control_settings,
@@ -149,9 +109,13 @@
     {
       fprintf (stderr, "greengage-controld: %s\n", error->message);
       g_error_free (error);
-      return EXIT_USAGE;
+      return GG_EXIT_USAGE;
     }
-  int status = options->check_only ? EXIT_SUCCESS : run (settings);
+  int status = EXIT_SUCCESS;
+  if (options->check_only)
+    printf ("%s: settings are valid\n", options->settings_path);
+  else
+    status = run (settings);
   gg_settings_destroy (settings);
   return status;
 }
@@ -159,15 +123,16 @@
 int
 main (int argc, char **argv)
 {
-  Options options = { 0 };
-  int status = EXIT_SUCCESS;
-  gg_log_init ("greengage-controld");
-  if (!parse_options (&argc, &argv, &options))
-    status = EXIT_USAGE;
-  else if (options.show_version)
-    printf ("greengage-controld %s\n", GG_VERSION);
-  else
+  const GgDaemonInfo info = { .program = "greengage-controld",
+                              .summary = "Control process of greengagepost: configuration, "
+                                         "membership, loads and the account.",
+                              .settings = gg_control_settings,
+                              .n_settings = gg_control_settings_count };
+  GgDaemonOptions options;
+  int status;
+  gg_log_init (info.program);
+  if (gg_daemon_options_parse (&options, &info, argc, argv, &status))
     status = run_with_settings (&options);
-  g_free (options.settings_path);
+  gg_daemon_options_clear (&options);
   return status;
 }
--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "core/mutation.h"
 #include "core/pipeline.h"
 #include "core/runner_health.h"
 
@@ -26,7 +27,6 @@
     = GG_COUNTER ("greengage_answers_total{outcome=\"not-run\"}", "Answers by outcome");
 static GgCounter answers_unknown
     = GG_COUNTER ("greengage_answers_total{outcome=\"unknown\"}", "Answers by outcome");
-static GgCounter steps = GG_COUNTER ("greengage_stage_steps_total", "Calls of a pipeline stage");
 static GgCounter skipped = GG_COUNTER ("greengage_stage_steps_skipped_total",
                                        "Steps not sent, since the runner was known not to answer");
 static GgCounter tokens = GG_COUNTER ("greengage_tokens_total", "Tokens appended to answers");
@@ -63,8 +63,12 @@
 is_abandoned (Answer *answer)
 {
   uint64_t now = gg_clock_now_ms ();
-  return now >= answer->deadline_ms
-         || gg_stream_get_unread_ms (answer->stream, now) > answer->entry->grace_ms;
+  if (now >= answer->deadline_ms)
+    return TRUE;
+  uint64_t unread_ms = gg_stream_get_unread_ms (answer->stream, now);
+  if (GG_IS_MUTATED ("answer-skip-grace"))
+    return unread_ms > 0;
+  return unread_ms > answer->entry->grace_ms && !GG_IS_MUTATED ("answer-ignore-absence");
 }
 
 static GgRouteQuery
@@ -213,9 +217,42 @@
     .position = effect->step.position,
     .inputs = effect->step.inputs,
     .n_inputs = effect->step.n_inputs,
+    /* What silenced one kept connection may have silenced all, at every engine. */
+    .on_fresh_connection = answer->failures > 0 && !GG_IS_MUTATED ("answer-trust-connections"),
   };
 }
 
+static gboolean
+choose_replacement (const Answer *answer, uint32_t stage, GgRoutePlan *plan_out)
+{
+  GgRunner *lost = answer->plan.stages[stage];
+  GgRouteQuery query = make_query (answer);
+  query.first_layer = lost->first_layer;
+  query.end_layer = lost->end_layer;
+  query.excluded_id = lost->id;
+  if (gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out))
+    {
+      if (!gg_runner_health_is_ejected (plan_out->stages[0]))
+        return TRUE;
+      gg_route_plan_clear (plan_out);
+    }
+  /* The only runner of the range that works may be this one, and only its connection lost or its
+   * step slow. */
+  query.excluded_id = NULL;
+  return gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out);
+}
+
+static gboolean
+has_better_runner (const Answer *answer, uint32_t stage)
+{
+  GgRoutePlan plan;
+  if (!choose_replacement (answer, stage, &plan))
+    return FALSE;
+  gboolean is_better = !gg_runner_health_is_ejected (plan.stages[0]);
+  gg_route_plan_clear (&plan);
+  return is_better;
+}
+
 /* Whether a step would only find out again what other answers already know: that the runner does
  * not answer. A lineage that has not begun moves from a suspect runner at once; one in progress
  * moves when a fresh connection has failed as well. Without a better runner the step is sent. */
@@ -224,7 +261,8 @@
 {
   gboolean has_lineage = effect->step.position > 0 && !effect->step.is_replay;
   return answer->skips < answer->plan.n_stages && gg_runner_health_is_ejected (runner)
-         && (!has_lineage || atomic_load (&runner->failures) > 0);
+         && (!has_lineage || atomic_load (&runner->failures) > 0)
+         && has_better_runner (answer, effect->step.stage);
 }
 
 static void
@@ -260,7 +298,6 @@
   GgStageResult result = gg_stage_client_step (answer->entry->stages, runner->address, &step,
                                                step_deadline (answer, runner, is_long), &reply);
   gg_runner_add_replay (runner, -n_replayed);
-  gg_counter_add (&steps, 1);
   if (result == GG_STAGE_OK)
     {
       answer->reached_runner = TRUE;
@@ -302,26 +339,6 @@
   gg_pipeline_next (answer->pipeline, effect);
 }
 
-static gboolean
-choose_replacement (Answer *answer, uint32_t stage, GgRoutePlan *plan_out)
-{
-  GgRunner *lost = answer->plan.stages[stage];
-  GgRouteQuery query = make_query (answer);
-  query.first_layer = lost->first_layer;
-  query.end_layer = lost->end_layer;
-  query.excluded_id = lost->id;
-  if (gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out))
-    {
-      if (!gg_runner_health_is_ejected (plan_out->stages[0]))
-        return TRUE;
-      gg_route_plan_clear (plan_out);
-    }
-  /* The only runner of the range that works may be this one, and only its connection lost or its
-   * step slow. */
-  query.excluded_id = NULL;
-  return gg_snapshot_client_choose (answer->entry->snapshots, &query, plan_out);
-}
-
 static void
 report_replacement (Answer *answer, const GgRunner *lost, const GgRunner *replacement)
 {
--- a/tests/fakes/common_runner.h
+++ b/tests/fakes/common_runner.h
@@ -2,6 +2,7 @@
  * HTTP server, fault controls, load report and records shared by the fake runners. */
 #pragma once
 
+#include <stdatomic.h>
 #include <glib.h>
 #include <json-glib/json-glib.h>
 #include <microhttpd.h>
@@ -41,10 +42,10 @@
 
 typedef struct
 {
-  const char *version;    /**< Reported with the load. */
-  uint32_t tokens_per_s;  /**< Reported with the load. */
-  uint32_t load_lag_ms;   /**< Age of the reported load. */
-  gboolean keep_no_lines; /**< Keeps no records, for long runs. */
+  const char *_Atomic version; /**< Reported with the load. */
+  uint32_t tokens_per_s;       /**< Reported with the load. */
+  uint32_t load_lag_ms;        /**< Age of the reported load. */
+  gboolean keep_no_lines;      /**< Keeps no records, for long runs. */
 } RunnerProfile;
 
 typedef void (*RunnerHandler) (const RunnerCall *call, RunnerReply *reply_out);
@@ -61,9 +62,13 @@
 /** Adds to the outstanding work of the load report. */
 void runner_add_outstanding (int32_t tokens);
 
-/** Adds one line to GET /records. */
+/** Adds one line to GET /records, and to standard output after "record ", where it outlives the
+ * process. */
 void runner_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
+/** Writes one line to standard output unless the profile keeps no lines. */
+void runner_trace (const char *format, ...) G_GNUC_PRINTF (1, 2);
+
 /** Sleeps for @p us microseconds. */
 void runner_sleep_us (uint64_t us);
 
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -127,25 +127,50 @@
   return options->engines_per_range ? options->engines_per_range : GG_CLUSTER_ENGINES_PER_RANGE;
 }
 
-static gboolean
-start_engine (GgClusterRunner *runner, uint32_t number, const GgClusterOptions *options)
+static void
+prepare_engine (GgClusterRunner *runner, uint32_t number, const GgClusterOptions *options)
 {
   uint32_t layers = GG_CLUSTER_LAYERS / GG_CLUSTER_RANGES;
   uint32_t per_range = get_engines_per_range (options);
-  uint32_t step_us = options->step_us ? options->step_us : DEFAULT_STEP_US;
-  if (options->steps_us)
-    step_us = options->steps_us[number % per_range];
   runner->service = "reader";
   runner->first_layer = number / per_range * layers;
   runner->end_layer = runner->first_layer + layers;
   runner->id
       = g_strdup_printf ("reader-%u%c", number / per_range, 'a' + (int) (number % per_range));
+}
+
+static const char *
+get_listen_address (const GgClusterRunner *runner)
+{
+  return runner->address ? runner->address : "127.0.0.1:0";
+}
+
+static uint32_t
+get_engine_index (const GgClusterRunner *runner)
+{
+  return (uint32_t) (runner->id[strlen (runner->id) - 1] - 'a');
+}
+
+static uint32_t
+get_step_us (const GgClusterRunner *runner, const GgClusterOptions *options)
+{
+  if (options->steps_us)
+    return options->steps_us[get_engine_index (runner)];
+  return options->step_us ? options->step_us : DEFAULT_STEP_US;
+}
+
+static gboolean
+start_engine (GgClusterRunner *runner, const GgClusterOptions *options)
+{
   char *range = g_strdup_printf ("%u-%u", runner->first_layer, runner->end_layer);
-  char *step = g_strdup_printf ("%u", step_us);
+  char *step = g_strdup_printf ("%u", get_step_us (runner, options));
   char *slots = g_strdup_printf ("%u", options->slots ? options->slots : DEFAULT_SLOTS);
   char *lag = g_strdup_printf ("%u", options->load_lag_ms);
+  char *address = g_strdup (get_listen_address (runner));
+  /* The second engine of each range checks fencing numbers, the others ignore them. */
+  gboolean checks_fencing = get_engine_index (runner) == 1;
   const char *args[] = { "--listen",
-                         "127.0.0.1:0",
+                         address,
                          "--id",
                          runner->id,
                          "--model",
@@ -164,8 +189,12 @@
                          lag,
                          "--records",
                          options->without_records ? "0" : "1",
+                         "--checks-fencing",
+                         checks_fencing ? "1" : "0",
                          NULL };
+  g_free (runner->address);
   gboolean started = start_listening (&runner->process, "gg-fake-engine", args, &runner->address);
+  g_free (address);
   g_free (range);
   g_free (step);
   g_free (slots);
@@ -173,13 +202,39 @@
   return started;
 }
 
-static gboolean
-start_service (GgClusterRunner *runner, uint32_t number)
+static void
+prepare_service (GgClusterRunner *runner, uint32_t number)
 {
   runner->service = "moorings";
   runner->id = g_strdup_printf ("moorings-%u", number);
-  const char *args[] = { "--listen", "127.0.0.1:0", "--id", runner->id, NULL };
-  return start_listening (&runner->process, "gg-fake-service", args, &runner->address);
+}
+
+static gboolean
+start_service (GgClusterRunner *runner)
+{
+  char *address = g_strdup (get_listen_address (runner));
+  const char *args[] = { "--listen", address, "--id", runner->id, NULL };
+  g_free (runner->address);
+  gboolean started = start_listening (&runner->process, "gg-fake-service", args, &runner->address);
+  g_free (address);
+  return started;
+}
+
+static gboolean
+start_runner (const GgCluster *self, GgClusterRunner *runner)
+{
+  return runner->end_layer > 0 ? start_engine (runner, &self->options) : start_service (runner);
+}
+
+gboolean
+gg_cluster_start_runner (GgCluster *self, uint32_t number)
+{
+  GgClusterRunner *runner = &self->runners[number];
+  char *output = gg_cluster_read_output (self, number);
+  g_free (runner->past_output);
+  runner->past_output = output;
+  gg_process_destroy (runner->process);
+  return start_runner (self, runner);
 }
 
 static gboolean
@@ -193,9 +248,11 @@
       GgClusterRunner *runner = &self->runners[i];
       runner->data_centre = data_centres[i % N_DATA_CENTRES];
       runner->incarnation = 1;
-      gboolean started = i < self->n_engines ? start_engine (runner, i, options)
-                                             : start_service (runner, i - self->n_engines);
-      if (!started)
+      if (i < self->n_engines)
+        prepare_engine (runner, i, options);
+      else
+        prepare_service (runner, i - self->n_engines);
+      if (!start_runner (self, runner))
         return FALSE;
       runner->listed_address = g_strdup (runner->address);
       if (options->with_relays && !start_relay (runner, options))
@@ -442,6 +499,7 @@
   GgCluster *self = g_new0 (GgCluster, 1);
   g_assert (options->n_instances <= GG_CLUSTER_INSTANCES_MAX);
   self->n_instances = options->n_instances;
+  self->options = *options;
   self->n_teams = options->n_teams;
   self->last_team_requests_per_s = options->last_team_requests_per_s;
   self->reader_declaration = options->reader_declaration;
@@ -491,6 +549,7 @@
       g_free (self->runners[i].id);
       g_free (self->runners[i].address);
       g_free (self->runners[i].listed_address);
+      g_free (self->runners[i].past_output);
     }
   gg_process_destroy (self->platform_process);
   gg_process_destroy (self->list_process);
@@ -517,18 +576,28 @@
   return (left->time_us > right->time_us) - (left->time_us < right->time_us);
 }
 
+char *
+gg_cluster_read_output (GgCluster *self, uint32_t number)
+{
+  const GgClusterRunner *runner = &self->runners[number];
+  char *output = gg_process_read_output (runner->process);
+  char *all = g_strconcat (runner->past_output ? runner->past_output : "", output, NULL);
+  g_free (output);
+  return all;
+}
+
 GArray *
 gg_cluster_read_records (GgCluster *self)
 {
   GArray *records = g_array_new (FALSE, TRUE, sizeof (GgClusterRecord));
   for (uint32_t i = 0; i < self->n_engines; i++)
     {
-      char *text = gg_test_get (self->runners[i].address, "/records");
-      char **lines = g_strsplit (text ? text : "", "\n", -1);
+      char *text = gg_cluster_read_output (self, i);
+      char **lines = g_strsplit (text, "\n", -1);
       for (size_t k = 0; lines[k]; k++)
         {
-          GgClusterRecord record;
-          if (sscanf (lines[k], "%32s %32s %u %u %u %" G_GUINT64_FORMAT, record.request,
+          GgClusterRecord record = { .runner = i };
+          if (sscanf (lines[k], "record %32s %32s %u %u %u %" G_GUINT64_FORMAT, record.request,
                       record.attempt, &record.epoch, &record.position, &record.layer,
                       &record.time_us)
               == 6)
