--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -167,11 +167,13 @@
 }
 
 /* What all instances see is recorded by one of them; otherwise each event would be written to
- * the platform once per instance. */
+ * the platform once per instance. The instance that an event concerns may be the one that failed,
+ * so the next one records it. */
 static gboolean
 is_recorder (const GgControlState *self, const char *subject)
 {
-  return gg_member_table_get_rank (self->members, NULL, subject, self->name) == 0
+  int first = gg_member_table_get_rank (self->members, NULL, subject, subject) == 0 ? 1 : 0;
+  return gg_member_table_get_rank (self->members, NULL, subject, self->name) == first
          || !has_live_entry (self);
 }
 
@@ -184,9 +186,14 @@
   return recorder;
 }
 
+/* An instance that the list does not show yet has no rank and watches as well; one that leaves is
+ * not chosen while another is live. */
 static gboolean
 is_watcher (const GgControlState *self)
 {
+  const GgMember *own = gg_member_table_find (self->members, self->name);
+  if (own != NULL && own->state == GG_MEMBER_LEAVING && has_live_entry (self))
+    return FALSE;
   return gg_member_table_get_rank (self->members, self->data_centre, GG_CONTROL_CONFIG_KEY,
                                    self->name)
          < GG_CONTROL_WATCHERS;
@@ -297,6 +304,8 @@
       self->list_was_read |= from_list;
       GHashTable *live = copy_live (self);
       confirm_by_loads (self);
+      /* No peer vouches for this instance here; without a rank it would collect no loads. */
+      gg_member_table_confirm (self->members, self->name, now_ms);
       if (gg_member_table_apply_list (self->members, (const GgMember *) (void *) members->data,
                                       members->len, now_ms))
         record_changes (self, live);
