--- a/src/daemons/entryd/snapshot_client.c
+++ b/src/daemons/entryd/snapshot_client.c
@@ -9,6 +9,7 @@
 #include "core/member.h"
 #include "core/runner_health.h"
 #include "daemons/entryd/report_queue.h"
+#include "daemons/entryd/runner_registry.h"
 #include "greengage/id.h"
 
 #include <pthread.h>
@@ -21,8 +22,6 @@
 /* A single request decays to this in 3 s, which leaves 5% of the use unseen. Without a bound the
  * names of teams that sent one request lately filled most of a digest. */
 #define MIN_REPORTED_USE_PER_S 0.05
-/* Link cost inside a data centre, one way. */
-#define LOCAL_LINK_US 50
 
 static GgCounter polls
     = GG_COUNTER ("greengage_snapshot_polls_total", "Snapshots asked of the control process");
@@ -31,14 +30,6 @@
 static GgCounter generation_gauge
     = GG_GAUGE ("greengage_config_generation", "Generation of the configuration in force");
 
-/* What stays of a runner between snapshots. */
-typedef struct
-{
-  GgRunner *runner;
-  uint64_t reported_at_ms;
-  uint32_t own_tokens_at_report;
-} KnownRunner;
-
 typedef struct
 {
   uint32_t instance_hash;
@@ -57,10 +48,8 @@
 struct _GgSnapshotClient
 {
   char *instance;
-  char *data_centre;
   char *control_address;
   uint64_t poll_ms;
-  uint32_t remote_link_us;
   GgAdmission *admission;
   GgReportQueue *reports;
 
@@ -74,9 +63,8 @@
   GgConfigDocument *document;
   GgConfig *config;
   uint64_t members_version;
-  GArray *members;     /* GgMember */
-  GHashTable *runners; /* hash of the id to KnownRunner */
-  GHashTable *teams_reported;
+  GgRunnerRegistry *runners;
+  GArray *peers; /* Peer */
   gboolean silent;
 
   pthread_t thread;
@@ -86,26 +74,12 @@
   gboolean urgent;
 };
 
-static void
-known_runner_free (gpointer data)
-{
-  KnownRunner *known = data;
-  gg_runner_unref (known->runner);
-  g_free (known);
-}
-
 static void
 clear_peer (gpointer data)
 {
   g_free (((Peer *) data)->rpc_address);
 }
 
-static void
-clear_member (gpointer data)
-{
-  gg_member_clear (data);
-}
-
 static void
 unref_runner (gpointer data)
 {
@@ -124,77 +98,6 @@
   g_free (snapshot);
 }
 
-static gpointer
-hash_key (uint32_t hash)
-{
-  return GUINT_TO_POINTER (hash);
-}
-
-static gboolean
-is_same_runner (const GgRunner *runner, const GgMember *member)
-{
-  return runner->incarnation == member->incarnation && g_str_equal (runner->id, member->id)
-         && g_str_equal (runner->address, member->address)
-         && g_str_equal (runner->service, member->service)
-         && runner->first_layer == member->first_layer && runner->end_layer == member->end_layer;
-}
-
-static KnownRunner *
-ensure_runner (GHashTable *kept, GHashTable *old, const GgMember *member)
-{
-  uint32_t hash = gg_id_hash_instance (member->id);
-  KnownRunner *before = g_hash_table_lookup (old, hash_key (hash));
-  KnownRunner *known = g_new0 (KnownRunner, 1);
-  if (before != NULL && is_same_runner (before->runner, member))
-    {
-      *known = *before;
-      gg_runner_ref (known->runner);
-    }
-  else
-    known->runner
-        = gg_runner_create (member->id, member->incarnation, member->address, member->data_centre,
-                            member->service, member->first_layer, member->end_layer);
-  g_hash_table_replace (kept, hash_key (hash), known);
-  return known;
-}
-
-static void
-copy_text (char **dest, const char *source)
-{
-  *dest = g_strdup (source != NULL ? source : "");
-}
-
-static void
-take_members (GgSnapshotClient *self, const gg_rpc_snapshot *reply)
-{
-  if (reply->members_version == self->members_version)
-    return;
-  self->members_version = reply->members_version;
-  g_array_set_size (self->members, 0);
-  GHashTable *kept = g_hash_table_new_full (NULL, NULL, NULL, known_runner_free);
-  for (u_int i = 0; i < reply->members.members_len; i++)
-    {
-      const gg_rpc_member *wire = &reply->members.members_val[i];
-      GgMember member = { .incarnation = wire->incarnation,
-                          .role = (GgMemberRole) wire->role,
-                          .state = (GgMemberState) wire->state,
-                          .first_layer = wire->first_layer,
-                          .end_layer = wire->end_layer };
-      copy_text (&member.id, wire->id);
-      copy_text (&member.address, wire->address);
-      copy_text (&member.control_address, wire->control_address);
-      copy_text (&member.entry_rpc_address, wire->entry_rpc_address);
-      copy_text (&member.data_centre, wire->data_centre);
-      copy_text (&member.service, wire->service);
-      copy_text (&member.accelerator, wire->accelerator);
-      g_array_append_val (self->members, member);
-      if (member.role == GG_MEMBER_RUNNER)
-        ensure_runner (kept, self->runners, &member);
-    }
-  g_hash_table_unref (self->runners);
-  self->runners = kept;
-}
-
 static void
 take_config (GgSnapshotClient *self, const char *json)
 {
@@ -226,92 +129,47 @@
 }
 
 static void
-take_load (KnownRunner *known, const gg_rpc_load *load, uint64_t now_ms)
-{
-  uint64_t reported_at = now_ms > load->age_ms ? now_ms - load->age_ms : 1;
-  /* The same report comes with a greater age in the next snapshot; only a newer one fixes the
-   * part that is this router's own work. */
-  if (reported_at > known->reported_at_ms + 100)
-    {
-      known->reported_at_ms = reported_at;
-      known->own_tokens_at_report = atomic_load (&known->runner->outstanding_tokens);
-    }
-}
-
-static GHashTable *
-index_loads (GgSnapshotClient *self, const gg_rpc_snapshot *reply, uint64_t now_ms)
+take_members (GgSnapshotClient *self, const gg_rpc_snapshot *reply)
 {
-  GHashTable *loads = g_hash_table_new (NULL, NULL);
-  for (u_int i = 0; i < reply->loads.loads_len; i++)
+  if (reply->members_version == self->members_version)
+    return;
+  self->members_version = reply->members_version;
+  gg_runner_registry_set_members (self->runners, reply->members.members_val,
+                                  reply->members.members_len);
+  g_array_set_size (self->peers, 0);
+  for (u_int i = 0; i < reply->members.members_len; i++)
     {
-      gg_rpc_load *load = &reply->loads.loads_val[i];
-      KnownRunner *known = g_hash_table_lookup (self->runners, hash_key (load->runner_hash));
-      if (known != NULL)
-        take_load (known, load, now_ms);
-      g_hash_table_replace (loads, hash_key (load->runner_hash), load);
+      const gg_rpc_member *member = &reply->members.members_val[i];
+      Peer peer = { gg_id_hash_instance (member->id), g_strdup (member->entry_rpc_address) };
+      if (member->role == GG_MEMBER_ENTRY)
+        g_array_append_val (self->peers, peer);
+      else
+        clear_peer (&peer);
     }
-  return loads;
-}
-
-static GgRouteEntry
-make_entry (GgSnapshotClient *self, const GgMember *member, GHashTable *loads)
-{
-  uint32_t hash = gg_id_hash_instance (member->id);
-  KnownRunner *known = g_hash_table_lookup (self->runners, hash_key (hash));
-  const gg_rpc_load *load = g_hash_table_lookup (loads, hash_key (hash));
-  gboolean is_local = g_str_equal (member->data_centre, self->data_centre);
-  GgRouteEntry entry = { .runner = known->runner,
-                         .link_us = is_local ? LOCAL_LINK_US : self->remote_link_us,
-                         .leaving = member->state == GG_MEMBER_LEAVING };
-  if (load == NULL)
-    return entry;
-  entry.reported_outstanding_tokens = load->outstanding_tokens;
-  entry.tokens_per_s = load->tokens_per_s;
-  entry.reported_at_ms = known->reported_at_ms;
-  entry.own_tokens_at_report = known->own_tokens_at_report;
-  entry.leaving = entry.leaving || load->leaving;
-  uint32_t others = load->outstanding_tokens > known->own_tokens_at_report
-                        ? load->outstanding_tokens - known->own_tokens_at_report
-                        : 0;
-  atomic_store (&known->runner->tokens_per_s, load->tokens_per_s);
-  atomic_store (&known->runner->others_tokens, others);
-  return entry;
 }
 
 static Snapshot *
 make_snapshot (GgSnapshotClient *self, const gg_rpc_snapshot *reply)
 {
   Snapshot *snapshot = g_new0 (Snapshot, 1);
-  GHashTable *loads = index_loads (self, reply, gg_clock_now_ms ());
-  GArray *entries = g_array_new (FALSE, FALSE, sizeof (GgRouteEntry));
-  snapshot->peers = g_array_new (FALSE, FALSE, sizeof (Peer));
-  g_array_set_clear_func (snapshot->peers, clear_peer);
+  GArray *entries = gg_runner_registry_make_entries (self->runners, reply->loads.loads_val,
+                                                     reply->loads.loads_len, gg_clock_now_ms ());
   snapshot->runners = g_ptr_array_new_with_free_func (unref_runner);
+  for (guint i = 0; i < entries->len; i++)
+    g_ptr_array_add (snapshot->runners,
+                     gg_runner_ref (g_array_index (entries, GgRouteEntry, i).runner));
+  snapshot->routes = gg_route_table_create ((const GgRouteEntry *) entries->data, entries->len);
+  g_array_unref (entries);
 
-  for (guint i = 0; i < self->members->len; i++)
+  snapshot->peers = g_array_new (FALSE, FALSE, sizeof (Peer));
+  g_array_set_clear_func (snapshot->peers, clear_peer);
+  for (guint i = 0; i < self->peers->len; i++)
     {
-      const GgMember *member = &g_array_index (self->members, GgMember, i);
-      switch (member->role)
-        {
-        case GG_MEMBER_RUNNER:
-          {
-            GgRouteEntry entry = make_entry (self, member, loads);
-            g_array_append_val (entries, entry);
-            g_ptr_array_add (snapshot->runners, gg_runner_ref (entry.runner));
-            break;
-          }
-        case GG_MEMBER_ENTRY:
-          {
-            Peer peer = { gg_id_hash_instance (member->id), g_strdup (member->entry_rpc_address) };
-            g_array_append_val (snapshot->peers, peer);
-            break;
-          }
-        }
+      const Peer *known = &g_array_index (self->peers, Peer, i);
+      Peer peer = { known->instance_hash, g_strdup (known->rpc_address) };
+      g_array_append_val (snapshot->peers, peer);
     }
   snapshot->config = self->config != NULL ? gg_config_ref (self->config) : NULL;
-  snapshot->routes = gg_route_table_create ((const GgRouteEntry *) entries->data, entries->len);
-  g_array_unref (entries);
-  g_hash_table_unref (loads);
   return snapshot;
 }
 
@@ -481,15 +339,13 @@
 {
   GgSnapshotClient *self = g_new0 (GgSnapshotClient, 1);
   self->instance = g_strdup (params->instance);
-  self->data_centre = g_strdup (params->data_centre);
   self->control_address = g_strdup (params->control_address);
   self->poll_ms = params->poll_ms;
-  self->remote_link_us = params->remote_link_us;
   self->admission = params->admission;
   self->reports = gg_report_queue_create (params->instance);
-  self->members = g_array_new (FALSE, TRUE, sizeof (GgMember));
-  g_array_set_clear_func (self->members, clear_member);
-  self->runners = g_hash_table_new_full (NULL, NULL, NULL, known_runner_free);
+  self->runners = gg_runner_registry_create (params->data_centre, params->remote_link_us);
+  self->peers = g_array_new (FALSE, FALSE, sizeof (Peer));
+  g_array_set_clear_func (self->peers, clear_peer);
   atomic_init (&self->answered_at_ms, gg_clock_now_ms ());
 
   pthread_condattr_t attr;
@@ -518,13 +374,12 @@
   snapshot_free (self->current);
   gg_config_document_unref (self->document);
   gg_config_unref (self->config);
-  g_array_unref (self->members);
-  g_hash_table_unref (self->runners);
+  gg_runner_registry_destroy (self->runners);
+  g_array_unref (self->peers);
   gg_report_queue_destroy (self->reports);
   pthread_cond_destroy (&self->wake);
   pthread_mutex_destroy (&self->lock);
   g_free (self->instance);
-  g_free (self->data_centre);
   g_free (self->control_address);
   g_free (self);
 }
