--- a/src/adapters/engine/stage_client.c
+++ b/src/adapters/engine/stage_client.c
@@ -225,11 +225,13 @@
              const char *method,
              const char *path,
              const char *body,
+             const char *traceparent,
              gboolean may_repeat,
              uint64_t deadline_ms,
              GgHttpReply *reply_out)
 {
-  static const char *const headers[] = { "Content-Type", "application/json", NULL };
+  const char *const headers[] = { "Content-Type", "application/json",
+                                  traceparent != NULL ? "traceparent" : NULL, traceparent, NULL };
   GgHttpRequest request = { .method = method,
                             .path = path,
                             .headers = body != NULL ? headers : NULL,
@@ -256,7 +258,7 @@
   gg_counter_add (&steps, 1);
   char *body = print_step (step);
   GgHttpReply http;
-  GgHttpResult sent = call_engine (self, address, "POST", "/v1/stage/step", body,
+  GgHttpResult sent = call_engine (self, address, "POST", "/v1/stage/step", body, step->traceparent,
                                    !step->on_fresh_connection, deadline_ms, &http);
   g_free (body);
 
@@ -347,7 +349,8 @@
   gg_id_format (attempt, id);
   char *path = g_strdup_printf ("/v1/stage/kv?attempt=%s", id);
   GgHttpReply http;
-  GgHttpResult sent = call_engine (self, address, "GET", path, NULL, TRUE, deadline_ms, &http);
+  GgHttpResult sent
+      = call_engine (self, address, "GET", path, NULL, NULL, TRUE, deadline_ms, &http);
   g_free (path);
   *kv_out = NULL;
   return finish_transfer (self, address, attempt, sent, &http, kv_out);
@@ -370,7 +373,7 @@
   char *body = gg_http_json_print (b);
   GgHttpReply http;
   GgHttpResult sent
-      = call_engine (self, address, "POST", "/v1/stage/kv", body, TRUE, deadline_ms, &http);
+      = call_engine (self, address, "POST", "/v1/stage/kv", body, NULL, TRUE, deadline_ms, &http);
   g_free (body);
   return finish_transfer (self, address, attempt, sent, &http, NULL);
 }
--- a/src/adapters/service/service_client.c
+++ b/src/adapters/service/service_client.c
@@ -153,13 +153,18 @@
   char attempt_id[GG_ID_TEXT_LENGTH + 1];
   gg_id_format (&call->request, request_id);
   gg_id_format (&call->attempt, attempt_id);
-  const char *headers[] = { "Greengage-Request",
-                            request_id,
-                            "Greengage-Attempt",
-                            attempt_id,
-                            call->content_type != NULL ? "Content-Type" : NULL,
-                            call->content_type,
-                            NULL };
+  const char *headers[9] = { "Greengage-Request", request_id, "Greengage-Attempt", attempt_id };
+  size_t n = 4;
+  if (call->content_type != NULL)
+    {
+      headers[n++] = "Content-Type";
+      headers[n++] = call->content_type;
+    }
+  if (call->traceparent != NULL)
+    {
+      headers[n++] = "traceparent";
+      headers[n++] = call->traceparent;
+    }
   GgHttpRequest request = { .method = call->method,
                             .path = call->path,
                             .headers = headers,
--- a/src/daemons/entryd/answer.c
+++ b/src/daemons/entryd/answer.c
@@ -50,6 +50,7 @@
   GgRoutePlan plan;
   GgId attempts[GG_ROUTE_MAX_STAGES];
   char *prompt;
+  char *traceparent;
   uint64_t prefix_hash;
   uint64_t deadline_ms;
   uint32_t max_tokens;
@@ -217,6 +218,7 @@
     .position = effect->step.position,
     .inputs = effect->step.inputs,
     .n_inputs = effect->step.n_inputs,
+    .traceparent = answer->traceparent,
     /* What silenced one kept connection may have silenced all, at every engine. */
     .on_fresh_connection = answer->failures > 0 && !GG_IS_MUTATED ("answer-trust-connections"),
   };
@@ -457,6 +459,7 @@
   gg_stream_unref (answer->stream);
   gg_config_unref (answer->config);
   g_free (answer->prompt);
+  g_free (answer->traceparent);
   g_free (answer);
 }
 
@@ -500,6 +503,7 @@
   answer->stream = gg_stream_ref (stream);
   answer->plan = *plan;
   answer->prompt = g_strdup (params->prompt);
+  answer->traceparent = g_strdup (params->traceparent);
   answer->prefix_hash = params->prefix_hash;
   answer->deadline_ms = params->deadline_ms;
   answer->max_tokens = params->max_tokens;
--- a/src/daemons/entryd/answer.h
+++ b/src/daemons/entryd/answer.h
@@ -12,6 +12,7 @@
   const GgService *service;
   const GgTeam *team;
   const char *prompt;
+  const char *traceparent; /**< NULL for none. */
   uint32_t max_tokens;
   uint64_t prefix_hash;
   uint64_t deadline_ms;
--- a/src/daemons/entryd/caller_request.c
+++ b/src/daemons/entryd/caller_request.c
@@ -4,8 +4,12 @@
 #include "base/counters.h"
 #include "daemons/entryd/caller_reply.h"
 
+#include <string.h>
+
 /* When no runner is known a caller may try again after about one reading of the list. */
 #define NO_RUNNER_RETRY_MS 1000
+/* Version 00 of the trace context has this length. */
+#define TRACEPARENT_LENGTH 55
 
 static GgCounter refused_limit = GG_COUNTER ("greengage_refused_total{reason=\"team-limit\"}",
                                              "Requests refused before they ran, by reason");
@@ -22,6 +26,13 @@
   return MHD_lookup_connection_value (self->connection, MHD_HEADER_KIND, name);
 }
 
+const char *
+gg_caller_request_get_traceparent (const GgCallerRequest *self)
+{
+  const char *value = gg_caller_request_get_header (self, "traceparent");
+  return value != NULL && strlen (value) == TRACEPARENT_LENGTH ? value : NULL;
+}
+
 GgAdmissionResult
 gg_caller_request_admit (GgCallerRequest *request,
                          const GgRoutePlan *plan,
--- a/src/daemons/entryd/caller_request.h
+++ b/src/daemons/entryd/caller_request.h
@@ -27,6 +27,9 @@
 /** Returns a header of the request, or NULL. */
 const char *gg_caller_request_get_header (const GgCallerRequest *self, const char *name);
 
+/** Returns the caller's trace context, or NULL if there is none of the published length. */
+const char *gg_caller_request_get_traceparent (const GgCallerRequest *self);
+
 /** Handlers; each queues exactly one reply. */
 enum MHD_Result gg_completion_handle (GgCallerRequest *request, gboolean is_chat);
 enum MHD_Result gg_stream_resume_handle (GgCallerRequest *request, const char *stream_id);
--- a/src/daemons/entryd/completion.c
+++ b/src/daemons/entryd/completion.c
@@ -256,6 +256,7 @@
                             .service = service,
                             .team = request->team,
                             .prompt = completion->prompt,
+                            .traceparent = gg_caller_request_get_traceparent (request),
                             .max_tokens = completion->max_tokens,
                             .prefix_hash = prefix_hash,
                             .deadline_ms = request->started_at_ms + entry->request_deadline_ms };
--- a/src/daemons/entryd/plain_handler.c
+++ b/src/daemons/entryd/plain_handler.c
@@ -179,6 +179,7 @@
               .method = request->method,
               .path = path,
               .content_type = gg_caller_request_get_header (request, "Content-Type"),
+              .traceparent = gg_caller_request_get_traceparent (request),
               .body = (const char *) request->body->data,
               .body_size_bytes = request->body->len,
               .idempotent = gg_service_call_is_idempotent (service, request->method, bare_path) } };
--- a/src/ports/service.h
+++ b/src/ports/service.h
@@ -25,6 +25,7 @@
   const char *method;
   const char *path; /**< With the query; below the service's root. */
   const char *content_type;
+  const char *traceparent; /**< Trace context of the caller; NULL for none. */
   const char *body;
   size_t body_size_bytes;
   gboolean idempotent; /**< FALSE: sent once, on a fresh connection. */
--- a/src/ports/stage.h
+++ b/src/ports/stage.h
@@ -40,6 +40,7 @@
   uint32_t position;
   const char *const *inputs;
   uint32_t n_inputs;
+  const char *traceparent;      /**< Trace context of the caller; NULL for none. */
   gboolean on_fresh_connection; /**< Kept connections are not to be trusted with this step. */
 } GgStageStep;
 
--- a/tests/adapters/test_service_client.c
+++ b/tests/adapters/test_service_client.c
@@ -10,6 +10,8 @@
 #define ID_2 "02020202020202020202020202020202"
 #define IDS(attempt) "Greengage-Request: " ID_1 "\r\nGreengage-Attempt: " attempt "\r\n"
 
+#define TRACE "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
 static ScriptedServer server;
 static GgHttpPool *pool;
 static GgServiceClient *client;
@@ -28,8 +30,9 @@
       gboolean is_first = atomic_fetch_add (&self->value, 1) == 0;
       return is_first ? REPLY_CLOSE : make_reply (503, "Greengage-Refused: 1\r\n", "");
     }
-  gboolean is_whole = strstr (request, IDS (ID_2) "Content-Type: a/b\r\n") != NULL
-                      && g_str_has_suffix (request, "\r\n\r\nbook");
+  gboolean is_whole
+      = strstr (request, IDS (ID_2) "Content-Type: a/b\r\ntraceparent: " TRACE "\r\n") != NULL
+        && g_str_has_suffix (request, "\r\n\r\nbook");
   return make_reply (is_whole ? 201 : 400, IDS (ID_2) "Content-Type: c/d\r\n", "done");
 }
 
@@ -39,6 +42,7 @@
   GgServiceCall c = { .method = "POST",
                       .path = path,
                       .content_type = "a/b",
+                      .traceparent = TRACE,
                       .body = "book",
                       .body_size_bytes = 4,
                       .idempotent = idempotent };
