Remove functions that nothing uses

Change: timers are periodic and end with their service; four other functions are gone; controld frees its state when it can't bind.

--- a/src/base/timer_service.c
+++ b/src/base/timer_service.c
@@ -5,14 +5,14 @@
 #include <pthread.h>
 #include <time.h>
 
-struct _GgTimer
+typedef struct
 {
   uint64_t due_ms;
-  uint64_t period_ms; /* 0 for a call that is made once */
+  uint64_t period_ms;
   uint64_t jitter_ms;
   GgTimerFunc func;
   void *data;
-};
+} GgTimer;
 
 struct _GgTimerService
 {
@@ -20,8 +20,6 @@
   pthread_cond_t changed;
   pthread_t thread;
   GSequence *timers; /* GgTimer, by due_ms */
-  GgTimer *running;
-  gboolean running_cancelled;
   gboolean stopping;
 };
 
@@ -56,19 +54,10 @@
 {
   GgTimer *timer = g_sequence_get (first);
   g_sequence_remove (first);
-  self->running = timer;
-  self->running_cancelled = FALSE;
-
   pthread_mutex_unlock (&self->lock);
   timer->func (timer->data);
   pthread_mutex_lock (&self->lock);
-
-  self->running = NULL;
-  if (timer->period_ms == 0 || self->running_cancelled)
-    g_free (timer);
-  else
-    schedule (self, timer, timer->period_ms);
-  pthread_cond_broadcast (&self->changed);
+  schedule (self, timer, timer->period_ms);
 }
 
 static void *
@@ -130,7 +119,7 @@
   g_free (self);
 }
 
-GgTimer *
+void
 gg_timer_service_subscribe (
     GgTimerService *self, uint64_t period_ms, uint64_t jitter_ms, GgTimerFunc func, void *data)
 {
@@ -143,45 +132,4 @@
   pthread_mutex_lock (&self->lock);
   schedule (self, timer, period_ms);
   pthread_mutex_unlock (&self->lock);
-  return timer;
-}
-
-void
-gg_timer_service_call_later (GgTimerService *self, uint64_t delay_ms, GgTimerFunc func, void *data)
-{
-  GgTimer *timer = g_new0 (GgTimer, 1);
-  timer->func = func;
-  timer->data = data;
-  pthread_mutex_lock (&self->lock);
-  schedule (self, timer, delay_ms);
-  pthread_mutex_unlock (&self->lock);
-}
-
-static gboolean
-remove_pending (GgTimerService *self, GgTimer *timer)
-{
-  GSequenceIter *it = g_sequence_get_begin_iter (self->timers);
-  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
-    if (g_sequence_get (it) == timer)
-      {
-        g_sequence_remove (it);
-        return TRUE;
-      }
-  return FALSE;
-}
-
-void
-gg_timer_service_unsubscribe (GgTimerService *self, GgTimer *timer)
-{
-  pthread_mutex_lock (&self->lock);
-  if (remove_pending (self, timer))
-    g_free (timer);
-  else if (self->running == timer)
-    {
-      self->running_cancelled = TRUE;
-      gboolean from_callback = pthread_equal (pthread_self (), self->thread);
-      while (!from_callback && self->running == timer)
-        pthread_cond_wait (&self->changed, &self->lock);
-    }
-  pthread_mutex_unlock (&self->lock);
 }
--- a/src/base/timer_service.h
+++ b/src/base/timer_service.h
@@ -6,7 +6,6 @@
 #include <stdint.h>
 
 typedef struct _GgTimerService GgTimerService;
-typedef struct _GgTimer GgTimer;
 
 /** Runs on the timer thread; must not block for longer than a few milliseconds. */
 typedef void (*GgTimerFunc) (void *data);
@@ -17,15 +16,8 @@
 /** Stops the thread after the callback that is running and frees all subscriptions. */
 void gg_timer_service_destroy (GgTimerService *self);
 
-/** Calls @p func every @p period_ms, with up to @p jitter_ms added to each wait.
+/** Calls @p func every @p period_ms, with up to @p jitter_ms added to each wait, until the service
+ * is destroyed.
  * @param period_ms milliseconds, at least 1. */
-GgTimer *gg_timer_service_subscribe (
+void gg_timer_service_subscribe (
     GgTimerService *self, uint64_t period_ms, uint64_t jitter_ms, GgTimerFunc func, void *data);
-
-/** Calls @p func once after @p delay_ms, then frees the subscription. */
-void
-gg_timer_service_call_later (GgTimerService *self, uint64_t delay_ms, GgTimerFunc func, void *data);
-
-/** Ends a periodic subscription; when it returns, the callback is not running (unless it is
- * called from the callback itself). */
-void gg_timer_service_unsubscribe (GgTimerService *self, GgTimer *timer);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -146,16 +146,6 @@
   g_free (self);
 }
 
-guint
-gg_route_table_count (const GgRouteTable *self, const char *service_name)
-{
-  const Service *service = g_hash_table_lookup (self->services, service_name);
-  guint count = 0;
-  for (guint i = 0; service != NULL && i < service->ranges->len; i++)
-    count += g_array_index (service->ranges, Range, i).count;
-  return count;
-}
-
 static uint64_t
 mix (uint64_t x)
 {
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -119,6 +119,3 @@
 gboolean
 gg_route_choose (const GgRouteTable *self, const GgRouteQuery *query, GgRoutePlan *plan_out);
 void gg_route_plan_clear (GgRoutePlan *plan);
-
-/** Returns the number of runners of @p service that may be chosen. */
-guint gg_route_table_count (const GgRouteTable *self, const char *service);
--- a/src/daemons/controld/control_state.c
+++ b/src/daemons/controld/control_state.c
@@ -339,14 +339,6 @@
   return known;
 }
 
-void
-gg_control_state_confirm (GgControlState *self, const char *id, uint64_t now_ms)
-{
-  pthread_mutex_lock (&self->mutex);
-  gg_member_table_confirm (self->members, id, now_ms);
-  pthread_mutex_unlock (&self->mutex);
-}
-
 static void
 clear_member (void *data)
 {
--- a/src/daemons/controld/control_state.h
+++ b/src/daemons/controld/control_state.h
@@ -90,8 +90,6 @@
                                         GgMemberSource source,
                                         uint64_t now_ms);
 
-void gg_control_state_confirm (GgControlState *self, const char *id, uint64_t now_ms);
-
 /** Copies the members for which @p wanted holds (NULL for all) into an array of GgMember. */
 typedef gboolean (*GgControlMemberFilter) (const GgControlState *self, const GgMember *member);
 GArray *gg_control_state_copy_members (GgControlState *self, GgControlMemberFilter wanted);
--- a/src/daemons/controld/controld_main.c
+++ b/src/daemons/controld/controld_main.c
@@ -90,7 +90,11 @@
   daemon.kv = gg_kv_create ((const char *const *) kv);
   g_strfreev (kv);
   if (!bind_servers (&daemon, settings))
-    return EXIT_FAILURE;
+    {
+      gg_kv_destroy (daemon.kv);
+      gg_control_state_destroy (daemon.state);
+      return EXIT_FAILURE;
+    }
   start (&daemon, settings);
   sigwait (&signals, &received);
   stop (&daemon);
--- a/tests/support/golden.c
+++ b/tests/support/golden.c
@@ -103,12 +103,6 @@
   g_free (text);
 }
 
-const char *
-gg_golden_get_text (const GgGolden *self)
-{
-  return self->text->str;
-}
-
 static void
 print_difference (const char *path, const char *expected, const char *actual)
 {
--- a/tests/support/golden.h
+++ b/tests/support/golden.h
@@ -23,9 +23,6 @@
 void gg_golden_append (GgGolden *self, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
-/** Text so far, for diagnostics. */
-const char *gg_golden_get_text (const GgGolden *self);
-
 /** Compares the text with the file, or writes the file, and frees @p self. A difference fails
  * @p proof and is printed to standard error with the first lines that differ. */
 void gg_golden_finish (GgGolden *self, GgProof *proof);
