Let stand-ins collect after 1 s times their rank

Cause: with one instance per data centre the stand-in of the other one waited 4.5 s, and a version came into force in 4.4 s of 5 s. Change: 1 s instead of 1.5 s times the rank; loads are polled every 250 ms and sums are heard about once a second.

--- a/src/daemons/controld/load_collector.c
+++ b/src/daemons/controld/load_collector.c
@@ -17,7 +17,7 @@
 /* Instances per scope (data centre, all) that stand in for a collector that is silent. */
 #define MAX_STAND_INS 2
 /* Age of a runner's load at which the first stand-in collects it, times the rank. */
-#define STAND_IN_AFTER_MS 1500
+#define STAND_IN_AFTER_MS 1000
 
 static GgCounter collected
     = GG_COUNTER ("greengage_load_polls_total{result=\"ok\"}", "Polls of the load of runners");
