--- a/src/adapters/engine/stage_client.c
+++ b/src/adapters/engine/stage_client.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "core/mutation.h"
+#include "base/json.h"
 
 #include <string.h>
 
@@ -52,26 +53,12 @@
   memset (self, 0, sizeof *self);
 }
 
-static void
-add_text (JsonBuilder *builder, const char *member, const char *text)
-{
-  json_builder_set_member_name (builder, member);
-  json_builder_add_string_value (builder, text);
-}
-
-static void
-add_uint (JsonBuilder *builder, const char *member, uint32_t value)
-{
-  json_builder_set_member_name (builder, member);
-  json_builder_add_int_value (builder, value);
-}
-
 static void
 add_id (JsonBuilder *builder, const char *member, const GgId *id)
 {
   char text[GG_ID_TEXT_LENGTH + 1];
   gg_id_format (id, text);
-  add_text (builder, member, text);
+  gg_json_add_string (builder, member, text);
 }
 
 static char *
@@ -81,19 +68,19 @@
   json_builder_begin_object (b);
   add_id (b, "request", &step->request);
   add_id (b, "attempt", &step->attempt);
-  add_uint (b, "epoch", step->epoch);
-  add_text (b, "model", step->model);
-  add_text (b, "version", step->version);
-  add_uint (b, "first_layer", step->first_layer);
-  add_uint (b, "end_layer", step->end_layer);
-  add_uint (b, "position", step->position);
+  gg_json_add_uint (b, "epoch", step->epoch);
+  gg_json_add_string (b, "model", step->model);
+  gg_json_add_string (b, "version", step->version);
+  gg_json_add_uint (b, "first_layer", step->first_layer);
+  gg_json_add_uint (b, "end_layer", step->end_layer);
+  gg_json_add_uint (b, "position", step->position);
   json_builder_set_member_name (b, "inputs");
   json_builder_begin_array (b);
   for (uint32_t i = 0; i < step->n_inputs; i++)
     json_builder_add_string_value (b, step->inputs[i]);
   json_builder_end_array (b);
   json_builder_end_object (b);
-  return gg_http_json_print (b);
+  return gg_json_print (b);
 }
 
 /* Returns FALSE if @p member holds another id than @p id; if it is absent, @p if_absent. */
@@ -278,7 +265,7 @@
   json_builder_begin_object (b);
   add_id (b, "attempt", attempt);
   json_builder_end_object (b);
-  return gg_http_json_print (b);
+  return gg_json_print (b);
 }
 
 void
@@ -367,10 +354,10 @@
   JsonBuilder *b = json_builder_new ();
   json_builder_begin_object (b);
   add_id (b, "attempt", attempt);
-  add_uint (b, "epoch", epoch);
-  add_text (b, "kv", kv);
+  gg_json_add_uint (b, "epoch", epoch);
+  gg_json_add_string (b, "kv", kv);
   json_builder_end_object (b);
-  char *body = gg_http_json_print (b);
+  char *body = gg_json_print (b);
   GgHttpReply http;
   GgHttpResult sent
       = call_engine (self, address, "POST", "/v1/stage/kv", body, NULL, TRUE, deadline_ms, &http);
--- a/src/adapters/http/http_json.c
+++ b/src/adapters/http/http_json.c
@@ -1,15 +1,5 @@
 #include "adapters/http/http_json.h"
 
-char *
-gg_http_json_print (JsonBuilder *builder)
-{
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (builder);
-  return text;
-}
-
 JsonNode *
 gg_http_json_parse (const GgHttpReply *reply)
 {
--- a/src/adapters/http/http_json.h
+++ b/src/adapters/http/http_json.h
@@ -6,9 +6,6 @@
 
 #include <json-glib/json-glib.h>
 
-/** Returns the text of what @p builder built, owned by the caller, and frees the builder. */
-char *gg_http_json_print (JsonBuilder *builder);
-
 /** Parses the body of @p reply.
  * @return NULL if it is not JSON; else owned by the caller (json_node_unref()). */
 JsonNode *gg_http_json_parse (const GgHttpReply *reply);
--- a/src/core/account.c
+++ b/src/core/account.c
@@ -1,4 +1,5 @@
 #include "core/account.h"
+#include "base/json.h"
 
 #include <json-glib/json-glib.h>
 #include <pthread.h>
@@ -210,34 +211,19 @@
   g_free (bounded_kind);
 }
 
-static void
-format_uint (JsonBuilder *builder, const char *name, uint64_t value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, (gint64) value);
-}
-
-static void
-format_text (JsonBuilder *builder, const char *name, const char *value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_string_value (builder, value);
-}
-
 static void
 format_entry (JsonBuilder *builder, const Entry *entry)
 {
   json_builder_begin_object (builder);
-  format_text (builder, "instance", entry->instance);
-  format_uint (builder, "sequence", entry->sequence);
-  format_text (builder, "kind", entry->kind);
-  format_text (builder, "subject", entry->subject);
-  format_text (builder, "detail", entry->detail);
-  format_uint (builder, "first_ms", entry->first_ms);
-  format_uint (builder, "last_ms", entry->last_ms);
-  format_uint (builder, "count", entry->count);
-  json_builder_set_member_name (builder, "needs_person");
-  json_builder_add_boolean_value (builder, entry->needs_person);
+  gg_json_add_string (builder, "instance", entry->instance);
+  gg_json_add_uint (builder, "sequence", entry->sequence);
+  gg_json_add_string (builder, "kind", entry->kind);
+  gg_json_add_string (builder, "subject", entry->subject);
+  gg_json_add_string (builder, "detail", entry->detail);
+  gg_json_add_uint (builder, "first_ms", entry->first_ms);
+  gg_json_add_uint (builder, "last_ms", entry->last_ms);
+  gg_json_add_uint (builder, "count", entry->count);
+  gg_json_add_boolean (builder, "needs_person", entry->needs_person);
   json_builder_end_object (builder);
 }
 
@@ -263,11 +249,7 @@
   pthread_mutex_unlock (&self->mutex);
   json_builder_end_array (builder);
 
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (builder);
-  return text;
+  return gg_json_print (builder);
 }
 
 static char *
--- a/src/core/ledger_record.c
+++ b/src/core/ledger_record.c
@@ -1,4 +1,5 @@
 #include "core/ledger.h"
+#include "base/json.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -17,33 +18,19 @@
   *self = (GgLedgerRecord){ .state = GG_LEDGER_INTENT };
 }
 
-static void
-add_string (JsonBuilder *builder, const char *name, const char *value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_string_value (builder, value);
-}
-
-static void
-add_int (JsonBuilder *builder, const char *name, uint64_t value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, (gint64) value);
-}
-
 static void
 add_answer (JsonBuilder *builder, const GgLedgerRecord *record)
 {
   if (record->content_type != NULL)
     {
       char *content_type = g_utf8_make_valid (record->content_type, -1);
-      add_string (builder, "content_type", content_type);
+      gg_json_add_string (builder, "content_type", content_type);
       g_free (content_type);
     }
   if (record->body != NULL)
     {
       char *body = g_base64_encode ((const guchar *) record->body, strlen (record->body));
-      add_string (builder, "body_base64", body);
+      gg_json_add_string (builder, "body_base64", body);
       g_free (body);
     }
 }
@@ -55,19 +42,15 @@
   JsonBuilder *builder = json_builder_new ();
   gg_id_format (&self->attempt, attempt);
   json_builder_begin_object (builder);
-  add_string (builder, "state", state_names[self->state]);
-  add_string (builder, "attempt", attempt);
-  add_string (builder, "fingerprint", self->fingerprint);
-  add_string (builder, "owner", self->owner);
-  add_int (builder, "created_at_ms", self->created_at_wall_ms);
-  add_int (builder, "status", self->status);
+  gg_json_add_string (builder, "state", state_names[self->state]);
+  gg_json_add_string (builder, "attempt", attempt);
+  gg_json_add_string (builder, "fingerprint", self->fingerprint);
+  gg_json_add_string (builder, "owner", self->owner);
+  gg_json_add_uint (builder, "created_at_ms", self->created_at_wall_ms);
+  gg_json_add_uint (builder, "status", self->status);
   add_answer (builder, self);
   json_builder_end_object (builder);
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (builder);
-  return text;
+  return gg_json_print (builder);
 }
 
 /** @return NULL if the member is absent or of another type. */
--- a/src/daemons/controld/control_report.c
+++ b/src/daemons/controld/control_report.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "daemons/controld/control_digest.h"
+#include "base/json.h"
 #include "greengage/version.h"
 
 #include <json-glib/json-glib.h>
@@ -17,38 +18,6 @@
   uint64_t tokens_per_s;
 } ServiceSum;
 
-static void
-add_text (JsonBuilder *builder, const char *name, const char *value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_string_value (builder, value != NULL ? value : "");
-}
-
-static void
-add_uint (JsonBuilder *builder, const char *name, uint64_t value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, (gint64) value);
-}
-
-static void
-add_boolean (JsonBuilder *builder, const char *name, gboolean value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_boolean_value (builder, value);
-}
-
-static char *
-finish (JsonBuilder *builder)
-{
-  json_builder_end_object (builder);
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (builder);
-  return text;
-}
-
 static const char *
 state_to_string (GgMemberState state)
 {
@@ -60,10 +29,12 @@
 {
   json_builder_set_member_name (builder, "configuration");
   json_builder_begin_object (builder);
-  add_uint (builder, "generation",
-            state->document != NULL ? gg_config_document_get_generation (state->document) : 0);
-  add_text (builder, "publish_id",
-            state->document != NULL ? gg_config_document_get_publish_id (state->document) : "");
+  gg_json_add_uint (builder, "generation",
+                    state->document != NULL ? gg_config_document_get_generation (state->document)
+                                            : 0);
+  gg_json_add_string (builder, "publish_id",
+                      state->document != NULL ? gg_config_document_get_publish_id (state->document)
+                                              : "");
   json_builder_end_object (builder);
 }
 
@@ -76,9 +47,13 @@
     {
       const GgControlPlatformState *part = &state->platform[i];
       json_builder_begin_object (builder);
-      add_text (builder, "part", gg_control_platform_get_name ((GgControlPlatform) i));
-      add_text (builder, "state", !part->known ? "not asked yet" : part->up ? "up" : "down");
-      add_uint (builder, "since_ms", part->known ? now_ms - MIN (now_ms, part->changed_at_ms) : 0);
+      gg_json_add_string (builder, "part", gg_control_platform_get_name ((GgControlPlatform) i));
+      gg_json_add_string (builder, "state",
+                          !part->known ? "not asked yet"
+                          : part->up   ? "up"
+                                       : "down");
+      gg_json_add_uint (builder, "since_ms",
+                        part->known ? now_ms - MIN (now_ms, part->changed_at_ms) : 0);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
@@ -95,9 +70,9 @@
       if (member->role != GG_MEMBER_ENTRY)
         continue;
       json_builder_begin_object (builder);
-      add_text (builder, "id", member->id);
-      add_text (builder, "data_centre", member->data_centre);
-      add_text (builder, "state", state_to_string (member->state));
+      gg_json_add_string (builder, "id", member->id);
+      gg_json_add_string (builder, "data_centre", member->data_centre);
+      gg_json_add_string (builder, "state", state_to_string (member->state));
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
@@ -143,12 +118,12 @@
     {
       const ServiceSum *sum = g_hash_table_lookup (services, name->data);
       json_builder_begin_object (builder);
-      add_text (builder, "service", name->data);
-      add_uint (builder, "live", sum->live);
-      add_uint (builder, "leaving", sum->leaving);
-      add_uint (builder, "with_load", sum->with_load);
-      add_uint (builder, "outstanding_tokens", sum->outstanding_tokens);
-      add_uint (builder, "tokens_per_s", sum->tokens_per_s);
+      gg_json_add_string (builder, "service", name->data);
+      gg_json_add_uint (builder, "live", sum->live);
+      gg_json_add_uint (builder, "leaving", sum->leaving);
+      gg_json_add_uint (builder, "with_load", sum->with_load);
+      gg_json_add_uint (builder, "outstanding_tokens", sum->outstanding_tokens);
+      gg_json_add_uint (builder, "tokens_per_s", sum->tokens_per_s);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
@@ -159,13 +134,13 @@
 static void
 add_overview (JsonBuilder *builder, GgControlState *state, uint64_t now_ms)
 {
-  add_text (builder, "instance", state->name);
-  add_text (builder, "data_centre", state->data_centre);
-  add_text (builder, "version", GG_VERSION);
-  add_uint (builder, "uptime_ms", now_ms - state->started_at_ms);
-  add_uint (builder, "members_version", gg_member_table_get_version (state->members));
-  add_boolean (builder, "ready",
-               state->config != NULL && gg_member_table_get_size (state->members) > 0);
+  gg_json_add_string (builder, "instance", state->name);
+  gg_json_add_string (builder, "data_centre", state->data_centre);
+  gg_json_add_string (builder, "version", GG_VERSION);
+  gg_json_add_uint (builder, "uptime_ms", now_ms - state->started_at_ms);
+  gg_json_add_uint (builder, "members_version", gg_member_table_get_version (state->members));
+  gg_json_add_boolean (builder, "ready",
+                       state->config != NULL && gg_member_table_get_size (state->members) > 0);
   add_configuration (builder, state);
   add_platform (builder, state, now_ms);
   add_entries (builder, state);
@@ -180,7 +155,8 @@
   gg_control_state_lock (state);
   add_overview (builder, state, gg_clock_now_ms ());
   gg_control_state_unlock (state);
-  return finish (builder);
+  json_builder_end_object (builder);
+  return gg_json_print (builder);
 }
 
 static void
@@ -188,23 +164,23 @@
 {
   GgExchangeLoad load;
   json_builder_begin_object (builder);
-  add_text (builder, "id", member->id);
-  add_uint (builder, "incarnation", member->incarnation);
-  add_text (builder, "role", member->role == GG_MEMBER_ENTRY ? "entry" : "runner");
-  add_text (builder, "state", state_to_string (member->state));
-  add_text (builder, "address", member->address);
-  add_text (builder, "control", member->control_address);
-  add_text (builder, "entry_rpc", member->entry_rpc_address);
-  add_text (builder, "data_centre", member->data_centre);
-  add_text (builder, "service", member->service);
-  add_uint (builder, "first_layer", member->first_layer);
-  add_uint (builder, "end_layer", member->end_layer);
-  add_text (builder, "accelerator", member->accelerator);
+  gg_json_add_string (builder, "id", member->id);
+  gg_json_add_uint (builder, "incarnation", member->incarnation);
+  gg_json_add_string (builder, "role", member->role == GG_MEMBER_ENTRY ? "entry" : "runner");
+  gg_json_add_string (builder, "state", state_to_string (member->state));
+  gg_json_add_string (builder, "address", member->address);
+  gg_json_add_string (builder, "control", member->control_address);
+  gg_json_add_string (builder, "entry_rpc", member->entry_rpc_address);
+  gg_json_add_string (builder, "data_centre", member->data_centre);
+  gg_json_add_string (builder, "service", member->service);
+  gg_json_add_uint (builder, "first_layer", member->first_layer);
+  gg_json_add_uint (builder, "end_layer", member->end_layer);
+  gg_json_add_string (builder, "accelerator", member->accelerator);
   if (member->role == GG_MEMBER_RUNNER && gg_control_get_load (state, member, now_ms, &load))
     {
-      add_uint (builder, "outstanding_tokens", load.outstanding_tokens);
-      add_uint (builder, "tokens_per_s", load.tokens_per_s);
-      add_uint (builder, "load_age_ms", load.age_ms);
+      gg_json_add_uint (builder, "outstanding_tokens", load.outstanding_tokens);
+      gg_json_add_uint (builder, "tokens_per_s", load.tokens_per_s);
+      gg_json_add_uint (builder, "load_age_ms", load.age_ms);
     }
   json_builder_end_object (builder);
 }
@@ -226,7 +202,8 @@
 
   GString *counters = g_string_new (NULL);
   gg_counters_expose (counters);
-  add_text (builder, "counters", counters->str);
+  gg_json_add_string (builder, "counters", counters->str);
   g_string_free (counters, TRUE);
-  return finish (builder);
+  json_builder_end_object (builder);
+  return gg_json_print (builder);
 }
--- a/src/daemons/entryd/caller_reply.c
+++ b/src/daemons/entryd/caller_reply.c
@@ -1,6 +1,7 @@
 #include "daemons/entryd/caller_reply.h"
 
 #include "base/counters.h"
+#include "base/json.h"
 
 #include <json-glib/json-glib.h>
 #include <stdatomic.h>
@@ -57,27 +58,17 @@
 {
   JsonBuilder *builder = json_builder_new ();
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "type");
-  json_builder_add_string_value (builder, "about:blank");
-  json_builder_set_member_name (builder, "title");
-  json_builder_add_string_value (builder, problem->title);
-  json_builder_set_member_name (builder, "status");
-  json_builder_add_int_value (builder, problem->status);
-  json_builder_set_member_name (builder, "detail");
-  json_builder_add_string_value (builder, problem->detail);
+  gg_json_add_string (builder, "type", "about:blank");
+  gg_json_add_string (builder, "title", problem->title);
+  gg_json_add_uint (builder, "status", problem->status);
+  gg_json_add_string (builder, "detail", problem->detail);
   if (problem->field != NULL)
     {
-      json_builder_set_member_name (builder, "field");
-      json_builder_add_string_value (builder, problem->field);
+      gg_json_add_string (builder, "field", problem->field);
     }
-  json_builder_set_member_name (builder, "outcome");
-  json_builder_add_string_value (builder, gg_outcome_to_string (problem->outcome));
+  gg_json_add_string (builder, "outcome", gg_outcome_to_string (problem->outcome));
   json_builder_end_object (builder);
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (builder);
-  return text;
+  return gg_json_print (builder);
 }
 
 static void
--- a/src/daemons/entryd/completion.c
+++ b/src/daemons/entryd/completion.c
@@ -5,6 +5,7 @@
 #include "daemons/entryd/caller_request.h"
 #include "daemons/entryd/stream_reply.h"
 #include "daemons/entryd/stream_source.h"
+#include "base/json.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -152,39 +153,27 @@
 {
   JsonBuilder *b = json_builder_new ();
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "id");
-  json_builder_add_string_value (b, id);
-  json_builder_set_member_name (b, "object");
-  json_builder_add_string_value (b, "chat.completion");
-  json_builder_set_member_name (b, "model");
-  json_builder_add_string_value (b, model);
+  gg_json_add_string (b, "id", id);
+  gg_json_add_string (b, "object", "chat.completion");
+  gg_json_add_string (b, "model", model);
   json_builder_set_member_name (b, "choices");
   json_builder_begin_array (b);
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "index");
-  json_builder_add_int_value (b, 0);
+  gg_json_add_uint (b, "index", 0);
   json_builder_set_member_name (b, "message");
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "role");
-  json_builder_add_string_value (b, "assistant");
-  json_builder_set_member_name (b, "content");
-  json_builder_add_string_value (b, text);
+  gg_json_add_string (b, "role", "assistant");
+  gg_json_add_string (b, "content", text);
   json_builder_end_object (b);
-  json_builder_set_member_name (b, "finish_reason");
-  json_builder_add_string_value (b, "stop");
+  gg_json_add_string (b, "finish_reason", "stop");
   json_builder_end_object (b);
   json_builder_end_array (b);
   json_builder_set_member_name (b, "usage");
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "completion_tokens");
-  json_builder_add_int_value (b, tokens);
+  gg_json_add_uint (b, "completion_tokens", tokens);
   json_builder_end_object (b);
   json_builder_end_object (b);
-  JsonNode *root = json_builder_get_root (b);
-  char *json = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (b);
-  return json;
+  return gg_json_print (b);
 }
 
 static enum MHD_Result
--- a/src/daemons/entryd/stream_reply.c
+++ b/src/daemons/entryd/stream_reply.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "daemons/entryd/caller_reply.h"
 #include "daemons/entryd/stream_source.h"
+#include "base/json.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -33,14 +34,13 @@
   g_free (reader);
 }
 
+/* Frees the builder. */
 static void
 append_json (GString *out, JsonBuilder *builder)
 {
-  JsonNode *root = json_builder_get_root (builder);
-  char *text = json_to_string (root, FALSE);
+  char *text = gg_json_print (builder);
   g_string_append (out, text);
   g_free (text);
-  json_node_unref (root);
 }
 
 static void
@@ -49,21 +49,16 @@
   g_string_append_printf (reader->pending, "id: %u\ndata: ", reader->next);
   JsonBuilder *b = json_builder_new ();
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "id");
-  json_builder_add_string_value (b, reader->id);
-  json_builder_set_member_name (b, "object");
-  json_builder_add_string_value (b, "chat.completion.chunk");
-  json_builder_set_member_name (b, "model");
-  json_builder_add_string_value (b, reader->model);
+  gg_json_add_string (b, "id", reader->id);
+  gg_json_add_string (b, "object", "chat.completion.chunk");
+  gg_json_add_string (b, "model", reader->model);
   json_builder_set_member_name (b, "choices");
   json_builder_begin_array (b);
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "index");
-  json_builder_add_int_value (b, 0);
+  gg_json_add_uint (b, "index", 0);
   json_builder_set_member_name (b, "delta");
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "content");
-  json_builder_add_string_value (b, token);
+  gg_json_add_string (b, "content", token);
   json_builder_end_object (b);
   json_builder_set_member_name (b, "finish_reason");
   json_builder_add_null_value (b);
@@ -71,7 +66,6 @@
   json_builder_end_array (b);
   json_builder_end_object (b);
   append_json (reader->pending, b);
-  g_object_unref (b);
   g_string_append (reader->pending, "\n\n");
 }
 
@@ -81,18 +75,14 @@
   g_string_append (reader->pending, "event: end\ndata: ");
   JsonBuilder *b = json_builder_new ();
   json_builder_begin_object (b);
-  json_builder_set_member_name (b, "outcome");
-  json_builder_add_string_value (b, gg_outcome_to_string (outcome));
-  json_builder_set_member_name (b, "tokens");
-  json_builder_add_int_value (b, reader->next - 1);
+  gg_json_add_string (b, "outcome", gg_outcome_to_string (outcome));
+  gg_json_add_uint (b, "tokens", reader->next - 1);
   if (detail != NULL)
     {
-      json_builder_set_member_name (b, "detail");
-      json_builder_add_string_value (b, detail);
+      gg_json_add_string (b, "detail", detail);
     }
   json_builder_end_object (b);
   append_json (reader->pending, b);
-  g_object_unref (b);
   g_string_append (reader->pending, "\n\n");
   /* Only a whole answer carries the marker that clients of this interface wait for. */
   if (outcome == GG_OUTCOME_COMPLETE)
