Free the key of an absent shard

Cause: reading a shard that does not exist yet returned before the value with its key was cleared; LeakSanitizer reported 151 bytes at the exit of an entry process.

--- a/src/daemons/entryd/ledger_shard.c
+++ b/src/daemons/entryd/ledger_shard.c
@@ -78,13 +78,14 @@
   *version_out = 0;
   GgKvResult result
       = gg_kv_get (self->kv, self->key, gg_clock_now_ms () + self->timeout_ms, &value);
-  if (result == GG_KV_ABSENT)
+  if (result != GG_KV_OK)
     {
+      gg_kv_value_clear (&value);
+      if (result != GG_KV_ABSENT)
+        return GG_KV_UNREACHABLE;
       *records_out = json_object_new ();
       return GG_KV_OK;
     }
-  if (result != GG_KV_OK)
-    return GG_KV_UNREACHABLE;
 
   *version_out = value.version;
   JsonNode *root = json_parser_load_from_data (parser, value.text, -1, NULL)
