--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -22,6 +22,12 @@
   return read_clock_us (CLOCK_MONOTONIC);
 }
 
+uint64_t
+gg_clock_boot_ms (void)
+{
+  return read_clock_us (CLOCK_BOOTTIME) / 1000;
+}
+
 uint64_t
 gg_clock_wall_ms (void)
 {
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -12,3 +12,21 @@
 
 /** Returns the text of what @p builder built, owned by the caller, and frees the builder. */
 char *gg_json_print (JsonBuilder *builder);
+
+/** Parses text that must hold one JSON object.
+ * @return a parser that owns the object, or NULL with @p error set. */
+JsonParser *
+gg_json_parse_object (const char *text, size_t size_bytes, JsonObject **object_out, GError **error);
+
+/** Read a member of the expected type. A member that is absent or of another type leaves the
+ * result as it was and returns FALSE. */
+gboolean gg_json_read_string (JsonObject *object, const char *name, const char **value_out);
+gboolean gg_json_read_uint (JsonObject *object, const char *name, uint64_t *value_out);
+gboolean gg_json_read_uint32 (JsonObject *object, const char *name, uint32_t *value_out);
+gboolean gg_json_read_number (JsonObject *object, const char *name, double *value_out);
+gboolean gg_json_read_boolean (JsonObject *object, const char *name, gboolean *value_out);
+gboolean gg_json_read_array (JsonObject *object, const char *name, JsonArray **value_out);
+gboolean gg_json_read_object (JsonObject *object, const char *name, JsonObject **value_out);
+
+/** Returns element @p i if it is an object, else NULL. */
+JsonObject *gg_json_get_object_element (JsonArray *array, guint i);
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,6 +1,7 @@
 #include "base/settings.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <string.h>
 
 struct _GgSettings
@@ -75,6 +76,14 @@
   return valid;
 }
 
+static gboolean
+decimal_is_valid (const char *value)
+{
+  char *end = NULL;
+  double number = g_ascii_strtod (value, &end);
+  return end != value && *end == '\0' && isfinite (number) && number >= 0;
+}
+
 /* Returns what was expected, owned by the caller, or NULL if @p value is valid. */
 static char *
 check_value (const GgSetting *spec, const char *value)
@@ -89,6 +98,8 @@
       return g_strdup_printf (
           "a whole number from %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT "%s%s",
           (guint64) spec->min, (guint64) spec->max, *spec->unit ? " " : "", spec->unit);
+    case GG_SETTING_DECIMAL:
+      return decimal_is_valid (value) ? NULL : g_strdup ("a number that is not negative");
     case GG_SETTING_BOOLEAN:
       if (strcmp (value, "true") == 0 || strcmp (value, "false") == 0)
         return NULL;
@@ -239,6 +250,12 @@
   return g_ascii_strtoull (get_value (self, section, key), NULL, 10);
 }
 
+double
+gg_settings_get_decimal (const GgSettings *self, const char *section, const char *key)
+{
+  return g_ascii_strtod (get_value (self, section, key), NULL);
+}
+
 gboolean
 gg_settings_get_boolean (const GgSettings *self, const char *section, const char *key)
 {
@@ -268,6 +285,8 @@
     case GG_SETTING_UINT:
       return g_strdup_printf ("%" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT, (guint64) spec->min,
                               (guint64) spec->max);
+    case GG_SETTING_DECIMAL:
+      return g_strdup ("0 or more");
     case GG_SETTING_BOOLEAN:
       return g_strdup ("true, false");
     case GG_SETTING_ADDRESS:
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -13,6 +13,7 @@
 {
   GG_SETTING_STRING,
   GG_SETTING_UINT,
+  GG_SETTING_DECIMAL, /**< Not negative; may have a fraction. */
   GG_SETTING_BOOLEAN,
   GG_SETTING_ADDRESS,      /**< "IP:PORT"; an IPv6 address stands in brackets. */
   GG_SETTING_ADDRESS_LIST, /**< Addresses separated by ';'. */
@@ -58,6 +59,7 @@
  * Strings are owned by @p self. */
 const char *gg_settings_get_string (const GgSettings *self, const char *section, const char *key);
 uint64_t gg_settings_get_uint (const GgSettings *self, const char *section, const char *key);
+double gg_settings_get_decimal (const GgSettings *self, const char *section, const char *key);
 gboolean gg_settings_get_boolean (const GgSettings *self, const char *section, const char *key);
 
 /** Returns a NULL-terminated list owned by the caller (g_strfreev()). */
--- /dev/null
+++ b/src/loop/client.c
@@ -0,0 +1,394 @@
+#include "loop/client.h"
+
+#include "loop/socket.h"
+#include "loop/message_reader.h"
+#include "base/clock.h"
+
+#include <string.h>
+
+#define MAX_HEAD_BYTES 65536
+#define MS_PER_S 1000
+/* A kept connection is given up this long before the peer said that it would close it. */
+#define KEEP_MARGIN_MS 500
+#define KEEP_DEFAULT_MS 60000
+
+struct _GgLoopClient
+{
+  GgLoop *loop;
+  GHashTable *idle;  /* address -> GQueue of GgLoopCall, the latest used first */
+  GHashTable *calls; /* set of all GgLoopCall, idle ones too */
+  uint64_t n_opened;
+};
+
+/* One connection with the call that it carries. */
+struct _GgLoopCall
+{
+  GgLoopClient *client;
+  char *address;
+  GgLoopSocket *socket; /* NULL once closed */
+  GgMessageReader *reader;
+  GgLoopTimer *timer; /* connect timeout, then the end of the idle time */
+  GgCallFunc func;    /* NULL while idle */
+  void *data;
+  uint64_t idle_since_ms;
+  uint64_t keep_ms;
+  gboolean is_connected;
+  gboolean is_skipping; /* the present answer belongs to another call */
+  gboolean is_kept;     /* the peer keeps the connection after this answer */
+  gboolean is_spoiled;  /* bytes followed a complete answer */
+};
+
+static void
+free_queue (void *data)
+{
+  g_queue_free (data);
+}
+
+GgLoopClient *
+gg_loop_client_create (GgLoop *loop)
+{
+  GgLoopClient *self = g_new0 (GgLoopClient, 1);
+  self->loop = loop;
+  self->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_queue);
+  self->calls = g_hash_table_new (NULL, NULL);
+  return self;
+}
+
+static void
+free_call (void *data)
+{
+  GgLoopCall *self = data;
+  gg_message_reader_destroy (self->reader);
+  gg_loop_timer_destroy (self->timer);
+  g_free (self->address);
+  g_free (self);
+}
+
+static void
+remove_idle (GgLoopCall *self)
+{
+  GQueue *queue = g_hash_table_lookup (self->client->idle, self->address);
+  if (queue == NULL)
+    return;
+  g_queue_remove (queue, self);
+  if (queue->length == 0)
+    g_hash_table_remove (self->client->idle, self->address);
+}
+
+static void
+close_call (GgLoopCall *self)
+{
+  if (self->socket == NULL)
+    return;
+  gg_loop_socket_destroy (self->socket, FALSE);
+  self->socket = NULL;
+  gg_loop_timer_stop (self->timer);
+  if (self->func == NULL)
+    remove_idle (self);
+  g_hash_table_remove (self->client->calls, self);
+  gg_loop_defer (self->client->loop, free_call, self);
+}
+
+void
+gg_loop_client_destroy (GgLoopClient *self)
+{
+  if (self == NULL)
+    return;
+  GList *calls = g_hash_table_get_keys (self->calls);
+  for (GList *l = calls; l != NULL; l = l->next)
+    close_call (l->data);
+  g_list_free (calls);
+  g_hash_table_unref (self->calls);
+  g_hash_table_unref (self->idle);
+  g_free (self);
+}
+
+static void
+end_call (GgLoopCall *self, GgCallEnd end)
+{
+  GgCallFunc func = self->func;
+  void *data = self->data;
+  close_call (self);
+  GgCallEvent event = { .kind = GG_CALL_END, .end = end };
+  func (data, &event);
+}
+
+static uint64_t
+read_keep_time (const GgMessageHead *head)
+{
+  const char *text = gg_message_head_get (head, "Keep-Alive");
+  const char *timeout = text != NULL ? strstr (text, "timeout=") : NULL;
+  if (timeout == NULL)
+    return KEEP_DEFAULT_MS;
+  uint64_t keep_ms = g_ascii_strtoull (timeout + strlen ("timeout="), NULL, 10) * MS_PER_S;
+  return keep_ms > KEEP_MARGIN_MS ? keep_ms - KEEP_MARGIN_MS : 0;
+}
+
+static void
+set_idle (GgLoopCall *self)
+{
+  self->func = NULL;
+  self->idle_since_ms = gg_clock_now_ms ();
+  GQueue *queue = g_hash_table_lookup (self->client->idle, self->address);
+  if (queue == NULL)
+    {
+      queue = g_queue_new ();
+      g_hash_table_insert (self->client->idle, g_strdup (self->address), queue);
+    }
+  g_queue_push_head (queue, self);
+  gg_loop_timer_start (self->timer, self->keep_ms);
+}
+
+static void
+complete (GgLoopCall *self)
+{
+  GgCallFunc func = self->func;
+  void *data = self->data;
+  if (self->is_kept && !self->is_spoiled && self->keep_ms > 0)
+    set_idle (self);
+  else
+    close_call (self);
+  GgCallEvent event = { .kind = GG_CALL_END, .end = GG_CALL_COMPLETE };
+  func (data, &event);
+}
+
+static gboolean
+on_message (void *data, const GgMessageEvent *event)
+{
+  GgLoopCall *self = data;
+  GgCallEvent out = { 0 };
+  switch (event->kind)
+    {
+    case GG_MESSAGE_HEAD:
+      self->keep_ms = read_keep_time (event->head);
+      out.kind = GG_CALL_HEAD;
+      out.head = event->head;
+      self->is_skipping = !self->func (self->data, &out);
+      return self->socket != NULL;
+    case GG_MESSAGE_BODY:
+      if (self->is_skipping)
+        return TRUE;
+      out.kind = GG_CALL_BODY;
+      out.body.bytes = event->body.bytes;
+      out.body.size_bytes = event->body.size_bytes;
+      self->func (self->data, &out);
+      return self->socket != NULL;
+    case GG_MESSAGE_END:
+      self->is_kept = event->is_kept;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+on_answered (GgLoopCall *self, gboolean has_more)
+{
+  if (self->is_skipping)
+    {
+      self->is_skipping = FALSE;
+      if (!self->is_kept)
+        end_call (self, GG_CALL_BROKEN);
+      return;
+    }
+  /* An early answer leaves the request half sent; the rest would be read as another request. */
+  self->is_spoiled = has_more || gg_loop_socket_get_pending (self->socket) > 0;
+  complete (self);
+}
+
+static void
+on_data (GgLoopCall *self, const char *bytes, size_t size_bytes)
+{
+  while (size_bytes > 0)
+    {
+      if (self->func == NULL)
+        {
+          /* Nothing was asked, so the connection can't be trusted to carry another answer. */
+          close_call (self);
+          return;
+        }
+      size_t used = 0;
+      GgReadResult result = gg_message_reader_feed (self->reader, bytes, size_bytes, &used);
+      if (self->socket == NULL)
+        return;
+      bytes += used;
+      size_bytes -= used;
+      switch (result)
+        {
+        case GG_READ_OK:
+          return;
+        case GG_READ_COMPLETE:
+          on_answered (self, size_bytes > 0);
+          if (self->socket == NULL)
+            return;
+          break;
+        case GG_READ_STOPPED:
+        case GG_READ_MALFORMED:
+        case GG_READ_HEAD_TOO_LARGE:
+          end_call (self, GG_CALL_MALFORMED);
+          return;
+        }
+    }
+}
+
+static void
+on_closed (GgLoopCall *self, gboolean is_orderly)
+{
+  if (self->func == NULL)
+    {
+      close_call (self);
+      return;
+    }
+  if (!self->is_connected)
+    {
+      end_call (self, GG_CALL_UNREACHABLE);
+      return;
+    }
+  gboolean is_complete = is_orderly && gg_message_reader_is_within (self->reader)
+                         && gg_message_reader_finish (self->reader) == GG_READ_COMPLETE;
+  if (self->socket == NULL)
+    return;
+  if (is_complete && !self->is_skipping)
+    complete (self);
+  else
+    end_call (self, GG_CALL_BROKEN);
+}
+
+static void
+on_socket (void *data, const GgSocketEvent *event)
+{
+  GgLoopCall *self = data;
+  switch (event->kind)
+    {
+    case GG_SOCKET_CONNECTED:
+      self->is_connected = TRUE;
+      gg_loop_timer_stop (self->timer);
+      break;
+    case GG_SOCKET_DATA:
+      on_data (self, event->bytes, event->size_bytes);
+      break;
+    case GG_SOCKET_DRAINED:
+      break;
+    case GG_SOCKET_EOF:
+      on_closed (self, TRUE);
+      break;
+    case GG_SOCKET_RESET:
+      on_closed (self, FALSE);
+      break;
+    }
+}
+
+static void
+on_timeout (void *data)
+{
+  GgLoopCall *self = data;
+  if (self->func == NULL)
+    close_call (self);
+  else if (!self->is_connected)
+    end_call (self, GG_CALL_UNREACHABLE);
+}
+
+static void
+report_unreachable (void *data)
+{
+  GgLoopCall *self = data;
+  if (self->func == NULL)
+    {
+      free_call (self);
+      return;
+    }
+  GgCallFunc func = self->func;
+  void *func_data = self->data;
+  free_call (self);
+  GgCallEvent event = { .kind = GG_CALL_END, .end = GG_CALL_UNREACHABLE };
+  func (func_data, &event);
+}
+
+static GgLoopCall *
+open_call (GgLoopClient *self, const GgCallRequest *request)
+{
+  GgLoopCall *call = g_new0 (GgLoopCall, 1);
+  call->client = self;
+  call->address = g_strdup (request->address);
+  call->reader = gg_message_reader_create (GG_MESSAGE_RESPONSES, MAX_HEAD_BYTES, on_message, call);
+  call->timer = gg_loop_timer_create (self->loop, on_timeout, call);
+  call->socket = gg_loop_socket_connect (self->loop, request->address, on_socket, call);
+  if (call->socket == NULL)
+    {
+      gg_loop_defer (self->loop, report_unreachable, call);
+      return call;
+    }
+  self->n_opened++;
+  g_hash_table_add (self->calls, call);
+  gg_loop_timer_start (call->timer, request->connect_timeout_ms);
+  return call;
+}
+
+static GgLoopCall *
+take_idle (GgLoopClient *self, const GgCallRequest *request)
+{
+  GQueue *queue = g_hash_table_lookup (self->idle, request->address);
+  GgLoopCall *call = queue != NULL ? g_queue_peek_head (queue) : NULL;
+  if (call == NULL || gg_clock_now_ms () - call->idle_since_ms > request->max_idle_ms)
+    return NULL;
+  remove_idle (call);
+  gg_loop_timer_stop (call->timer);
+  return call;
+}
+
+static void
+send_request (GgLoopCall *self, const GgCallRequest *request)
+{
+  GString *text = g_string_sized_new (1024 + request->body_bytes);
+  gg_message_head_print (request->head, text);
+  if (request->body_bytes > 0)
+    g_string_append_len (text, request->body, (gssize) request->body_bytes);
+  gg_message_reader_expect_no_body (
+      self->reader, strcmp (gg_message_head_get_method (request->head), "HEAD") == 0);
+  gg_loop_socket_write (self->socket, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+GgLoopCall *
+gg_loop_client_call (GgLoopClient *self, const GgCallRequest *request, GgCallFunc func, void *data)
+{
+  GgLoopCall *call = request->max_idle_ms > 0 ? take_idle (self, request) : NULL;
+  if (call == NULL)
+    call = open_call (self, request);
+  call->func = func;
+  call->data = data;
+  call->is_skipping = FALSE;
+  call->is_spoiled = FALSE;
+  if (call->socket != NULL)
+    send_request (call, request);
+  return call;
+}
+
+void
+gg_loop_call_cancel (GgLoopCall *call)
+{
+  if (call == NULL)
+    return;
+  if (call->socket == NULL)
+    call->func = NULL; /* its deferred report is still due */
+  else
+    close_call (call);
+}
+
+gboolean
+gg_loop_call_is_sent (const GgLoopCall *call)
+{
+  return call->is_connected;
+}
+
+void
+gg_loop_call_set_reading (GgLoopCall *call, gboolean is_reading)
+{
+  if (call->socket != NULL)
+    gg_loop_socket_set_reading (call->socket, is_reading);
+}
+
+uint64_t
+gg_loop_client_get_opened (const GgLoopClient *self)
+{
+  return self->n_opened;
+}
--- /dev/null
+++ b/src/loop/message_head.c
@@ -0,0 +1,244 @@
+#include "loop/message_head.h"
+
+#include <string.h>
+
+/* All texts lie in one buffer, so that a head costs two allocations. */
+typedef struct
+{
+  uint32_t name;
+  uint32_t value;
+} Field;
+
+struct _GgMessageHead
+{
+  GString *texts;
+  GArray *fields; /* Field: offsets into texts */
+  uint32_t method;
+  uint32_t target;
+  uint32_t status; /* 0 for a request */
+};
+
+static uint32_t
+keep (GgMessageHead *self, const char *text)
+{
+  uint32_t offset = (uint32_t) self->texts->len;
+  g_string_append_len (self->texts, text, (gssize) strlen (text) + 1);
+  return offset;
+}
+
+GgMessageHead *
+gg_message_head_create (void)
+{
+  GgMessageHead *self = g_new0 (GgMessageHead, 1);
+  self->texts = g_string_sized_new (512);
+  self->fields = g_array_new (FALSE, FALSE, sizeof (Field));
+  g_string_append_c (self->texts, '\0'); /* offset 0 is the empty text */
+  return self;
+}
+
+GgMessageHead *
+gg_message_head_create_request (const char *method, const char *target)
+{
+  GgMessageHead *self = gg_message_head_create ();
+  gg_message_head_set_method (self, method);
+  gg_message_head_set_target (self, target);
+  return self;
+}
+
+GgMessageHead *
+gg_message_head_create_response (uint32_t status)
+{
+  GgMessageHead *self = gg_message_head_create ();
+  self->status = status;
+  return self;
+}
+
+void
+gg_message_head_destroy (GgMessageHead *self)
+{
+  if (self == NULL)
+    return;
+  g_string_free (self->texts, TRUE);
+  g_array_unref (self->fields);
+  g_free (self);
+}
+
+void
+gg_message_head_set_method (GgMessageHead *self, const char *method)
+{
+  self->method = keep (self, method);
+}
+
+void
+gg_message_head_set_target (GgMessageHead *self, const char *target)
+{
+  self->target = keep (self, target);
+}
+
+void
+gg_message_head_set_status (GgMessageHead *self, uint32_t status)
+{
+  self->status = status;
+}
+
+const char *
+gg_message_head_get_method (const GgMessageHead *self)
+{
+  return self->texts->str + self->method;
+}
+
+const char *
+gg_message_head_get_target (const GgMessageHead *self)
+{
+  return self->texts->str + self->target;
+}
+
+uint32_t
+gg_message_head_get_status (const GgMessageHead *self)
+{
+  return self->status;
+}
+
+void
+gg_message_head_add (GgMessageHead *self, const char *name, const char *value)
+{
+  Field field = { .name = keep (self, name) };
+  field.value = keep (self, value);
+  g_array_append_val (self->fields, field);
+}
+
+void
+gg_message_head_add_uint (GgMessageHead *self, const char *name, uint64_t value)
+{
+  char text[24];
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, value);
+  gg_message_head_add (self, name, text);
+}
+
+guint
+gg_message_head_get_size (const GgMessageHead *self)
+{
+  return self->fields->len;
+}
+
+const char *
+gg_message_head_get_name (const GgMessageHead *self, guint i)
+{
+  return self->texts->str + g_array_index (self->fields, Field, i).name;
+}
+
+const char *
+gg_message_head_get_value (const GgMessageHead *self, guint i)
+{
+  return self->texts->str + g_array_index (self->fields, Field, i).value;
+}
+
+const char *
+gg_message_head_get (const GgMessageHead *self, const char *name)
+{
+  for (guint i = 0; i < self->fields->len; i++)
+    if (g_ascii_strcasecmp (gg_message_head_get_name (self, i), name) == 0)
+      return gg_message_head_get_value (self, i);
+  return NULL;
+}
+
+gboolean
+gg_message_head_get_uint (const GgMessageHead *self, const char *name, uint64_t *value_out)
+{
+  const char *text = gg_message_head_get (self, name);
+  guint64 value;
+  if (text == NULL || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &value, NULL))
+    return FALSE;
+  *value_out = value;
+  return TRUE;
+}
+
+/* Returns whether the comma-separated list of a Connection field names @p name. */
+static gboolean
+list_contains (const char *list, const char *name)
+{
+  size_t length = strlen (name);
+  for (const char *p = list; *p != '\0';)
+    {
+      p += strspn (p, " \t,");
+      size_t n = strcspn (p, " \t,");
+      if (n == length && g_ascii_strncasecmp (p, name, n) == 0)
+        return TRUE;
+      p += n;
+    }
+  return FALSE;
+}
+
+gboolean
+gg_message_head_is_hop_by_hop (const GgMessageHead *self, const char *name)
+{
+  static const char *const names[] = {
+    "Connection", "Keep-Alive",         "Proxy-Connection",   "TE", "Trailer", "Transfer-Encoding",
+    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (g_ascii_strcasecmp (names[i], name) == 0)
+      return TRUE;
+  for (guint i = 0; i < self->fields->len; i++)
+    if (g_ascii_strcasecmp (gg_message_head_get_name (self, i), "Connection") == 0
+        && list_contains (gg_message_head_get_value (self, i), name))
+      return TRUE;
+  return FALSE;
+}
+
+static const char *
+get_reason (uint32_t status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+    }
+}
+
+void
+gg_message_head_print (const GgMessageHead *self, GString *text_out)
+{
+  if (self->status != 0)
+    g_string_append_printf (text_out, "HTTP/1.1 %u %s\r\n", self->status,
+                            get_reason (self->status));
+  else
+    g_string_append_printf (text_out, "%s %s HTTP/1.1\r\n", gg_message_head_get_method (self),
+                            gg_message_head_get_target (self));
+  for (guint i = 0; i < self->fields->len; i++)
+    {
+      g_string_append (text_out, gg_message_head_get_name (self, i));
+      g_string_append (text_out, ": ");
+      g_string_append (text_out, gg_message_head_get_value (self, i));
+      g_string_append (text_out, "\r\n");
+    }
+  g_string_append (text_out, "\r\n");
+}
--- /dev/null
+++ b/src/loop/message_head.h
@@ -0,0 +1,43 @@
+/** @file
+ * Start line and header fields of one HTTP/1.1 message. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _GgMessageHead GgMessageHead;
+
+GgMessageHead *gg_message_head_create (void);
+GgMessageHead *gg_message_head_create_request (const char *method, const char *target);
+GgMessageHead *gg_message_head_create_response (uint32_t status);
+void gg_message_head_destroy (GgMessageHead *self);
+
+void gg_message_head_set_method (GgMessageHead *self, const char *method);
+/** The target is kept as it was sent, not decoded. */
+void gg_message_head_set_target (GgMessageHead *self, const char *target);
+void gg_message_head_set_status (GgMessageHead *self, uint32_t status);
+
+const char *gg_message_head_get_method (const GgMessageHead *self);
+const char *gg_message_head_get_target (const GgMessageHead *self);
+uint32_t gg_message_head_get_status (const GgMessageHead *self);
+
+void gg_message_head_add (GgMessageHead *self, const char *name, const char *value);
+void gg_message_head_add_uint (GgMessageHead *self, const char *name, uint64_t value);
+
+/** Returns the first value of a field, or NULL; names are compared without case. */
+const char *gg_message_head_get (const GgMessageHead *self, const char *name);
+
+/** Parses the first value of a field as a decimal number.
+ * @return FALSE if the field is absent or holds anything else. */
+gboolean
+gg_message_head_get_uint (const GgMessageHead *self, const char *name, uint64_t *value_out);
+
+guint gg_message_head_get_size (const GgMessageHead *self);
+const char *gg_message_head_get_name (const GgMessageHead *self, guint i);
+const char *gg_message_head_get_value (const GgMessageHead *self, guint i);
+
+/** Returns whether a field belongs to one connection only and is never passed on. */
+gboolean gg_message_head_is_hop_by_hop (const GgMessageHead *self, const char *name);
+
+/** Appends the start line, all fields and the empty line. */
+void gg_message_head_print (const GgMessageHead *self, GString *text_out);
--- /dev/null
+++ b/src/loop/server.c
@@ -0,0 +1,527 @@
+#include "loop/server.h"
+
+#include "loop/socket.h"
+#include "loop/message_reader.h"
+
+#include <errno.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* After an answer that ends the connection early, input is read and dropped for this long: closing
+ * with unread input resets the connection and may destroy the answer on its way. */
+#define LINGER_MS 1000
+/* Bytes of later requests that are held while one is open. */
+#define MAX_AHEAD_BYTES 65536
+/* Accepted per wake-up, so that a flood of connections does not stall open streams. */
+#define ACCEPTS_PER_WAKE 64
+#define STATUS_BAD_REQUEST 400
+#define STATUS_TIMEOUT 408
+#define STATUS_BODY_TOO_LARGE 413
+#define STATUS_HEAD_TOO_LARGE 431
+
+typedef enum
+{
+  STATE_IDLE,      /* no byte of a request has come */
+  STATE_READING,   /* a request has begun */
+  STATE_ANSWERING, /* the owner has the request */
+  STATE_LINGERING, /* the last answer was sent; input is dropped */
+} ConnectionState;
+
+struct _GgLoopServer
+{
+  GgLoop *loop;
+  GgServerFunc func;
+  void *data;
+  GgServerLimits limits;
+  int listener;
+  struct event *accept_event;
+  GHashTable *connections; /* set of GgServerConnection */
+  gboolean is_closing;
+};
+
+struct _GgServerConnection
+{
+  GgLoopServer *server;
+  GgLoopSocket *socket; /* NULL once closed */
+  GgMessageReader *reader;
+  GgLoopTimer *timer; /* time limit of the present state */
+  ConnectionState state;
+  GgMessageHead *head;
+  GByteArray *body;
+  GByteArray *ahead; /* bytes of later requests */
+  uint32_t rejected_status;
+  gboolean is_kept;      /* the client may send another request after this one */
+  gboolean is_head_only; /* the answer must have no body */
+  gboolean is_chunked;
+  gboolean is_ending; /* the answer is complete and closes the connection */
+  void *data;
+};
+
+static void
+free_connection (void *data)
+{
+  GgServerConnection *self = data;
+  gg_message_reader_destroy (self->reader);
+  gg_loop_timer_destroy (self->timer);
+  gg_message_head_destroy (self->head);
+  if (self->body != NULL)
+    g_byte_array_unref (self->body);
+  if (self->ahead != NULL)
+    g_byte_array_unref (self->ahead);
+  g_free (self);
+}
+
+static void
+close_connection (GgServerConnection *self, gboolean is_abort)
+{
+  if (self->socket == NULL)
+    return;
+  gg_loop_socket_destroy (self->socket, is_abort);
+  self->socket = NULL;
+  gg_loop_timer_stop (self->timer);
+  g_hash_table_remove (self->server->connections, self);
+  gg_loop_defer (self->server->loop, free_connection, self);
+}
+
+static void
+set_idle (GgServerConnection *self)
+{
+  self->state = STATE_IDLE;
+  gg_loop_timer_start (self->timer, self->server->limits.idle_timeout_ms);
+}
+
+static void
+emit (GgServerConnection *self, const GgServerEvent *event)
+{
+  self->server->func (self->server->data, self, event);
+}
+
+static void
+linger (GgServerConnection *self)
+{
+  self->state = STATE_LINGERING;
+  gg_loop_socket_shutdown (self->socket);
+  gg_loop_timer_start (self->timer, LINGER_MS);
+}
+
+static void
+reject (GgServerConnection *self, uint32_t status)
+{
+  gg_loop_timer_stop (self->timer);
+  self->state = STATE_ANSWERING;
+  self->is_kept = FALSE;
+  GgServerEvent event = { .kind = GG_SERVER_REJECTED, .status = status };
+  emit (self, &event);
+}
+
+static gboolean
+take_head (GgServerConnection *self, GgMessageHead *head)
+{
+  self->head = head;
+  self->is_head_only = strcmp (gg_message_head_get_method (head), "HEAD") == 0;
+  uint64_t length_bytes = 0;
+  if (gg_message_head_get_uint (head, "Content-Length", &length_bytes)
+      && length_bytes > self->server->limits.max_body_bytes)
+    {
+      self->rejected_status = STATUS_BODY_TOO_LARGE;
+      return FALSE;
+    }
+  const char *expectation = gg_message_head_get (head, "Expect");
+  if (expectation != NULL && g_ascii_strcasecmp (expectation, "100-continue") == 0)
+    {
+      static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+      gg_loop_socket_write (self->socket, go_on, sizeof go_on - 1);
+    }
+  return TRUE;
+}
+
+static gboolean
+take_body (GgServerConnection *self, const char *bytes, size_t size_bytes)
+{
+  if (self->body == NULL)
+    self->body = g_byte_array_new ();
+  if (self->body->len + size_bytes > self->server->limits.max_body_bytes)
+    {
+      self->rejected_status = STATUS_BODY_TOO_LARGE;
+      return FALSE;
+    }
+  g_byte_array_append (self->body, (const guint8 *) bytes, (guint) size_bytes);
+  return TRUE;
+}
+
+static gboolean
+on_message (void *data, const GgMessageEvent *event)
+{
+  GgServerConnection *self = data;
+  switch (event->kind)
+    {
+    case GG_MESSAGE_HEAD:
+      return take_head (self, event->head);
+    case GG_MESSAGE_BODY:
+      return take_body (self, event->body.bytes, event->body.size_bytes);
+    case GG_MESSAGE_END:
+      self->is_kept = event->is_kept;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+hold_ahead (GgServerConnection *self, const char *bytes, size_t size_bytes)
+{
+  if (size_bytes == 0)
+    return;
+  if (self->ahead == NULL)
+    self->ahead = g_byte_array_new ();
+  g_byte_array_append (self->ahead, (const guint8 *) bytes, (guint) size_bytes);
+  if (self->ahead->len > MAX_AHEAD_BYTES)
+    gg_loop_socket_set_reading (self->socket, FALSE);
+}
+
+static void
+hand_over (GgServerConnection *self)
+{
+  GgServerEvent event
+      = { .kind = GG_SERVER_REQUEST, .request = { .head = self->head, .body = self->body } };
+  self->head = NULL;
+  self->body = NULL;
+  self->state = STATE_ANSWERING;
+  gg_loop_timer_stop (self->timer);
+  emit (self, &event);
+}
+
+static void
+read_request (GgServerConnection *self, const char *bytes, size_t size_bytes)
+{
+  if (self->state == STATE_IDLE)
+    {
+      self->state = STATE_READING;
+      gg_loop_timer_start (self->timer, self->server->limits.head_timeout_ms);
+    }
+  size_t used = 0;
+  GgReadResult result = gg_message_reader_feed (self->reader, bytes, size_bytes, &used);
+  switch (result)
+    {
+    case GG_READ_OK:
+      break;
+    case GG_READ_COMPLETE:
+      hold_ahead (self, bytes + used, size_bytes - used);
+      hand_over (self);
+      break;
+    case GG_READ_STOPPED:
+      reject (self, self->rejected_status);
+      break;
+    case GG_READ_MALFORMED:
+      reject (self, STATUS_BAD_REQUEST);
+      break;
+    case GG_READ_HEAD_TOO_LARGE:
+      reject (self, STATUS_HEAD_TOO_LARGE);
+      break;
+    }
+}
+
+static void
+on_gone (GgServerConnection *self)
+{
+  gboolean is_open = self->state == STATE_ANSWERING && !self->is_ending;
+  close_connection (self, FALSE);
+  if (!is_open)
+    return;
+  GgServerEvent event = { .kind = GG_SERVER_GONE };
+  emit (self, &event);
+}
+
+static void
+on_drained (GgServerConnection *self)
+{
+  if (self->is_ending && self->state == STATE_ANSWERING)
+    {
+      linger (self);
+      return;
+    }
+  if (self->state != STATE_ANSWERING)
+    return;
+  GgServerEvent event = { .kind = GG_SERVER_DRAINED };
+  emit (self, &event);
+}
+
+static void
+on_data (GgServerConnection *self, const char *bytes, size_t size_bytes)
+{
+  switch (self->state)
+    {
+    case STATE_IDLE:
+    case STATE_READING:
+      read_request (self, bytes, size_bytes);
+      break;
+    case STATE_ANSWERING:
+      hold_ahead (self, bytes, size_bytes);
+      break;
+    case STATE_LINGERING:
+      break;
+    }
+}
+
+static void
+on_socket (void *data, const GgSocketEvent *event)
+{
+  GgServerConnection *self = data;
+  switch (event->kind)
+    {
+    case GG_SOCKET_CONNECTED:
+      break;
+    case GG_SOCKET_DATA:
+      on_data (self, event->bytes, event->size_bytes);
+      break;
+    case GG_SOCKET_DRAINED:
+      on_drained (self);
+      break;
+    case GG_SOCKET_EOF:
+    case GG_SOCKET_RESET:
+      on_gone (self);
+      break;
+    }
+}
+
+static void
+on_timeout (void *data)
+{
+  GgServerConnection *self = data;
+  switch (self->state)
+    {
+    case STATE_IDLE:
+    case STATE_LINGERING:
+      close_connection (self, FALSE);
+      break;
+    case STATE_READING:
+      reject (self, STATUS_TIMEOUT);
+      break;
+    case STATE_ANSWERING:
+      break;
+    }
+}
+
+static void
+accept_one (GgLoopServer *self, int fd)
+{
+  GgServerConnection *connection = g_new0 (GgServerConnection, 1);
+  connection->server = self;
+  connection->socket = gg_loop_socket_adopt (self->loop, fd, on_socket, connection);
+  connection->reader = gg_message_reader_create (GG_MESSAGE_REQUESTS, self->limits.max_head_bytes,
+                                                 on_message, connection);
+  connection->timer = gg_loop_timer_create (self->loop, on_timeout, connection);
+  g_hash_table_add (self->connections, connection);
+  set_idle (connection);
+}
+
+static void
+on_acceptable (evutil_socket_t listener, short what, void *data)
+{
+  GgLoopServer *self = data;
+  for (int i = 0; i < ACCEPTS_PER_WAKE; i++)
+    {
+      int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      accept_one (self, fd);
+    }
+}
+
+GgLoopServer *
+gg_loop_server_create (GgLoop *loop,
+                       const char *address,
+                       const GgServerLimits *limits,
+                       GgServerFunc func,
+                       void *data,
+                       GError **error)
+{
+  int listener = gg_loop_socket_listen (address, error);
+  if (listener < 0)
+    return NULL;
+  GgLoopServer *self = g_new0 (GgLoopServer, 1);
+  self->loop = loop;
+  self->func = func;
+  self->data = data;
+  self->limits = *limits;
+  self->listener = listener;
+  self->connections = g_hash_table_new (NULL, NULL);
+  self->accept_event
+      = event_new (gg_loop_get_base (loop), listener, EV_READ | EV_PERSIST, on_acceptable, self);
+  event_add (self->accept_event, NULL);
+  return self;
+}
+
+/* Closes all connections for which @p state_only holds: idle ones, or every one. */
+static void
+close_all (GgLoopServer *self, gboolean is_idle_only)
+{
+  GList *connections = g_hash_table_get_keys (self->connections);
+  for (GList *l = connections; l != NULL; l = l->next)
+    {
+      GgServerConnection *connection = l->data;
+      if (!is_idle_only || connection->state == STATE_IDLE)
+        close_connection (connection, FALSE);
+    }
+  g_list_free (connections);
+}
+
+static void
+free_server (void *data)
+{
+  GgLoopServer *self = data;
+  g_hash_table_unref (self->connections);
+  g_free (self);
+}
+
+void
+gg_loop_server_destroy (GgLoopServer *self)
+{
+  if (self == NULL)
+    return;
+  close_all (self, FALSE);
+  event_free (self->accept_event);
+  close (self->listener);
+  gg_loop_defer (self->loop, free_server, self);
+}
+
+void
+gg_loop_server_set_limits (GgLoopServer *self, const GgServerLimits *limits)
+{
+  self->limits = *limits;
+}
+
+void
+gg_loop_server_set_closing (GgLoopServer *self)
+{
+  self->is_closing = TRUE;
+}
+
+void
+gg_loop_server_close_idle (GgLoopServer *self)
+{
+  close_all (self, TRUE);
+}
+
+guint
+gg_loop_server_count_busy (const GgLoopServer *self)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  void *key;
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const GgServerConnection *connection = key;
+      if (connection->state == STATE_READING || connection->state == STATE_ANSWERING)
+        n++;
+    }
+  return n;
+}
+
+void
+gg_server_connection_set_data (GgServerConnection *self, void *data)
+{
+  self->data = data;
+}
+
+void *
+gg_server_connection_get_data (const GgServerConnection *self)
+{
+  return self->data;
+}
+
+size_t
+gg_server_connection_get_pending (const GgServerConnection *self)
+{
+  return self->socket != NULL ? gg_loop_socket_get_pending (self->socket) : 0;
+}
+
+static void
+write_head (GgServerConnection *self, const GgMessageHead *head, const char *framing)
+{
+  if (self->server->is_closing)
+    self->is_kept = FALSE;
+  GString *text = g_string_sized_new (512);
+  gg_message_head_print (head, text);
+  g_string_truncate (text, text->len - 2); /* the empty line follows the framing fields */
+  g_string_append (text, framing);
+  g_string_append (text, self->is_kept ? "\r\n" : "Connection: close\r\n\r\n");
+  gg_loop_socket_write (self->socket, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+/* Goes on with a request that came while another one was open. */
+static void
+read_ahead (void *data)
+{
+  GgServerConnection *self = data;
+  if (self->socket == NULL || self->ahead == NULL || self->state != STATE_IDLE)
+    return;
+  GByteArray *ahead = self->ahead;
+  self->ahead = NULL;
+  gg_loop_socket_set_reading (self->socket, TRUE);
+  read_request (self, (const char *) ahead->data, ahead->len);
+  g_byte_array_unref (ahead);
+}
+
+static void
+finish (GgServerConnection *self)
+{
+  self->data = NULL;
+  if (!self->is_kept)
+    {
+      self->is_ending = TRUE;
+      return;
+    }
+  set_idle (self);
+  if (self->ahead != NULL)
+    gg_loop_defer (self->server->loop, read_ahead, self);
+}
+
+void
+gg_server_connection_reply (GgServerConnection *self,
+                            const GgMessageHead *head,
+                            const void *body,
+                            size_t size_bytes)
+{
+  char framing[48];
+  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", size_bytes);
+  write_head (self, head, framing);
+  if (size_bytes > 0 && !self->is_head_only)
+    gg_loop_socket_write (self->socket, body, size_bytes);
+  finish (self);
+}
+
+void
+gg_server_connection_begin (GgServerConnection *self, const GgMessageHead *head)
+{
+  write_head (self, head, "Transfer-Encoding: chunked\r\n");
+}
+
+void
+gg_server_connection_write (GgServerConnection *self, const void *bytes, size_t size_bytes)
+{
+  if (size_bytes == 0 || self->is_head_only)
+    return;
+  char size[24];
+  int n = g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", size_bytes);
+  gg_loop_socket_write (self->socket, size, (size_t) n);
+  gg_loop_socket_write (self->socket, bytes, size_bytes);
+  gg_loop_socket_write (self->socket, "\r\n", 2);
+}
+
+void
+gg_server_connection_end (GgServerConnection *self)
+{
+  if (!self->is_head_only)
+    gg_loop_socket_write (self->socket, "0\r\n\r\n", 5);
+  finish (self);
+}
+
+void
+gg_server_connection_abort (GgServerConnection *self)
+{
+  close_connection (self, TRUE);
+}
--- /dev/null
+++ b/src/loop/socket.c
@@ -0,0 +1,233 @@
+#include "loop/socket.h"
+
+#include "loop/address.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 16384
+/* Unacknowledged output for this long means that the peer is gone; without it a connection to an
+ * instance that lost power hangs for minutes. */
+#define USER_TIMEOUT_MS 4000
+#define LISTEN_BACKLOG 1024
+
+struct _GgLoopSocket
+{
+  GgLoop *loop;
+  GgSocketFunc func;
+  void *data;
+  int fd; /* -1 once destroyed */
+  struct event *read_event;
+  struct event *write_event;
+  struct evbuffer *output; /* created with the first write */
+  gboolean is_connecting;
+  gboolean flush_is_due;
+};
+
+static void
+emit (GgLoopSocket *self, GgSocketEventKind kind)
+{
+  GgSocketEvent event = { .kind = kind };
+  self->func (self->data, &event);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *data)
+{
+  GgLoopSocket *self = data;
+  char bytes[READ_BYTES];
+  ssize_t n = read (fd, bytes, sizeof bytes);
+  if (n > 0)
+    {
+      GgSocketEvent event = { .kind = GG_SOCKET_DATA, .bytes = bytes, .size_bytes = (size_t) n };
+      self->func (self->data, &event);
+      return;
+    }
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  event_del (self->read_event);
+  emit (self, n == 0 ? GG_SOCKET_EOF : GG_SOCKET_RESET);
+}
+
+static void
+flush (GgLoopSocket *self)
+{
+  if (self->output == NULL || evbuffer_get_length (self->output) == 0)
+    return;
+  int n = evbuffer_write (self->output, self->fd);
+  if (n < 0 && errno != EAGAIN && errno != EINTR)
+    {
+      emit (self, GG_SOCKET_RESET);
+      return;
+    }
+  if (evbuffer_get_length (self->output) > 0)
+    {
+      event_add (self->write_event, NULL);
+      return;
+    }
+  emit (self, GG_SOCKET_DRAINED);
+}
+
+static void
+on_writable (evutil_socket_t fd, short what, void *data)
+{
+  GgLoopSocket *self = data;
+  if (!self->is_connecting)
+    {
+      flush (self);
+      return;
+    }
+  int failure = 0;
+  socklen_t size = sizeof failure;
+  getsockopt (fd, SOL_SOCKET, SO_ERROR, &failure, &size);
+  self->is_connecting = FALSE;
+  if (failure != 0)
+    {
+      emit (self, GG_SOCKET_RESET);
+      return;
+    }
+  event_add (self->read_event, NULL);
+  emit (self, GG_SOCKET_CONNECTED);
+  if (self->fd >= 0)
+    flush (self);
+}
+
+static GgLoopSocket *
+create (GgLoop *loop, int fd, GgSocketFunc func, void *data)
+{
+  GgLoopSocket *self = g_new0 (GgLoopSocket, 1);
+  struct event_base *base = gg_loop_get_base (loop);
+  self->loop = loop;
+  self->func = func;
+  self->data = data;
+  self->fd = fd;
+  self->read_event = event_new (base, fd, EV_READ | EV_PERSIST, on_readable, self);
+  self->write_event = event_new (base, fd, EV_WRITE, on_writable, self);
+  int one = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  unsigned timeout_ms = USER_TIMEOUT_MS;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  return self;
+}
+
+GgLoopSocket *
+gg_loop_socket_connect (GgLoop *loop, const char *address, GgSocketFunc func, void *data)
+{
+  struct sockaddr_in target;
+  if (!gg_address_resolve (address, &target, NULL))
+    return NULL;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  GgLoopSocket *self = create (loop, fd, func, data);
+  self->is_connecting = TRUE;
+  /* A refusal that is known at once is also told by the write event. */
+  int ignored = connect (fd, (struct sockaddr *) &target, sizeof target);
+  (void) ignored;
+  event_add (self->write_event, NULL);
+  return self;
+}
+
+GgLoopSocket *
+gg_loop_socket_adopt (GgLoop *loop, int fd, GgSocketFunc func, void *data)
+{
+  GgLoopSocket *self = create (loop, fd, func, data);
+  event_add (self->read_event, NULL);
+  return self;
+}
+
+static void
+free_later (void *data)
+{
+  g_free (data);
+}
+
+void
+gg_loop_socket_destroy (GgLoopSocket *self, gboolean is_abort)
+{
+  if (self == NULL)
+    return;
+  struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+  if (is_abort)
+    setsockopt (self->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  event_free (self->read_event);
+  event_free (self->write_event);
+  if (self->output != NULL)
+    evbuffer_free (self->output);
+  self->output = NULL;
+  close (self->fd);
+  self->fd = -1;
+  gg_loop_defer (self->loop, free_later, self);
+}
+
+static void
+flush_deferred (void *data)
+{
+  GgLoopSocket *self = data;
+  self->flush_is_due = FALSE;
+  if (self->fd >= 0 && !self->is_connecting)
+    flush (self);
+}
+
+void
+gg_loop_socket_write (GgLoopSocket *self, const void *bytes, size_t size_bytes)
+{
+  if (self->output == NULL)
+    self->output = evbuffer_new ();
+  evbuffer_add (self->output, bytes, size_bytes);
+  if (self->flush_is_due || self->is_connecting)
+    return;
+  self->flush_is_due = TRUE;
+  gg_loop_defer (self->loop, flush_deferred, self);
+}
+
+size_t
+gg_loop_socket_get_pending (const GgLoopSocket *self)
+{
+  return self->output != NULL ? evbuffer_get_length (self->output) : 0;
+}
+
+void
+gg_loop_socket_shutdown (GgLoopSocket *self)
+{
+  shutdown (self->fd, SHUT_WR);
+}
+
+void
+gg_loop_socket_set_reading (GgLoopSocket *self, gboolean is_reading)
+{
+  if (self->is_connecting)
+    return;
+  if (is_reading)
+    event_add (self->read_event, NULL);
+  else
+    event_del (self->read_event);
+}
+
+int
+gg_loop_socket_listen (const char *address, GError **error)
+{
+  struct sockaddr_in local;
+  if (!gg_address_resolve (address, &local, error))
+    return -1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int one = 1;
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (fd < 0 || bind (fd, (struct sockaddr *) &local, sizeof local) != 0
+      || listen (fd, LISTEN_BACKLOG) != 0)
+    {
+      g_set_error (error, G_FILE_ERROR, g_file_error_from_errno (errno), "can't listen on %s: %s",
+                   address, g_strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return -1;
+    }
+  return fd;
+}
--- /dev/null
+++ b/tests/loop/test_client.c
@@ -0,0 +1,308 @@
+/* Guards calls over kept connections: a call is sent once whatever happens to its connection, bytes
+ * that belong to no call are never taken for an answer, and a cut answer is never whole. */
+#include "loop/client.h"
+#include "loop/socket.h"
+#include "loop_fixture.h"
+#include "process.h"
+#include "test_main.h"
+
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LIMIT_MS 5000
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+/* A peer that plays one text per request, whatever was asked. */
+typedef struct
+{
+  GgLoop *loop;
+  char *address;
+  int listener;
+  struct event *accept_event;
+  GgLoopSocket *sockets[8];
+  int fds[8];
+  guint n_connections;
+  guint n_requests;
+  const char *const *script; /* NULL: close without an answer; "RESET": reset; a text that begins
+                              * with '|' or '!' is followed by an orderly end or a reset */
+  GString *received;
+} Peer;
+
+typedef struct
+{
+  Peer *peer;
+  guint index;
+} PeerConnection;
+
+static void
+play (PeerConnection *c)
+{
+  Peer *p = c->peer;
+  const char *text = p->script[p->n_requests++];
+  if (text == NULL || strcmp (text, "RESET") == 0)
+    {
+      gg_loop_socket_destroy (p->sockets[c->index], text != NULL);
+      p->sockets[c->index] = NULL;
+      return;
+    }
+  gboolean is_cut = text[0] == '|' || text[0] == '!';
+  const char *answer = is_cut ? text + 1 : text;
+  if (!is_cut)
+    {
+      gg_loop_socket_write (p->sockets[c->index], answer, strlen (answer));
+      return;
+    }
+  /* Written at once, since the end must not overtake it. */
+  ssize_t n = write (p->fds[c->index], answer, strlen (answer));
+  CU_ASSERT_EQUAL (n, (ssize_t) strlen (answer));
+  if (text[0] == '!')
+    usleep (20000); /* a reset drops what the other side has not read yet */
+  gg_loop_socket_destroy (p->sockets[c->index], text[0] == '!');
+  p->sockets[c->index] = NULL;
+}
+
+static void
+on_socket (void *data, const GgSocketEvent *event)
+{
+  PeerConnection *c = data;
+  if (event->kind == GG_SOCKET_DATA)
+    {
+      g_string_append_len (c->peer->received, event->bytes, (gssize) event->size_bytes);
+      play (c);
+    }
+  else if (event->kind == GG_SOCKET_EOF || event->kind == GG_SOCKET_RESET)
+    {
+      gg_loop_socket_destroy (c->peer->sockets[c->index], FALSE);
+      c->peer->sockets[c->index] = NULL;
+    }
+}
+
+static PeerConnection connections[8];
+
+static void
+on_accept (evutil_socket_t listener, short what, void *data)
+{
+  Peer *p = data;
+  int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0)
+    return;
+  PeerConnection *c = &connections[p->n_connections];
+  *c = (PeerConnection){ .peer = p, .index = p->n_connections };
+  p->fds[p->n_connections] = fd;
+  p->sockets[p->n_connections++] = gg_loop_socket_adopt (p->loop, fd, on_socket, c);
+}
+
+static void
+peer_init (Peer *p, GgLoop *loop, const char *const *script)
+{
+  *p = (Peer){ .loop = loop, .script = script, .received = g_string_new (NULL) };
+  p->address = gg_process_reserve_address ();
+  p->listener = gg_loop_socket_listen (p->address, NULL);
+  CU_ASSERT_TRUE_FATAL (p->listener >= 0);
+  p->accept_event
+      = event_new (gg_loop_get_base (loop), p->listener, EV_READ | EV_PERSIST, on_accept, p);
+  event_add (p->accept_event, NULL);
+}
+
+static void
+peer_clear (Peer *p)
+{
+  for (guint i = 0; i < p->n_connections; i++)
+    gg_loop_socket_destroy (p->sockets[i], FALSE);
+  event_free (p->accept_event);
+  close (p->listener);
+  g_string_free (p->received, TRUE);
+  g_free (p->address);
+}
+
+/* Sends POST calls one after another and notes how each ended. */
+typedef struct
+{
+  GgLoopClient *client;
+  const Peer *peer;
+  guint n_wanted;
+  guint n_ended;
+  GgCallEnd ends[4];
+  GString *bodies;
+  gboolean done;
+  const char *skip; /* an answer with this value in X-Id belongs to another call */
+} Caller;
+
+static void send_next (Caller *c);
+
+static gboolean
+on_call (void *data, const GgCallEvent *event)
+{
+  Caller *c = data;
+  gboolean is_mine = TRUE;
+  switch (event->kind)
+    {
+    case GG_CALL_HEAD:
+      is_mine
+          = c->skip == NULL || g_strcmp0 (gg_message_head_get (event->head, "X-Id"), c->skip) != 0;
+      gg_message_head_destroy (event->head);
+      return is_mine;
+    case GG_CALL_BODY:
+      g_string_append_len (c->bodies, event->body.bytes, (gssize) event->body.size_bytes);
+      return TRUE;
+    case GG_CALL_END:
+      c->ends[c->n_ended++] = event->end;
+      if (c->n_ended == c->n_wanted)
+        c->done = TRUE;
+      else
+        send_next (c);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+send_next (Caller *c)
+{
+  GgMessageHead *head = gg_message_head_create_request ("POST", "/x");
+  gg_message_head_add (head, "Host", "h");
+  gg_message_head_add (head, "Content-Length", "2");
+  GgCallRequest request = { .address = c->peer->address,
+                            .head = head,
+                            .body = "ab",
+                            .body_bytes = 2,
+                            .connect_timeout_ms = 1000,
+                            .max_idle_ms = 1000 };
+  gg_loop_client_call (c->client, &request, on_call, c);
+  gg_message_head_destroy (head);
+}
+
+typedef struct
+{
+  guint n_requests;
+  guint n_connections;
+  GgCallEnd ends[4];
+  char bodies[64];
+} Result;
+
+static Result
+run (const char *const *script, guint n_calls, const char *skip)
+{
+  GgLoop *loop = gg_loop_create ();
+  Peer peer;
+  peer_init (&peer, loop, script);
+  Caller caller = { .peer = &peer, .n_wanted = n_calls, .skip = skip };
+  caller.client = gg_loop_client_create (loop);
+  caller.bodies = g_string_new (NULL);
+  send_next (&caller);
+  CU_ASSERT_TRUE (loop_fixture_run (loop, &caller.done, LIMIT_MS));
+  Result result = { .n_requests = peer.n_requests, .n_connections = peer.n_connections };
+  memcpy (result.ends, caller.ends, sizeof result.ends);
+  g_strlcpy (result.bodies, caller.bodies->str, sizeof result.bodies);
+  g_string_free (caller.bodies, TRUE);
+  gg_loop_client_destroy (caller.client);
+  peer_clear (&peer);
+  gg_loop_destroy (loop);
+  return result;
+}
+
+static void
+test_post_on_dropped_kept_connection_is_sent_once (void)
+{
+  const char *const drops[] = { NULL, "RESET" };
+  for (guint i = 0; i < G_N_ELEMENTS (drops); i++)
+    {
+      const char *const script[] = { OK_HEAD "Content-Length: 1\r\n\r\na", drops[i] };
+      Result r = run (script, 2, NULL);
+      CU_ASSERT_EQUAL (r.n_connections, 1);
+      CU_ASSERT_EQUAL (r.n_requests, 2);
+      CU_ASSERT_EQUAL (r.ends[0], GG_CALL_COMPLETE);
+      CU_ASSERT_EQUAL (r.ends[1], GG_CALL_BROKEN);
+    }
+}
+
+static void
+test_connection_is_kept (void)
+{
+  const char *const script[]
+      = { OK_HEAD "Content-Length: 1\r\n\r\na", OK_HEAD "Content-Length: 1\r\n\r\nb" };
+  Result r = run (script, 2, NULL);
+  CU_ASSERT_EQUAL (r.n_connections, 1);
+  CU_ASSERT_STRING_EQUAL (r.bodies, "ab");
+}
+
+static void
+test_bytes_after_an_answer_spend_the_connection (void)
+{
+  const char *const script[]
+      = { OK_HEAD "Content-Length: 1\r\n\r\na" OK_HEAD "Content-Length: 1\r\n\r\nZ",
+          OK_HEAD "Content-Length: 1\r\n\r\nb" };
+  Result r = run (script, 2, NULL);
+  CU_ASSERT_EQUAL (r.n_connections, 2);
+  CU_ASSERT_STRING_EQUAL (r.bodies, "ab");
+}
+
+static void
+test_foreign_answer_is_skipped (void)
+{
+  const char *const script[] = { OK_HEAD "X-Id: old\r\nContent-Length: 3\r\n\r\nold" OK_HEAD
+                                         "X-Id: new\r\nContent-Length: 3\r\n\r\nnew" };
+  Result r = run (script, 1, "old");
+  CU_ASSERT_EQUAL (r.ends[0], GG_CALL_COMPLETE);
+  CU_ASSERT_STRING_EQUAL (r.bodies, "new");
+}
+
+/* An answer without a length ends with its connection, but only if that ends in order. */
+static void
+test_cut_answers_are_not_whole (void)
+{
+  static const struct
+  {
+    const char *text;
+    GgCallEnd end;
+  } rows[] = {
+    { "|" OK_HEAD "Content-Length: 9\r\n\r\nabc", GG_CALL_BROKEN },
+    { "|" OK_HEAD "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", GG_CALL_BROKEN },
+    { "|" OK_HEAD "\r\nabc", GG_CALL_COMPLETE },
+    { "!" OK_HEAD "\r\nabc", GG_CALL_BROKEN },
+    { "|" OK_HEAD "Content-Le", GG_CALL_BROKEN },
+    { "nonsense\r\n\r\n", GG_CALL_MALFORMED },
+    { OK_HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", GG_CALL_MALFORMED },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const char *const script[] = { rows[i].text };
+      Result r = run (script, 1, NULL);
+      CU_ASSERT_EQUAL (r.ends[0], rows[i].end);
+    }
+}
+
+static void
+test_nobody_listens (void)
+{
+  GgLoop *loop = gg_loop_create ();
+  Peer peer = { .address = gg_process_reserve_address () };
+  Caller caller = { .peer = &peer, .n_wanted = 1 };
+  caller.client = gg_loop_client_create (loop);
+  caller.bodies = g_string_new (NULL);
+  send_next (&caller);
+  CU_ASSERT_TRUE (loop_fixture_run (loop, &caller.done, LIMIT_MS));
+  CU_ASSERT_EQUAL (caller.ends[0], GG_CALL_UNREACHABLE);
+  g_string_free (caller.bodies, TRUE);
+  gg_loop_client_destroy (caller.client);
+  gg_loop_destroy (loop);
+  g_free (peer.address);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "post on dropped kept connection is sent once",
+      test_post_on_dropped_kept_connection_is_sent_once },
+    { "connection is kept", test_connection_is_kept },
+    { "bytes after an answer spend the connection",
+      test_bytes_after_an_answer_spend_the_connection },
+    { "foreign answer is skipped", test_foreign_answer_is_skipped },
+    { "cut answers are not whole", test_cut_answers_are_not_whole },
+    { "nobody listens", test_nobody_listens },
+  };
+  return gg_test_run ("loop client", cases, G_N_ELEMENTS (cases));
+}
--- /dev/null
+++ b/tests/loop/test_server.c
@@ -0,0 +1,215 @@
+/* Guards the callers' side: what is no request gets a clear refusal and never reaches a runner, one
+ * request is never read as a part of another, limits hold, a caller that leaves is noticed. */
+#include "loop/server.h"
+#include "loop/socket.h"
+#include "loop_fixture.h"
+#include "process.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define LIMIT_MS 5000
+
+typedef struct
+{
+  GgLoop *loop;
+  GString *seen; /* requests and refusals in order */
+  GString *answer;
+  GgLoopSocket *socket;
+  gboolean done;
+  gboolean holds_answers;
+  guint n_expected; /* answers to wait for */
+} Fixture;
+
+static void
+on_server (void *data, GgServerConnection *connection, const GgServerEvent *event)
+{
+  Fixture *f = data;
+  GgMessageHead *head = NULL;
+  switch (event->kind)
+    {
+    case GG_SERVER_REQUEST:
+      g_string_append_printf (
+          f->seen, "%s %s %.*s;", gg_message_head_get_method (event->request.head),
+          gg_message_head_get_target (event->request.head),
+          event->request.body != NULL ? (int) event->request.body->len : 0,
+          event->request.body != NULL ? (char *) event->request.body->data : "");
+      gg_message_head_destroy (event->request.head);
+      if (event->request.body != NULL)
+        g_byte_array_unref (event->request.body);
+      if (f->holds_answers)
+        return;
+      head = gg_message_head_create_response (200);
+      gg_server_connection_reply (connection, head, "ok", 2);
+      break;
+    case GG_SERVER_REJECTED:
+      g_string_append_printf (f->seen, "rejected %u;", event->status);
+      head = gg_message_head_create_response (event->status);
+      gg_server_connection_reply (connection, head, "no", 2);
+      break;
+    case GG_SERVER_GONE:
+      g_string_append (f->seen, "gone;");
+      f->done = TRUE;
+      break;
+    case GG_SERVER_DRAINED:
+      break;
+    }
+  gg_message_head_destroy (head);
+}
+
+static guint
+count_answers (const char *text)
+{
+  guint n = 0;
+  for (const char *p = text; (p = strstr (p, "HTTP/1.1 ")) != NULL; p++)
+    n++;
+  return n;
+}
+
+static void
+on_client (void *data, const GgSocketEvent *event)
+{
+  Fixture *f = data;
+  if (event->kind == GG_SOCKET_DATA)
+    g_string_append_len (f->answer, event->bytes, (gssize) event->size_bytes);
+  if (event->kind == GG_SOCKET_EOF || event->kind == GG_SOCKET_RESET
+      || (f->n_expected > 0 && count_answers (f->answer->str) >= f->n_expected
+          && g_str_has_suffix (f->answer->str, "ok")))
+    f->done = TRUE;
+}
+
+/* Sends @p text and returns what the owner of the server saw. */
+static char *
+run (const char *text, guint n_expected, char **answer_out)
+{
+  Fixture f = { .loop = gg_loop_create (), .n_expected = n_expected };
+  f.seen = g_string_new (NULL);
+  f.answer = g_string_new (NULL);
+  GgServerLimits limits = {
+    .max_head_bytes = 1000, .max_body_bytes = 100, .head_timeout_ms = 200, .idle_timeout_ms = 3000
+  };
+  char *address = gg_process_reserve_address ();
+  GgLoopServer *server = gg_loop_server_create (f.loop, address, &limits, on_server, &f, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  f.socket = gg_loop_socket_connect (f.loop, address, on_client, &f);
+  gg_loop_socket_write (f.socket, text, strlen (text));
+  CU_ASSERT_TRUE (loop_fixture_run (f.loop, &f.done, LIMIT_MS));
+  gg_loop_socket_destroy (f.socket, FALSE);
+  gg_loop_server_destroy (server);
+  gg_loop_destroy (f.loop);
+  g_free (address);
+  if (answer_out != NULL)
+    *answer_out = g_string_free (f.answer, FALSE);
+  else
+    g_string_free (f.answer, TRUE);
+  return g_string_free (f.seen, FALSE);
+}
+
+static void
+check (const char *text, guint n_expected, const char *expected)
+{
+  char *seen = run (text, n_expected, NULL);
+  CU_ASSERT_STRING_EQUAL (seen, expected);
+  g_free (seen);
+}
+
+static void
+test_requests (void)
+{
+  check ("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 1, "GET /a ;");
+  check ("POST /a%2Fb?c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz", 1,
+         "POST /a%2Fb?c xyz;");
+  check ("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n",
+         1, "POST /a xyz;");
+  check ("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", 2,
+         "GET /a ;GET /b ;");
+}
+
+static void
+test_refusals (void)
+{
+  check ("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+         0, "rejected 400;");
+  check ("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 0,
+         "rejected 400;");
+  check ("nonsense\r\n\r\n", 0, "rejected 400;");
+  check ("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", 0, "rejected 413;");
+  check ("GET /a HTTP/1.1\r\nHost: h\r\n", 0, "rejected 408;");
+  GString *large = g_string_new ("GET /a HTTP/1.1\r\nHost: h\r\nX: ");
+  for (guint i = 0; i < 200; i++)
+    g_string_append (large, "0123456789");
+  check (large->str, 0, "rejected 431;");
+  g_string_free (large, TRUE);
+}
+
+static void
+test_large_chunked_body_is_refused (void)
+{
+  GString *text
+      = g_string_new ("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (guint i = 0; i < 20; i++)
+    g_string_append (text, "a\r\n0123456789\r\n");
+  check (text->str, 0, "rejected 413;");
+  g_string_free (text, TRUE);
+}
+
+static void
+test_refusal_reaches_the_caller (void)
+{
+  char *answer = NULL;
+  char *seen
+      = run ("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\nabcdef", 0, &answer);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "HTTP/1.1 413"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Connection: close"));
+  g_free (seen);
+  g_free (answer);
+}
+
+static void
+on_leave (void *data)
+{
+  Fixture *f = data;
+  gg_loop_socket_destroy (f->socket, FALSE);
+  f->socket = NULL;
+}
+
+static void
+test_caller_that_leaves_is_noticed (void)
+{
+  Fixture f = { .loop = gg_loop_create (), .holds_answers = TRUE };
+  f.seen = g_string_new (NULL);
+  f.answer = g_string_new (NULL);
+  GgServerLimits limits = {
+    .max_head_bytes = 1000, .max_body_bytes = 100, .head_timeout_ms = 2000, .idle_timeout_ms = 3000
+  };
+  char *address = gg_process_reserve_address ();
+  static const char text[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  GgLoopServer *server = gg_loop_server_create (f.loop, address, &limits, on_server, &f, NULL);
+  GgLoopTimer *timer = gg_loop_timer_create (f.loop, on_leave, &f);
+  f.socket = gg_loop_socket_connect (f.loop, address, on_client, &f);
+  gg_loop_socket_write (f.socket, text, sizeof text - 1);
+  gg_loop_timer_start (timer, 50);
+  CU_ASSERT_TRUE (loop_fixture_run (f.loop, &f.done, LIMIT_MS));
+  CU_ASSERT_STRING_EQUAL (f.seen->str, "GET /a ;gone;");
+  gg_loop_timer_destroy (timer);
+  gg_loop_server_destroy (server);
+  gg_loop_destroy (f.loop);
+  g_string_free (f.seen, TRUE);
+  g_string_free (f.answer, TRUE);
+  g_free (address);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "requests", test_requests },
+    { "refusals", test_refusals },
+    { "large chunked body is refused", test_large_chunked_body_is_refused },
+    { "refusal reaches the caller", test_refusal_reaches_the_caller },
+    { "caller that leaves is noticed", test_caller_that_leaves_is_noticed },
+  };
+  return gg_test_run ("loop server", cases, G_N_ELEMENTS (cases));
+}
