--- /dev/null
+++ b/src/core/event_buffer.c
@@ -0,0 +1,115 @@
+#include "core/event_buffer.h"
+
+#include <string.h>
+
+#define MAX_EVENT_BYTES (256 * 1024)
+
+struct _GgEventBuffer
+{
+  GByteArray *bytes;
+  size_t start;   /* of the event that is being read */
+  size_t scanned; /* from here on no end of an event was looked for */
+};
+
+GgEventBuffer *
+gg_event_buffer_create (void)
+{
+  GgEventBuffer *self = g_new0 (GgEventBuffer, 1);
+  self->bytes = g_byte_array_new ();
+  return self;
+}
+
+void
+gg_event_buffer_destroy (GgEventBuffer *self)
+{
+  if (self == NULL)
+    return;
+  g_byte_array_unref (self->bytes);
+  g_free (self);
+}
+
+gboolean
+gg_event_buffer_feed (GgEventBuffer *self, const char *bytes, size_t size_bytes)
+{
+  if (self->start > 0)
+    {
+      g_byte_array_remove_range (self->bytes, 0, (guint) self->start);
+      self->scanned -= self->start;
+      self->start = 0;
+    }
+  g_byte_array_append (self->bytes, (const guint8 *) bytes, (guint) size_bytes);
+  return self->bytes->len <= MAX_EVENT_BYTES;
+}
+
+/* Returns the size of the line end at @p i, or 0. */
+static size_t
+get_line_end (const GByteArray *bytes, size_t i)
+{
+  if (i < bytes->len && bytes->data[i] == '\n')
+    return 1;
+  if (i + 1 < bytes->len && bytes->data[i] == '\r' && bytes->data[i + 1] == '\n')
+    return 2;
+  return 0;
+}
+
+/* Returns the offset after the empty line that ends the event, or 0. */
+static size_t
+find_end (GgEventBuffer *self)
+{
+  for (size_t i = MAX (self->scanned, self->start); i < self->bytes->len; i++)
+    {
+      if (self->bytes->data[i] != '\n')
+        continue;
+      size_t empty = get_line_end (self->bytes, i + 1);
+      if (empty > 0)
+        return i + 1 + empty;
+    }
+  /* The last bytes may be the beginning of the end. */
+  self->scanned = self->bytes->len > self->start + 2 ? self->bytes->len - 2 : self->start;
+  return 0;
+}
+
+static void
+read_id (GgStreamEvent *event)
+{
+  static const char field[] = "id:";
+  const char *p = event->bytes;
+  const char *end = event->bytes + event->size_bytes;
+  while (p < end)
+    {
+      const char *line_end = memchr (p, '\n', (size_t) (end - p));
+      size_t n = line_end != NULL ? (size_t) (line_end - p) : (size_t) (end - p);
+      if (n >= sizeof field - 1 && memcmp (p, field, sizeof field - 1) == 0)
+        {
+          char text[32];
+          size_t size = MIN (n - (sizeof field - 1), sizeof text - 1);
+          memcpy (text, p + sizeof field - 1, size);
+          text[size] = '\0';
+          guint64 id;
+          event->has_id
+              = g_ascii_string_to_unsigned (g_strstrip (text), 10, 0, G_MAXUINT64, &id, NULL);
+          event->id = event->has_id ? id : 0;
+        }
+      p += n + 1;
+    }
+}
+
+gboolean
+gg_event_buffer_next (GgEventBuffer *self, GgStreamEvent *event_out)
+{
+  size_t end = find_end (self);
+  if (end == 0)
+    return FALSE;
+  *event_out = (GgStreamEvent){ .bytes = (const char *) self->bytes->data + self->start,
+                                .size_bytes = end - self->start };
+  read_id (event_out);
+  self->start = end;
+  self->scanned = end;
+  return TRUE;
+}
+
+size_t
+gg_event_buffer_get_partial (const GgEventBuffer *self)
+{
+  return self->bytes->len - self->start;
+}
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,217 @@
+#include "core/fleet.h"
+
+#include <string.h>
+
+/* First suspension after a failure, and the longest one. */
+#define SUSPEND_MS 250
+#define SUSPEND_MAX_MS 4000
+
+struct _GgFleet
+{
+  GPtrArray *runners; /* GgFleetRunner in order of id */
+  uint64_t revision;
+};
+
+void
+gg_runner_record_clear (GgRunnerRecord *self)
+{
+  g_free (self->id);
+  g_free (self->address);
+  g_free (self->service);
+  g_free (self->data_centre);
+  g_free (self->accelerator);
+  *self = (GgRunnerRecord){ 0 };
+}
+
+GgFleetRunner *
+gg_fleet_runner_ref (GgFleetRunner *self)
+{
+  self->refs++;
+  return self;
+}
+
+void
+gg_fleet_runner_unref (GgFleetRunner *self)
+{
+  if (self == NULL || --self->refs > 0)
+    return;
+  gg_runner_record_clear (&self->record);
+  g_free (self);
+}
+
+gboolean
+gg_fleet_runner_is_usable (const GgFleetRunner *self, uint64_t now_ms)
+{
+  return self->is_listed && !self->record.is_leaving && now_ms >= self->suspended_until_ms
+         && now_ms >= self->full_until_ms;
+}
+
+void
+gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms)
+{
+  uint32_t shift = MIN (self->failures, 8U);
+  self->failures++;
+  self->suspended_until_ms = now_ms + MIN ((uint64_t) SUSPEND_MS << shift, SUSPEND_MAX_MS);
+}
+
+void
+gg_fleet_runner_succeed (GgFleetRunner *self)
+{
+  self->failures = 0;
+  self->suspended_until_ms = 0;
+}
+
+static void
+unref_runner (void *data)
+{
+  gg_fleet_runner_unref (data);
+}
+
+GgFleet *
+gg_fleet_create (void)
+{
+  GgFleet *self = g_new0 (GgFleet, 1);
+  self->runners = g_ptr_array_new_with_free_func (unref_runner);
+  return self;
+}
+
+void
+gg_fleet_destroy (GgFleet *self)
+{
+  g_ptr_array_unref (self->runners);
+  g_free (self);
+}
+
+/* Index of the first runner whose id is not below @p id. */
+static guint
+find_index (const GgFleet *self, const char *id)
+{
+  guint low = 0;
+  guint high = self->runners->len;
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      const GgFleetRunner *runner = g_ptr_array_index (self->runners, middle);
+      if (strcmp (runner->record.id, id) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+GgFleetRunner *
+gg_fleet_find (const GgFleet *self, const char *id)
+{
+  guint i = find_index (self, id);
+  if (i == self->runners->len)
+    return NULL;
+  GgFleetRunner *runner = g_ptr_array_index (self->runners, i);
+  return strcmp (runner->record.id, id) == 0 ? runner : NULL;
+}
+
+GgFleetRunner *
+gg_fleet_find_address (const GgFleet *self, const char *address)
+{
+  for (guint i = 0; i < self->runners->len; i++)
+    {
+      GgFleetRunner *runner = g_ptr_array_index (self->runners, i);
+      if (strcmp (runner->record.address, address) == 0)
+        return runner;
+    }
+  return NULL;
+}
+
+static gboolean
+is_same_record (const GgRunnerRecord *a, const GgRunnerRecord *b)
+{
+  return g_strcmp0 (a->address, b->address) == 0 && g_strcmp0 (a->service, b->service) == 0
+         && g_strcmp0 (a->data_centre, b->data_centre) == 0
+         && g_strcmp0 (a->accelerator, b->accelerator) == 0 && a->born_ms == b->born_ms
+         && a->slots == b->slots && a->is_leaving == b->is_leaving
+         && a->range.first_layer == b->range.first_layer
+         && a->range.end_layer == b->range.end_layer;
+}
+
+static GgFleetRunner *
+create_runner (const GgRunnerRecord *record)
+{
+  GgFleetRunner *runner = g_new0 (GgFleetRunner, 1);
+  runner->refs = 1;
+  runner->record = *record;
+  runner->is_listed = TRUE;
+  return runner;
+}
+
+gboolean
+gg_fleet_put (GgFleet *self, GgRunnerRecord *record)
+{
+  guint i = find_index (self, record->id);
+  GgFleetRunner *known = i < self->runners->len ? g_ptr_array_index (self->runners, i) : NULL;
+  if (known != NULL && strcmp (known->record.id, record->id) != 0)
+    known = NULL;
+  if (known != NULL && known->record.born_ms == record->born_ms)
+    {
+      gboolean is_same = is_same_record (&known->record, record);
+      gg_runner_record_clear (&known->record);
+      known->record = *record;
+      *record = (GgRunnerRecord){ 0 };
+      self->revision += is_same ? 0 : 1;
+      return !is_same;
+    }
+  /* A runner that began anew knows nothing of earlier work, so it gets a new object. */
+  if (known != NULL)
+    {
+      known->is_listed = FALSE;
+      g_ptr_array_remove_index (self->runners, i);
+    }
+  g_ptr_array_insert (self->runners, (gint) i, create_runner (record));
+  *record = (GgRunnerRecord){ 0 };
+  self->revision++;
+  return TRUE;
+}
+
+gboolean
+gg_fleet_remove (GgFleet *self, const char *id, uint64_t now_ms)
+{
+  GgFleetRunner *runner = gg_fleet_find (self, id);
+  if (runner == NULL)
+    return FALSE;
+  runner->is_listed = FALSE;
+  runner->unlisted_ms = now_ms;
+  g_ptr_array_remove (self->runners, runner);
+  self->revision++;
+  return TRUE;
+}
+
+void
+gg_fleet_retain (GgFleet *self, GHashTable *listed, uint64_t now_ms)
+{
+  for (guint i = self->runners->len; i-- > 0;)
+    {
+      const GgFleetRunner *runner = g_ptr_array_index (self->runners, i);
+      if (g_hash_table_contains (listed, runner->record.id))
+        continue;
+      char *id = g_strdup (runner->record.id);
+      gg_fleet_remove (self, id, now_ms);
+      g_free (id);
+    }
+}
+
+guint
+gg_fleet_get_size (const GgFleet *self)
+{
+  return self->runners->len;
+}
+
+GgFleetRunner *
+gg_fleet_get (const GgFleet *self, guint i)
+{
+  return g_ptr_array_index (self->runners, i);
+}
+
+uint64_t
+gg_fleet_get_revision (const GgFleet *self)
+{
+  return self->revision;
+}
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,89 @@
+/** @file
+ * Runners as this process knows them, with the work that it and its peers have given them. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Half-open range of layers. */
+typedef struct
+{
+  uint32_t first_layer;
+  uint32_t end_layer;
+} GgLayerRange;
+
+/** What a runner says of itself. Strings are owned by the record. */
+typedef struct
+{
+  char *id;
+  char *address; /**< "IP:PORT" */
+  char *service;
+  char *data_centre;
+  char *accelerator; /**< NULL for a plain service. */
+  uint64_t born_ms;  /**< Wall-clock start; a new one means that the runner began anew. */
+  uint32_t slots;
+  gboolean is_leaving;
+  GgLayerRange range; /**< Layers that it holds; empty for none. */
+} GgRunnerRecord;
+
+void gg_runner_record_clear (GgRunnerRecord *self);
+
+/** Work in progress at a runner. */
+typedef struct
+{
+  uint32_t n_requests;   /**< Requests that pass through it. */
+  uint32_t n_first;      /**< Of these, those that it takes as the first runner. */
+  uint64_t token_layers; /**< Request memory, in tokens x layers. */
+} GgRunnerWork;
+
+typedef struct _GgFleetRunner GgFleetRunner;
+
+/** One runner; reference counted, so that a request may outlast its entry. */
+struct _GgFleetRunner
+{
+  int refs;
+  GgRunnerRecord record;
+  GgRunnerWork own;            /**< Given by this process. */
+  GgRunnerWork peers;          /**< Given by other instances, as they said last. */
+  gboolean is_listed;          /**< FALSE once its entry is gone. */
+  uint32_t failures;           /**< In a row. */
+  uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
+  uint64_t full_until_ms;      /**< Refused work as full; same meaning. */
+  uint64_t unlisted_ms;        /**< When its entry went (monotonic). */
+};
+
+GgFleetRunner *gg_fleet_runner_ref (GgFleetRunner *self);
+void gg_fleet_runner_unref (GgFleetRunner *self);
+
+/** Whether new work may go to it. */
+gboolean gg_fleet_runner_is_usable (const GgFleetRunner *self, uint64_t now_ms);
+
+/** Counts a failure and suspends the runner for a time that doubles with each one in a row. */
+void gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms);
+void gg_fleet_runner_succeed (GgFleetRunner *self);
+
+typedef struct _GgFleet GgFleet;
+
+GgFleet *gg_fleet_create (void);
+void gg_fleet_destroy (GgFleet *self);
+
+/** Adds or updates a runner; takes the contents of @p record.
+ * @return TRUE if more than nothing changed. */
+gboolean gg_fleet_put (GgFleet *self, GgRunnerRecord *record);
+
+/** Takes a runner out of use; work in progress goes on.
+ * @return TRUE if it was known. */
+gboolean gg_fleet_remove (GgFleet *self, const char *id, uint64_t now_ms);
+
+/** Removes all runners whose id is not among the keys of @p listed. */
+void gg_fleet_retain (GgFleet *self, GHashTable *listed, uint64_t now_ms);
+
+GgFleetRunner *gg_fleet_find (const GgFleet *self, const char *id);
+GgFleetRunner *gg_fleet_find_address (const GgFleet *self, const char *address);
+guint gg_fleet_get_size (const GgFleet *self);
+
+/** Runners in order of id; valid until the next change. */
+GgFleetRunner *gg_fleet_get (const GgFleet *self, guint i);
+
+/** Grows with each change of a record. */
+uint64_t gg_fleet_get_revision (const GgFleet *self);
--- /dev/null
+++ b/src/core/layer_path.c
@@ -0,0 +1,309 @@
+#include "core/layer_path.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Part of a runner's request memory that is given out; the rest covers answers that are longer
+ * than expected and what peers have sent since they spoke last. */
+#define USABLE_MEMORY 0.9
+/* Above this use a runner's cost grows, so that work spreads before memory is short. */
+#define SPREAD_FROM 0.5
+#define SPREAD_FACTOR 6.0
+/* Passing a token on inside a data centre takes about this long. */
+#define HOP_MS 0.2
+/* Weight of an extra delay between the caller's data centre and the path's: the stream crosses
+ * once, which costs bandwidth rather than time. */
+#define REMOTE_PENALTY_MS 2.0
+
+typedef struct
+{
+  double cost_ms;
+  const GgFleetRunner *runner; /* of the hop that ends here */
+  uint32_t from;               /* layer at which that hop begins */
+  gboolean is_reached;
+} Node;
+
+typedef struct
+{
+  GgFleetRunner *runner;
+  const GgAccelerator *accelerator;
+  double spread; /* factor on its cost by use */
+} Candidate;
+
+double
+gg_layer_path_get_use (const GgEngineModel *model, const GgFleetRunner *runner)
+{
+  const GgAccelerator *accelerator
+      = gg_engine_model_find_accelerator (model, runner->record.accelerator);
+  if (accelerator == NULL)
+    return 1;
+  uint32_t n_layers = runner->record.range.end_layer - runner->record.range.first_layer;
+  double capacity = gg_engine_model_get_capacity (model, accelerator, n_layers) * USABLE_MEMORY;
+  double taken = (double) (runner->own.token_layers + runner->peers.token_layers);
+  return capacity > 0 ? taken / capacity : 1;
+}
+
+static gboolean
+has_room (const GgPathQuery *query, const Candidate *candidate, uint32_t n_layers)
+{
+  const GgRunnerRecord *record = &candidate->runner->record;
+  uint32_t held = record->range.end_layer - record->range.first_layer;
+  double capacity
+      = gg_engine_model_get_capacity (query->model, candidate->accelerator, held) * USABLE_MEMORY;
+  double taken
+      = (double) (candidate->runner->own.token_layers + candidate->runner->peers.token_layers);
+  return taken + (double) query->tokens * n_layers <= capacity;
+}
+
+static gboolean
+has_slot (const Candidate *candidate)
+{
+  const GgFleetRunner *runner = candidate->runner;
+  return runner->own.n_first + runner->peers.n_first < runner->record.slots;
+}
+
+/* Collects the usable runners that hold layers, in one data centre or (NULL) in all. */
+static guint
+collect (const GgPathQuery *query, const char *data_centre, Candidate *out, guint max)
+{
+  guint n = 0;
+  for (guint i = 0; i < gg_fleet_get_size (query->fleet) && n < max; i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
+      const GgRunnerRecord *record = &runner->record;
+      if (runner == query->excluded || strcmp (record->service, query->service) != 0
+          || record->range.end_layer <= record->range.first_layer
+          || record->range.end_layer > query->model->n_layers
+          || !gg_fleet_runner_is_usable (runner, query->now_ms))
+        continue;
+      if (data_centre != NULL && strcmp (record->data_centre, data_centre) != 0)
+        continue;
+      Candidate candidate = { .runner = runner };
+      candidate.accelerator = gg_engine_model_find_accelerator (query->model, record->accelerator);
+      if (candidate.accelerator == NULL)
+        continue;
+      double use = gg_layer_path_get_use (query->model, runner);
+      candidate.spread = 1 + SPREAD_FACTOR * MAX (0, use - SPREAD_FROM);
+      out[n++] = candidate;
+    }
+  return n;
+}
+
+static double
+get_hop_cost (const GgPathQuery *query,
+              const Candidate *candidate,
+              const Node *start,
+              uint32_t n_layers)
+{
+  const GgFleetRunner *runner = candidate->runner;
+  uint32_t n_requests = runner->own.n_requests + runner->peers.n_requests + 1;
+  double cost_ms
+      = gg_engine_model_get_step_ms (query->model, candidate->accelerator, n_layers, n_requests)
+        * candidate->spread;
+  if (start->runner != NULL)
+    cost_ms += HOP_MS
+               + gg_engine_model_get_delay_ms (query->model, start->runner->record.data_centre,
+                                               runner->record.data_centre);
+  return cost_ms;
+}
+
+/* Whether the hops that lead to layer @p at already use @p runner. */
+static gboolean
+is_used (const Node *nodes, uint32_t at, const GgFleetRunner *runner)
+{
+  while (at > 0)
+    {
+      if (nodes[at].runner == runner)
+        return TRUE;
+      at = nodes[at].from;
+    }
+  return FALSE;
+}
+
+static void
+extend (const GgPathQuery *query,
+        const Candidate *candidates,
+        guint n,
+        const gboolean *is_boundary,
+        Node *nodes,
+        uint32_t at)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      const Candidate *candidate = &candidates[i];
+      const GgLayerRange *range = &candidate->runner->record.range;
+      if (at < range->first_layer || at >= range->end_layer || (at == 0 && !has_slot (candidate))
+          || is_used (nodes, at, candidate->runner))
+        continue;
+      for (uint32_t end = at + 1; end <= range->end_layer; end++)
+        {
+          if (!is_boundary[end] || !has_room (query, candidate, end - at))
+            continue;
+          double cost_ms
+              = nodes[at].cost_ms + get_hop_cost (query, candidate, &nodes[at], end - at);
+          if (nodes[end].is_reached && nodes[end].cost_ms <= cost_ms)
+            continue;
+          nodes[end] = (Node){
+            .cost_ms = cost_ms, .runner = candidate->runner, .from = at, .is_reached = TRUE
+          };
+        }
+    }
+}
+
+static gboolean
+build (const GgPathQuery *query, const Node *nodes, GgLayerPath *out)
+{
+  guint n = 0;
+  for (uint32_t at = query->model->n_layers; at > 0; at = nodes[at].from)
+    n++;
+  if (n > GG_PATH_MAX_HOPS)
+    return FALSE;
+  *out = (GgLayerPath){ .n_hops = n, .tokens = query->tokens };
+  out->token_ms = nodes[query->model->n_layers].cost_ms;
+  for (uint32_t at = query->model->n_layers; at > 0; at = nodes[at].from)
+    {
+      GgPathHop *hop = &out->hops[--n];
+      hop->runner = gg_fleet_runner_ref ((GgFleetRunner *) nodes[at].runner);
+      hop->range = (GgLayerRange){ nodes[at].from, at };
+    }
+  return TRUE;
+}
+
+static gboolean
+is_covered (const Candidate *candidates, guint n, uint32_t n_layers)
+{
+  uint32_t end = 0;
+  for (guint i = 0; i < n && end < n_layers;)
+    {
+      const GgLayerRange *range = &candidates[i].runner->record.range;
+      if (range->first_layer <= end && range->end_layer > end)
+        {
+          end = range->end_layer;
+          i = 0;
+        }
+      else
+        i++;
+    }
+  return end >= n_layers;
+}
+
+/* Shortest path over layer boundaries: an edge is a runner's way from one boundary to another. */
+static GgPathResult
+choose_within (const GgPathQuery *query, const char *data_centre, GgLayerPath *out)
+{
+  guint size = gg_fleet_get_size (query->fleet);
+  uint32_t n_layers = query->model->n_layers;
+  Candidate *candidates = g_new (Candidate, size + 1);
+  Node *nodes = g_new0 (Node, n_layers + 1);
+  gboolean *is_boundary = g_new0 (gboolean, n_layers + 1);
+  guint n = collect (query, data_centre, candidates, size);
+  GgPathResult result = GG_PATH_NONE;
+  if (!is_covered (candidates, n, n_layers))
+    goto out;
+
+  is_boundary[n_layers] = TRUE;
+  for (guint i = 0; i < n; i++)
+    {
+      is_boundary[candidates[i].runner->record.range.first_layer] = TRUE;
+      is_boundary[candidates[i].runner->record.range.end_layer] = TRUE;
+    }
+  nodes[0].is_reached = TRUE;
+  for (uint32_t at = 0; at < n_layers; at++)
+    if (is_boundary[at] && nodes[at].is_reached)
+      extend (query, candidates, n, is_boundary, nodes, at);
+  result = nodes[n_layers].is_reached && build (query, nodes, out) ? GG_PATH_FOUND : GG_PATH_FULL;
+
+out:
+  g_free (candidates);
+  g_free (nodes);
+  g_free (is_boundary);
+  return result;
+}
+
+/* Appends the data centres of the service's runners, each once. */
+static GPtrArray *
+list_data_centres (const GgPathQuery *query)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  for (guint i = 0; i < gg_fleet_get_size (query->fleet); i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
+      if (strcmp (runner->record.service, query->service) == 0
+          && !g_ptr_array_find_with_equal_func (names, runner->record.data_centre, g_str_equal,
+                                                NULL))
+        g_ptr_array_add (names, runner->record.data_centre);
+    }
+  return names;
+}
+
+GgPathResult
+gg_layer_path_choose (const GgPathQuery *query, GgLayerPath *path_out)
+{
+  GgPathResult result = GG_PATH_NONE;
+  double best_ms = INFINITY;
+  GPtrArray *names = list_data_centres (query);
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      GgLayerPath path;
+      GgPathResult found = choose_within (query, name, &path);
+      if (found == GG_PATH_FULL && result == GG_PATH_NONE)
+        result = GG_PATH_FULL;
+      if (found != GG_PATH_FOUND)
+        continue;
+      double cost_ms
+          = path.token_ms + (strcmp (name, query->data_centre) == 0 ? 0 : REMOTE_PENALTY_MS);
+      if (cost_ms >= best_ms)
+        {
+          gg_layer_path_clear (&path);
+          continue;
+        }
+      if (result == GG_PATH_FOUND)
+        gg_layer_path_clear (path_out);
+      *path_out = path;
+      best_ms = cost_ms;
+      result = GG_PATH_FOUND;
+    }
+  if (result == GG_PATH_NONE && names->len > 1)
+    result = choose_within (query, NULL, path_out);
+  g_ptr_array_unref (names);
+  return result;
+}
+
+void
+gg_layer_path_clear (GgLayerPath *self)
+{
+  for (guint i = 0; i < self->n_hops; i++)
+    gg_fleet_runner_unref (self->hops[i].runner);
+  self->n_hops = 0;
+}
+
+static uint64_t
+get_token_layers (const GgLayerPath *self, const GgPathHop *hop)
+{
+  return (uint64_t) self->tokens * (hop->range.end_layer - hop->range.first_layer);
+}
+
+void
+gg_layer_path_reserve (const GgLayerPath *self)
+{
+  for (guint i = 0; i < self->n_hops; i++)
+    {
+      GgRunnerWork *work = &self->hops[i].runner->own;
+      work->n_requests++;
+      work->n_first += i == 0 ? 1 : 0;
+      work->token_layers += get_token_layers (self, &self->hops[i]);
+    }
+}
+
+void
+gg_layer_path_release (const GgLayerPath *self)
+{
+  for (guint i = 0; i < self->n_hops; i++)
+    {
+      GgRunnerWork *work = &self->hops[i].runner->own;
+      work->n_requests--;
+      work->n_first -= i == 0 ? 1 : 0;
+      work->token_layers -= get_token_layers (self, &self->hops[i]);
+    }
+}
--- /dev/null
+++ b/src/core/peer_work.c
@@ -0,0 +1,103 @@
+#include "core/peer_work.h"
+
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t number;
+  uint64_t heard_ms;
+  GHashTable *work; /* hash of a runner -> GgRunnerWork */
+} Peer;
+
+struct _GgPeerWork
+{
+  uint64_t hold_ms;
+  GHashTable *peers; /* name -> Peer */
+  Peer *current;     /* whose word is being read */
+};
+
+static void
+free_peer (void *data)
+{
+  Peer *peer = data;
+  g_hash_table_unref (peer->work);
+  g_free (peer);
+}
+
+GgPeerWork *
+gg_peer_work_create (uint64_t hold_ms)
+{
+  GgPeerWork *self = g_new0 (GgPeerWork, 1);
+  self->hold_ms = hold_ms;
+  self->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
+  return self;
+}
+
+void
+gg_peer_work_destroy (GgPeerWork *self)
+{
+  g_hash_table_unref (self->peers);
+  g_free (self);
+}
+
+gboolean
+gg_peer_work_begin (
+    GgPeerWork *self, const char *peer, uint64_t incarnation, uint64_t number, uint64_t now_ms)
+{
+  Peer *known = g_hash_table_lookup (self->peers, peer);
+  if (known == NULL)
+    {
+      known = g_new0 (Peer, 1);
+      known->work = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+      g_hash_table_insert (self->peers, g_strdup (peer), known);
+    }
+  else if (known->incarnation == incarnation && known->number >= number)
+    return FALSE;
+  known->incarnation = incarnation;
+  known->number = number;
+  known->heard_ms = now_ms;
+  g_hash_table_remove_all (known->work);
+  self->current = known;
+  return TRUE;
+}
+
+void
+gg_peer_work_add (GgPeerWork *self, uint32_t runner_hash, const GgRunnerWork *work)
+{
+  GgRunnerWork *copy = g_new (GgRunnerWork, 1);
+  *copy = *work;
+  g_hash_table_insert (self->current->work, GUINT_TO_POINTER (runner_hash), copy);
+}
+
+void
+gg_peer_work_expire (GgPeerWork *self, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Peer *peer = value;
+      if (now_ms - peer->heard_ms > self->hold_ms)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+GgRunnerWork
+gg_peer_work_get (const GgPeerWork *self, uint32_t runner_hash)
+{
+  GgRunnerWork sum = { 0 };
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Peer *peer = value;
+      const GgRunnerWork *work = g_hash_table_lookup (peer->work, GUINT_TO_POINTER (runner_hash));
+      if (work == NULL)
+        continue;
+      sum.n_requests += work->n_requests;
+      sum.n_first += work->n_first;
+      sum.token_layers += work->token_layers;
+    }
+  return sum;
+}
--- /dev/null
+++ b/src/core/peer_work.h
@@ -0,0 +1,26 @@
+/** @file
+ * Sums the work that peers say they have given to runners. */
+#pragma once
+
+#include "core/fleet.h"
+
+typedef struct _GgPeerWork GgPeerWork;
+
+/** @param hold_ms how long the word of a peer counts. */
+GgPeerWork *gg_peer_work_create (uint64_t hold_ms);
+void gg_peer_work_destroy (GgPeerWork *self);
+
+/** Begins a peer's new word, which replaces its earlier one. A word that is older than the known
+ * one, of the same incarnation, is ignored.
+ * @return FALSE if it is to be ignored. */
+gboolean gg_peer_work_begin (
+    GgPeerWork *self, const char *peer, uint64_t incarnation, uint64_t number, uint64_t now_ms);
+
+/** Adds one runner to the word that was begun last. */
+void gg_peer_work_add (GgPeerWork *self, uint32_t runner_hash, const GgRunnerWork *work);
+
+/** Forgets peers that have been silent for too long. */
+void gg_peer_work_expire (GgPeerWork *self, uint64_t now_ms);
+
+/** Returns the sum over all peers for one runner. */
+GgRunnerWork gg_peer_work_get (const GgPeerWork *self, uint32_t runner_hash);
--- /dev/null
+++ b/src/core/routing_config.c
@@ -0,0 +1,263 @@
+#include "core/routing_config.h"
+
+#include <string.h>
+
+struct _GgRoutingConfig
+{
+  int refs;
+  uint64_t version;
+  GgCallerLimits limits;
+  GHashTable *hosts;    /* host -> GPtrArray of GgCallerRoute, longest prefix first */
+  GPtrArray *services;  /* GgRoutedService */
+  GPtrArray *teams;     /* GgKeyedTeam */
+  GHashTable *key_team; /* key -> GgKeyedTeam */
+  guint n_routes;
+};
+
+GgCallerRoute *
+gg_caller_route_create (void)
+{
+  return g_new0 (GgCallerRoute, 1);
+}
+
+void
+gg_caller_route_add_share (GgCallerRoute *self, const char *service, uint32_t weight)
+{
+  self->shares = g_renew (GgServiceShare, self->shares, self->n_shares + 1);
+  self->shares[self->n_shares++]
+      = (GgServiceShare){ .service = g_strdup (service), .weight = weight };
+}
+
+void
+gg_caller_route_destroy (GgCallerRoute *self)
+{
+  for (guint i = 0; i < self->n_shares; i++)
+    g_free (self->shares[i].service);
+  g_free (self->shares);
+  g_free (self->name);
+  g_free (self->host);
+  g_free (self->path_prefix);
+  g_free (self);
+}
+
+static void
+free_route (void *data)
+{
+  gg_caller_route_destroy (data);
+}
+
+GgRoutedService *
+gg_routed_service_create (const char *name)
+{
+  GgRoutedService *self = g_new0 (GgRoutedService, 1);
+  self->name = g_strdup (name);
+  return self;
+}
+
+void
+gg_routed_service_destroy (GgRoutedService *self)
+{
+  gg_engine_model_destroy (self->model);
+  g_free (self->name);
+  g_free (self->health_path);
+  g_free (self);
+}
+
+static void
+free_service (void *data)
+{
+  gg_routed_service_destroy (data);
+}
+
+static void
+free_team (void *data)
+{
+  GgKeyedTeam *team = data;
+  g_free (team->name);
+  g_free (team);
+}
+
+static void
+free_routes (void *data)
+{
+  g_ptr_array_unref (data);
+}
+
+GgRoutingConfig *
+gg_routing_config_create (uint64_t version, const GgCallerLimits *limits)
+{
+  GgRoutingConfig *self = g_new0 (GgRoutingConfig, 1);
+  self->refs = 1;
+  self->version = version;
+  self->limits = *limits;
+  self->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_routes);
+  self->services = g_ptr_array_new_with_free_func (free_service);
+  self->teams = g_ptr_array_new_with_free_func (free_team);
+  self->key_team = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return self;
+}
+
+GgRoutingConfig *
+gg_routing_config_ref (GgRoutingConfig *self)
+{
+  self->refs++;
+  return self;
+}
+
+void
+gg_routing_config_unref (GgRoutingConfig *self)
+{
+  if (self == NULL || --self->refs > 0)
+    return;
+  g_hash_table_unref (self->hosts);
+  g_ptr_array_unref (self->services);
+  g_hash_table_unref (self->key_team);
+  g_ptr_array_unref (self->teams);
+  g_free (self);
+}
+
+void
+gg_routing_config_add_route (GgRoutingConfig *self, GgCallerRoute *route)
+{
+  GPtrArray *routes = g_hash_table_lookup (self->hosts, route->host);
+  if (routes == NULL)
+    {
+      routes = g_ptr_array_new_with_free_func (free_route);
+      g_hash_table_insert (self->hosts, g_strdup (route->host), routes);
+    }
+  g_ptr_array_add (routes, route);
+  self->n_routes++;
+}
+
+void
+gg_routing_config_add_service (GgRoutingConfig *self, GgRoutedService *service)
+{
+  g_ptr_array_add (self->services, service);
+}
+
+void
+gg_routing_config_add_team (GgRoutingConfig *self, const char *name, uint32_t priority)
+{
+  GgKeyedTeam *team = g_new0 (GgKeyedTeam, 1);
+  team->name = g_strdup (name);
+  team->priority = priority;
+  g_ptr_array_add (self->teams, team);
+}
+
+void
+gg_routing_config_add_key (GgRoutingConfig *self, const char *key)
+{
+  GgKeyedTeam *team = g_ptr_array_index (self->teams, self->teams->len - 1);
+  g_hash_table_insert (self->key_team, g_strdup (key), team);
+}
+
+static gint
+compare_prefix_length (gconstpointer a, gconstpointer b)
+{
+  const GgCallerRoute *x = *(GgCallerRoute *const *) a;
+  const GgCallerRoute *y = *(GgCallerRoute *const *) b;
+  size_t nx = strlen (x->path_prefix);
+  size_t ny = strlen (y->path_prefix);
+  return nx < ny ? 1 : nx > ny ? -1 : 0;
+}
+
+void
+gg_routing_config_seal (GgRoutingConfig *self)
+{
+  GHashTableIter iter;
+  void *routes;
+  g_hash_table_iter_init (&iter, self->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &routes))
+    g_ptr_array_sort (routes, compare_prefix_length);
+}
+
+uint64_t
+gg_routing_config_get_version (const GgRoutingConfig *self)
+{
+  return self->version;
+}
+
+const GgCallerLimits *
+gg_routing_config_get_limits (const GgRoutingConfig *self)
+{
+  return &self->limits;
+}
+
+const GgCallerRoute *
+gg_routing_config_match (const GgRoutingConfig *self, const char *host, const char *target)
+{
+  char *name = g_ascii_strdown (host, (gssize) strcspn (host, ":"));
+  const GPtrArray *routes = g_hash_table_lookup (self->hosts, name);
+  g_free (name);
+  if (routes == NULL)
+    return NULL;
+  size_t path_length = strcspn (target, "?#");
+  for (guint i = 0; i < routes->len; i++)
+    {
+      const GgCallerRoute *route = g_ptr_array_index (routes, i);
+      size_t n = strlen (route->path_prefix);
+      if (n <= path_length && strncmp (target, route->path_prefix, n) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const GgRoutedService *
+gg_routing_config_pick (const GgRoutingConfig *self, const GgCallerRoute *route, uint32_t random)
+{
+  uint64_t total = 0;
+  for (guint i = 0; i < route->n_shares; i++)
+    total += route->shares[i].weight;
+  if (total == 0)
+    return NULL;
+  uint64_t point = random % total;
+  for (guint i = 0; i < route->n_shares; i++)
+    {
+      if (point < route->shares[i].weight)
+        return gg_routing_config_find_service (self, route->shares[i].service);
+      point -= route->shares[i].weight;
+    }
+  return NULL;
+}
+
+const GgKeyedTeam *
+gg_routing_config_find_team (const GgRoutingConfig *self, const char *key)
+{
+  return g_hash_table_lookup (self->key_team, key);
+}
+
+gboolean
+gg_routing_config_has_teams (const GgRoutingConfig *self)
+{
+  return self->teams->len > 0;
+}
+
+const GgRoutedService *
+gg_routing_config_find_service (const GgRoutingConfig *self, const char *name)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    {
+      const GgRoutedService *service = g_ptr_array_index (self->services, i);
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+guint
+gg_routing_config_count_services (const GgRoutingConfig *self)
+{
+  return self->services->len;
+}
+
+const GgRoutedService *
+gg_routing_config_get_service (const GgRoutingConfig *self, guint i)
+{
+  return g_ptr_array_index (self->services, i);
+}
+
+guint
+gg_routing_config_count_routes (const GgRoutingConfig *self)
+{
+  return self->n_routes;
+}
--- /dev/null
+++ b/tests/core/test_attempt.c
@@ -0,0 +1,114 @@
+/* Guards the decision after a send: a request that can't be repeated must never be sent again once
+ * it may have run, and "not run" must only be said where it is proven. */
+#include "core/attempt.h"
+#include "test_main.h"
+
+static const GgSendEnd ends[]
+    = { GG_SEND_COMPLETE, GG_SEND_FAILED, GG_SEND_UNSENT, GG_SEND_REFUSED, GG_SEND_LOST };
+
+static GgNext
+send_and_decide (GgAttempt *a, GgSendEnd end)
+{
+  gg_attempt_note (a, end);
+  return gg_attempt_decide (a, end);
+}
+
+static void
+test_runs_once (void)
+{
+  GgAttempt a = { .kind = GG_REQUEST_NON_IDEMPOTENT, .max_attempts = 3 };
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_REFUSED), GG_NEXT_REPEAT);
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_UNSENT), GG_NEXT_REPEAT);
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_LOST), GG_NEXT_FAIL);
+}
+
+static void
+test_failure_of_the_runner_is_passed_on (void)
+{
+  GgAttempt a = { .kind = GG_REQUEST_NON_IDEMPOTENT, .max_attempts = 2 };
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_FAILED), GG_NEXT_DELIVER);
+  GgAttempt b = { .kind = GG_REQUEST_IDEMPOTENT, .max_attempts = 2 };
+  CU_ASSERT_EQUAL (send_and_decide (&b, GG_SEND_FAILED), GG_NEXT_REPEAT);
+  CU_ASSERT_EQUAL (send_and_decide (&b, GG_SEND_FAILED), GG_NEXT_DELIVER);
+}
+
+static void
+test_stream_is_resumed_or_broken (void)
+{
+  GgAttempt a = { .kind = GG_REQUEST_STREAMING, .is_resumable = TRUE, .max_attempts = 2 };
+  a.has_begun = TRUE;
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_LOST), GG_NEXT_REPEAT);
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_LOST), GG_NEXT_BREAK);
+  GgAttempt b = { .kind = GG_REQUEST_STREAMING, .max_attempts = 2 };
+  CU_ASSERT_EQUAL (send_and_decide (&b, GG_SEND_LOST), GG_NEXT_FAIL);
+}
+
+static void
+test_nothing_is_sent_after_the_deadline (void)
+{
+  GgAttempt a = { .kind = GG_REQUEST_IDEMPOTENT, .max_attempts = 9, .is_overdue = TRUE };
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_REFUSED), GG_NEXT_REJECT);
+  CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_LOST), GG_NEXT_FAIL);
+}
+
+static gboolean
+may_have_run (GgSendEnd end)
+{
+  return end == GG_SEND_COMPLETE || end == GG_SEND_FAILED || end == GG_SEND_LOST;
+}
+
+/* Any order of ends: the promises hold on each history, and each history ends. */
+static void
+run_history (GRand *rand)
+{
+  GgAttempt a = { .kind = (GgRequestKind) g_rand_int_range (rand, 0, 3),
+                  .is_resumable = g_rand_boolean (rand),
+                  .max_attempts = (uint32_t) g_rand_int_range (rand, 1, 4) };
+  guint n_runs = 0;
+  for (guint i = 0; i < 20; i++)
+    {
+      GgSendEnd end = ends[g_rand_int_range (rand, 0, G_N_ELEMENTS (ends))];
+      n_runs += may_have_run (end) ? 1 : 0;
+      if (a.kind == GG_REQUEST_STREAMING && end == GG_SEND_LOST && g_rand_boolean (rand))
+        a.has_begun = TRUE;
+      GgNext next = send_and_decide (&a, end);
+      gboolean is_repeatable
+          = a.kind == GG_REQUEST_IDEMPOTENT || (a.kind == GG_REQUEST_STREAMING && a.is_resumable);
+      if (next == GG_NEXT_REJECT)
+        CU_ASSERT_EQUAL_FATAL (n_runs, 0);
+      if (next == GG_NEXT_REPEAT)
+        {
+          CU_ASSERT_TRUE_FATAL (is_repeatable || n_runs == 0);
+          CU_ASSERT_TRUE_FATAL (n_runs < a.max_attempts);
+          continue;
+        }
+      if (a.has_begun && next != GG_NEXT_DELIVER)
+        CU_ASSERT_EQUAL_FATAL (next, GG_NEXT_BREAK);
+      return;
+    }
+  CU_FAIL ("a request is sent without end");
+}
+
+static void
+test_random_histories (void)
+{
+  for (guint i = 0; i < 20000; i++)
+    {
+      GRand *rand = g_rand_new_with_seed (i);
+      run_history (rand);
+      g_rand_free (rand);
+    }
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "runs once", test_runs_once },
+    { "failure of the runner is passed on", test_failure_of_the_runner_is_passed_on },
+    { "stream is resumed or broken", test_stream_is_resumed_or_broken },
+    { "nothing is sent after the deadline", test_nothing_is_sent_after_the_deadline },
+    { "random histories", test_random_histories },
+  };
+  return gg_test_run ("attempt", cases, G_N_ELEMENTS (cases));
+}
--- /dev/null
+++ b/tests/core/test_event_buffer.c
@@ -0,0 +1,71 @@
+/* Guards the splitting of event streams: an event that is cut must never be passed on, and no
+ * event may be lost or doubled, wherever the reads cut the bytes. */
+#include "core/event_buffer.h"
+#include "test_main.h"
+
+#include <string.h>
+
+static const char stream[]
+    = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nx-weight: 3\nid: 30\ndata: c\ndata\n\n";
+
+static void
+test_any_cut (void)
+{
+  for (size_t step = 1; step < sizeof stream; step++)
+    {
+      GgEventBuffer *b = gg_event_buffer_create ();
+      GString *seen = g_string_new (NULL);
+      GgStreamEvent event;
+      for (size_t at = 0; at < sizeof stream - 1; at += step)
+        {
+          CU_ASSERT_TRUE (
+              gg_event_buffer_feed (b, stream + at, MIN (step, sizeof stream - 1 - at)));
+          while (gg_event_buffer_next (b, &event))
+            g_string_append_printf (seen, "%d:%d/%d ", event.has_id, (int) event.id,
+                                    (int) event.size_bytes);
+        }
+      CU_ASSERT_STRING_EQUAL (seen->str, "1:1/15 1:2/17 1:30/33 ");
+      CU_ASSERT_EQUAL (gg_event_buffer_get_partial (b), 0);
+      g_string_free (seen, TRUE);
+      gg_event_buffer_destroy (b);
+    }
+}
+
+static void
+test_partial_event_stays (void)
+{
+  GgEventBuffer *b = gg_event_buffer_create ();
+  GgStreamEvent event;
+  gg_event_buffer_feed (b, "id: 7\ndata: x\n", 14);
+  CU_ASSERT_FALSE (gg_event_buffer_next (b, &event));
+  CU_ASSERT_EQUAL (gg_event_buffer_get_partial (b), 14);
+  gg_event_buffer_feed (b, "\nid", 3);
+  CU_ASSERT_TRUE (gg_event_buffer_next (b, &event));
+  CU_ASSERT_EQUAL (event.id, 7);
+  CU_ASSERT_EQUAL (gg_event_buffer_get_partial (b), 2);
+  gg_event_buffer_destroy (b);
+}
+
+static void
+test_endless_event_is_refused (void)
+{
+  GgEventBuffer *b = gg_event_buffer_create ();
+  char bytes[1024];
+  memset (bytes, 'x', sizeof bytes);
+  guint n = 0;
+  while (n < 1000 && gg_event_buffer_feed (b, bytes, sizeof bytes))
+    n++;
+  CU_ASSERT_TRUE (n < 1000);
+  gg_event_buffer_destroy (b);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "any cut", test_any_cut },
+    { "partial event stays", test_partial_event_stays },
+    { "endless event is refused", test_endless_event_is_refused },
+  };
+  return gg_test_run ("event buffer", cases, G_N_ELEMENTS (cases));
+}
--- /dev/null
+++ b/tests/core/test_layer_path.c
@@ -0,0 +1,205 @@
+/* Guards the choice of paths: every layer once and in order, no runner beyond its memory, no
+ * runner that leaves or fails, and the load spread over copies. */
+#include "core/layer_path.h"
+#include "model_fixture.h"
+#include "test_main.h"
+
+#define NOW_MS 1000
+
+typedef struct
+{
+  GgEngineModel *model;
+  GgFleet *fleet;
+} Fixture;
+
+static Fixture
+create (void)
+{
+  Fixture f = { .model = fixture_create_model (), .fleet = gg_fleet_create () };
+  return f;
+}
+
+static void
+destroy (Fixture *f)
+{
+  gg_fleet_destroy (f->fleet);
+  gg_engine_model_destroy (f->model);
+}
+
+static GgPathResult
+choose (const Fixture *f, const char *data_centre, uint32_t tokens, GgLayerPath *path)
+{
+  GgPathQuery query = { .fleet = f->fleet,
+                        .model = f->model,
+                        .service = FIXTURE_SERVICE,
+                        .data_centre = data_centre,
+                        .tokens = tokens,
+                        .now_ms = NOW_MS };
+  return gg_layer_path_choose (&query, path);
+}
+
+static void
+check_layers (const GgLayerPath *path)
+{
+  uint32_t at = 0;
+  for (guint i = 0; i < path->n_hops; i++)
+    {
+      const GgPathHop *hop = &path->hops[i];
+      CU_ASSERT_EQUAL (hop->range.first_layer, at);
+      CU_ASSERT_TRUE (hop->range.first_layer >= hop->runner->record.range.first_layer
+                      && hop->range.end_layer <= hop->runner->record.range.end_layer);
+      at = hop->range.end_layer;
+      for (guint j = 0; j < i; j++)
+        CU_ASSERT_TRUE (path->hops[j].runner != hop->runner);
+    }
+  CU_ASSERT_EQUAL (at, FIXTURE_LAYERS);
+}
+
+static void
+test_overlapping_ranges_are_cut (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 3);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 36);
+  fixture_set_range (f.fleet, "north-a100-1", 30, 62);
+  fixture_set_range (f.fleet, "north-a100-2", 50, 80);
+  GgLayerPath path;
+  CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  CU_ASSERT_EQUAL (path.n_hops, 3);
+  check_layers (&path);
+  gg_layer_path_clear (&path);
+  destroy (&f);
+}
+
+static void
+test_missing_layer_is_none (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 2);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 39);
+  fixture_set_range (f.fleet, "north-a100-1", 40, 80);
+  GgLayerPath path;
+  CU_ASSERT_EQUAL (choose (&f, "north", 900, &path), GG_PATH_NONE);
+  destroy (&f);
+}
+
+static void
+test_leaving_and_suspended_runners_are_left_out (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 4);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 40);
+  fixture_set_range (f.fleet, "north-a100-1", 0, 40);
+  fixture_set_range (f.fleet, "north-a100-2", 40, 80);
+  fixture_set_range (f.fleet, "north-a100-3", 40, 80);
+  gg_fleet_find (f.fleet, "north-a100-0")->record.is_leaving = TRUE;
+  gg_fleet_runner_fail (gg_fleet_find (f.fleet, "north-a100-3"), NOW_MS);
+  GgLayerPath path;
+  CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  CU_ASSERT_STRING_EQUAL (path.hops[0].runner->record.id, "north-a100-1");
+  CU_ASSERT_STRING_EQUAL (path.hops[1].runner->record.id, "north-a100-2");
+  gg_layer_path_clear (&path);
+  destroy (&f);
+}
+
+/* A lost range in one data centre: the other one's copy serves, without a crossing inside. */
+static void
+test_other_data_centre_serves (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 2);
+  fixture_add_runners (f.fleet, "south", "a100", 2);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 40);
+  fixture_set_range (f.fleet, "south-a100-0", 0, 40);
+  fixture_set_range (f.fleet, "south-a100-1", 40, 80);
+  GgLayerPath path;
+  CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  CU_ASSERT_STRING_EQUAL (path.hops[0].runner->record.data_centre, "south");
+  CU_ASSERT_STRING_EQUAL (path.hops[1].runner->record.data_centre, "south");
+  gg_layer_path_clear (&path);
+  destroy (&f);
+}
+
+/* A burst: requests are admitted until memory is full, never beyond it, and both copies take
+ * some before one of them is full. */
+static void
+test_memory_bounds_a_burst (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 4);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 38);
+  fixture_set_range (f.fleet, "north-a100-1", 38, 80);
+  fixture_set_range (f.fleet, "north-a100-2", 0, 40);
+  fixture_set_range (f.fleet, "north-a100-3", 40, 80);
+  GgLayerPath path;
+  guint n = 0;
+  while (n < 10000 && choose (&f, "north", 1000, &path) == GG_PATH_FOUND)
+    {
+      check_layers (&path);
+      gg_layer_path_reserve (&path);
+      gg_layer_path_clear (&path);
+      n++;
+    }
+  CU_ASSERT_EQUAL (choose (&f, "north", 1000, &path), GG_PATH_FULL);
+  CU_ASSERT_TRUE (n > 0);
+  for (guint i = 0; i < gg_fleet_get_size (f.fleet); i++)
+    {
+      const GgFleetRunner *r = gg_fleet_get (f.fleet, i);
+      const GgAccelerator *a = gg_engine_model_find_accelerator (f.model, "a100");
+      double capacity = gg_engine_model_get_capacity (
+          f.model, a, r->record.range.end_layer - r->record.range.first_layer);
+      CU_ASSERT_TRUE ((double) r->own.token_layers <= capacity);
+    }
+  CU_ASSERT_TRUE (gg_fleet_find (f.fleet, "north-a100-2")->own.n_requests > 0);
+  destroy (&f);
+}
+
+/* What peers have sent counts like the own work. */
+static void
+test_work_of_peers_counts (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 2);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 40);
+  fixture_set_range (f.fleet, "north-a100-1", 40, 80);
+  gg_fleet_find (f.fleet, "north-a100-1")->peers.token_layers = 1000000000;
+  GgLayerPath path;
+  CU_ASSERT_EQUAL (choose (&f, "north", 900, &path), GG_PATH_FULL);
+  destroy (&f);
+}
+
+static void
+test_release_undoes_reserve (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 2);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 40);
+  fixture_set_range (f.fleet, "north-a100-1", 40, 80);
+  GgLayerPath path;
+  CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  gg_layer_path_reserve (&path);
+  CU_ASSERT_EQUAL (path.hops[0].runner->own.token_layers, 36000);
+  CU_ASSERT_EQUAL (path.hops[0].runner->own.n_first, 1);
+  CU_ASSERT_EQUAL (path.hops[1].runner->own.n_first, 0);
+  gg_layer_path_release (&path);
+  CU_ASSERT_EQUAL (path.hops[0].runner->own.token_layers, 0);
+  CU_ASSERT_EQUAL (path.hops[0].runner->own.n_requests, 0);
+  gg_layer_path_clear (&path);
+  destroy (&f);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "overlapping ranges are cut", test_overlapping_ranges_are_cut },
+    { "missing layer is none", test_missing_layer_is_none },
+    { "leaving and suspended runners are left out",
+      test_leaving_and_suspended_runners_are_left_out },
+    { "other data centre serves", test_other_data_centre_serves },
+    { "memory bounds a burst", test_memory_bounds_a_burst },
+    { "work of peers counts", test_work_of_peers_counts },
+    { "release undoes reserve", test_release_undoes_reserve },
+  };
+  return gg_test_run ("layer path", cases, G_N_ELEMENTS (cases));
+}
--- /dev/null
+++ b/tests/core/test_placement.c
@@ -0,0 +1,195 @@
+/* Guards the placement: never more layers than a card holds, whole copies in each data centre,
+ * repair that moves as little as possible, and plans that stay put once they are carried out. */
+#include "core/placement.h"
+#include "model_fixture.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define MAX_RUNNERS 40
+
+typedef struct
+{
+  GgEngineModel *model;
+  GgPlacementRunner runners[MAX_RUNNERS];
+  char ids[MAX_RUNNERS][32];
+  guint n;
+} Fixture;
+
+static void
+add (Fixture *f, const char *data_centre, const char *accelerator, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      g_snprintf (f->ids[f->n], sizeof f->ids[f->n], "%s-%s-%u", data_centre, accelerator, i);
+      f->runners[f->n] = (GgPlacementRunner){ .id = f->ids[f->n],
+                                              .data_centre = data_centre,
+                                              .is_usable = TRUE };
+      f->runners[f->n].accelerator = gg_engine_model_find_accelerator (f->model, accelerator);
+      f->n++;
+    }
+}
+
+/* The users' fleet: three data centres with three kinds of card. */
+static void
+init_site (Fixture *f)
+{
+  *f = (Fixture){ .model = fixture_create_model () };
+  add (f, "rubavu", "a100", 1);
+  add (f, "rubavu", "l40s", 3);
+  add (f, "rubavu", "l4", 8);
+  add (f, "karongi", "a100", 1);
+  add (f, "karongi", "l40s", 6);
+  add (f, "karongi", "l4", 5);
+  add (f, "rusizi", "a100", 2);
+  add (f, "rusizi", "l40s", 2);
+  add (f, "rusizi", "l4", 5);
+}
+
+static void
+carry_out (Fixture *f)
+{
+  gg_placement_plan (f->model, f->runners, f->n);
+  for (guint i = 0; i < f->n; i++)
+    f->runners[i].current = f->runners[i].target;
+}
+
+static guint
+count_changes (Fixture *f)
+{
+  guint n = 0;
+  gg_placement_plan (f->model, f->runners, f->n);
+  for (guint i = 0; i < f->n; i++)
+    n += memcmp (&f->runners[i].target, &f->runners[i].current, sizeof (GgLayerRange)) != 0 ? 1 : 0;
+  return n;
+}
+
+/* How often the layer with the fewest copies is held in a data centre. */
+static guint
+count_copies (const Fixture *f, const char *data_centre)
+{
+  guint least = G_MAXUINT;
+  for (uint32_t l = 0; l < FIXTURE_LAYERS; l++)
+    {
+      guint n = 0;
+      for (guint i = 0; i < f->n; i++)
+        if (f->runners[i].is_usable && strcmp (f->runners[i].data_centre, data_centre) == 0
+            && l >= f->runners[i].target.first_layer && l < f->runners[i].target.end_layer)
+          n++;
+      least = MIN (least, n);
+    }
+  return least;
+}
+
+static void
+check_sizes (const Fixture *f)
+{
+  for (guint i = 0; i < f->n; i++)
+    {
+      const GgPlacementRunner *r = &f->runners[i];
+      uint32_t n = r->target.end_layer - r->target.first_layer;
+      CU_ASSERT_TRUE (n * f->model->layer_mb <= r->accelerator->memory_mb);
+    }
+}
+
+static void
+test_empty_fleet_gets_whole_copies (void)
+{
+  Fixture f;
+  init_site (&f);
+  carry_out (&f);
+  check_sizes (&f);
+  CU_ASSERT_TRUE (count_copies (&f, "rubavu") >= 2);
+  CU_ASSERT_TRUE (count_copies (&f, "karongi") >= 2);
+  CU_ASSERT_TRUE (count_copies (&f, "rusizi") >= 1);
+  CU_ASSERT_EQUAL (count_changes (&f), 0);
+  gg_engine_model_destroy (f.model);
+}
+
+/* A range is lost: runners that hold nothing take it over, the others stay as they are. */
+static void
+test_spare_runners_fill_a_gap (void)
+{
+  Fixture f;
+  init_site (&f);
+  carry_out (&f);
+  for (guint i = 0; i < f.n; i++)
+    if (strcmp (f.runners[i].id, "rusizi-l40s-0") == 0)
+      {
+        f.runners[i].is_usable = FALSE;
+        f.runners[i].current = (GgLayerRange){ 0, 0 };
+      }
+  guint n = count_changes (&f);
+  CU_ASSERT_TRUE (n > 0 && n <= 3);
+  CU_ASSERT_TRUE (count_copies (&f, "rusizi") >= 1);
+  check_sizes (&f);
+  gg_engine_model_destroy (f.model);
+}
+
+static void
+test_any_single_loss_is_repaired (void)
+{
+  Fixture f;
+  init_site (&f);
+  carry_out (&f);
+  Fixture whole = f;
+  for (guint i = 0; i < whole.n; i++)
+    {
+      f = whole;
+      f.runners[i].is_usable = FALSE;
+      f.runners[i].current = (GgLayerRange){ 0, 0 };
+      gg_placement_plan (f.model, f.runners, f.n);
+      check_sizes (&f);
+      CU_ASSERT_TRUE (count_copies (&f, "rubavu") >= 1);
+      CU_ASSERT_TRUE (count_copies (&f, "karongi") >= 1);
+      CU_ASSERT_TRUE (count_copies (&f, "rusizi") >= 1);
+    }
+  gg_engine_model_destroy (whole.model);
+}
+
+/* Any set of runners, with any ranges: no card is overfilled, and a plan that was carried out is
+ * not changed again. */
+static void
+test_random_fleets_settle (void)
+{
+  static const char *const kinds[] = { "a100", "l40s", "l4" };
+  for (guint32 seed = 1; seed <= 2000; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      Fixture f = { .model = fixture_create_model () };
+      guint n = (guint) g_rand_int_range (rand, 0, MAX_RUNNERS);
+      for (guint i = 0; i < n; i++)
+        {
+          add (&f, g_rand_boolean (rand) ? "north" : "south",
+               kinds[g_rand_int_range (rand, 0, G_N_ELEMENTS (kinds))], 1);
+          GgPlacementRunner *r = &f.runners[f.n - 1];
+          g_snprintf (f.ids[f.n - 1], sizeof f.ids[0], "r%u", i);
+          uint32_t fit = gg_engine_model_fit_layers (f.model, r->accelerator);
+          uint32_t first = (uint32_t) g_rand_int_range (rand, 0, FIXTURE_LAYERS);
+          if (g_rand_boolean (rand))
+            r->current = (GgLayerRange){ first, MIN (first + fit, FIXTURE_LAYERS) };
+        }
+      carry_out (&f);
+      check_sizes (&f);
+      carry_out (&f);
+      if (count_changes (&f) != 0)
+        {
+          fprintf (stderr, "seed %u: the plan does not settle\n", seed);
+          CU_FAIL ("the plan does not settle");
+        }
+      gg_engine_model_destroy (f.model);
+      g_rand_free (rand);
+    }
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "empty fleet gets whole copies", test_empty_fleet_gets_whole_copies },
+    { "spare runners fill a gap", test_spare_runners_fill_a_gap },
+    { "any single loss is repaired", test_any_single_loss_is_repaired },
+    { "random fleets settle", test_random_fleets_settle },
+  };
+  return gg_test_run ("placement", cases, G_N_ELEMENTS (cases));
+}
