--- /dev/null
+++ b/src/ports/store.h
@@ -0,0 +1,85 @@
+/** @file
+ * Port to the platform's metadata store, for a process with an event loop. Calls never block;
+ * each ends with one reply. A write without a reply may still be carried out later, so every
+ * write carries its condition. */
+#pragma once
+
+#include "loop/client.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct _GgStore GgStore;
+typedef struct _GgStoreCall GgStoreCall;
+
+typedef enum
+{
+  GG_STORE_OK,
+  GG_STORE_ABSENT,   /**< There is no such key or lease. */
+  GG_STORE_CONFLICT, /**< A condition does not hold; nothing was written. */
+  GG_STORE_EXPIRED,  /**< A watch asked for history that the store no longer has. */
+  GG_STORE_REFUSED,  /**< The store answered that it did nothing. */
+  GG_STORE_UNKNOWN,  /**< No answer: a write may have happened or may still happen. */
+} GgStoreResult;
+
+/** One key. Strings are owned by the reply. */
+typedef struct
+{
+  char *key;
+  GBytes *value; /**< NULL if the key is gone. */
+  uint64_t revision;
+  uint64_t lease; /**< 0 for none. */
+} GgStoreItem;
+
+typedef struct
+{
+  GgStoreResult result;
+  GPtrArray *items;      /**< GgStoreItem; read, list, watch and conflicts. */
+  uint64_t revision;     /**< Of the store, or of the write. */
+  gboolean has_more;     /**< A list goes on after its last key. */
+  uint64_t lease;        /**< Of a lease that was opened. */
+  uint64_t ttl_ms;       /**< Time to live that the store applies. */
+  uint64_t sent_boot_ms; /**< When the call was sent (CLOCK_BOOTTIME): what the store says holds
+                          * for this moment at least. */
+} GgStoreReply;
+
+/** @p reply is valid during the call. */
+typedef void (*GgStoreFunc) (void *data, const GgStoreReply *reply);
+
+/** @param client carries the calls; not owned. */
+GgStore *gg_store_create (GgLoop *loop, GgLoopClient *client, const char *address);
+void gg_store_destroy (GgStore *self);
+
+GgStoreCall *gg_store_read (GgStore *self, const char *key, GgStoreFunc func, void *data);
+
+/** Lists a page of keys after @p after_key ("" for the first page). */
+GgStoreCall *gg_store_list (
+    GgStore *self, const char *prefix, const char *after_key, GgStoreFunc func, void *data);
+
+/** Waits for changes after @p revision, for @p wait_ms at most. */
+GgStoreCall *gg_store_watch (GgStore *self,
+                             const char *prefix,
+                             uint64_t revision,
+                             uint64_t wait_ms,
+                             GgStoreFunc func,
+                             void *data);
+
+/** Writes a key if its revision is @p expected_revision (0: the key does not exist).
+ * @param lease 0 for none. */
+GgStoreCall *gg_store_write (GgStore *self,
+                             const char *key,
+                             uint64_t expected_revision,
+                             const char *value,
+                             uint64_t lease,
+                             GgStoreFunc func,
+                             void *data);
+
+GgStoreCall *gg_store_open_lease (GgStore *self, uint64_t ttl_ms, GgStoreFunc func, void *data);
+GgStoreCall *gg_store_renew_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
+GgStoreCall *gg_store_end_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
+
+/** Gives a call up without a reply; NULL is allowed. */
+void gg_store_call_cancel (GgStoreCall *call);
+
+/** Number of calls that were sent. */
+uint64_t gg_store_count_calls (const GgStore *self);
--- /dev/null
+++ b/tests/platform/test_directory.c
@@ -0,0 +1,154 @@
+/* Guards the decoding of what lies in the platform's store: entries that name no usable runner and
+ * configurations that can't be read must change nothing. */
+#include "ports/directory.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define ENTRY                                                                                      \
+  "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"north\",\"version\":\"v1\","         \
+  "\"slots\":192,\"state\":\"ready\",\"seq\":4,\"cold_left_ms\":0,\"born\":17,"                    \
+  "\"kind\":\"l4\",\"layers\":{\"from_rev\":70,\"to\":80,\"version\":1}}"
+
+#define CONFIG                                                                                     \
+  "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"A.example\",\"path_prefix\":\"/x/\","    \
+  "\"kind\":\"streaming\",\"timeout_ms\":20000,\"goal_ms\":500,\"priority\":1,"                    \
+  "\"split\":[{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"             \
+  "\"max_attempts\":2,\"anonymous\":false,\"stream_resume\":true,\"gap_target_ms\":200},"          \
+  "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/y/\",\"kind\":\"idempotent\","       \
+  "\"timeout_ms\":1000,\"service\":\"s2\"}],"                                                      \
+  "\"services\":[{\"name\":\"s1\",\"health_path\":\"/health\",\"max_conns\":10,\"engine\":{"       \
+  "\"slots\":192,\"kv_token_bytes\":918000,\"stride\":3,\"models\":[{\"name\":\"m\","              \
+  "\"load_s\":14.0}],\"step_ms\":1.02,\"read_per_s\":105000.0,\"layers\":80,\"layer_mb\":1750.0,"  \
+  "\"delays\":[{\"from_rev\":\"north\",\"to\":\"south\",\"delay_ms\":0.75}],"                      \
+  "\"kinds\":[{\"name\":\"l4\",\"size_mb\":21600.0,\"pace\":16.0,\"read_factor\":8.2}]}},"         \
+  "{\"name\":\"s2\",\"health_path\":\"/health\",\"max_conns\":10}],"                               \
+  "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"                             \
+  "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"                                         \
+  "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":3}]}"
+
+static GBytes *
+bytes_of (const char *text)
+{
+  return g_bytes_new (text, strlen (text));
+}
+
+static gboolean
+decode (const char *text, GgRunnerRecord *record)
+{
+  GError *error = NULL;
+  GBytes *value = bytes_of (text);
+  gboolean is_valid = gg_directory_decode_runner ("servers/i-1", value, record, &error);
+  CU_ASSERT_EQUAL (is_valid, error == NULL);
+  g_clear_error (&error);
+  g_bytes_unref (value);
+  return is_valid;
+}
+
+static void
+test_runner (void)
+{
+  GgRunnerRecord r;
+  CU_ASSERT_TRUE_FATAL (decode (ENTRY, &r));
+  CU_ASSERT_STRING_EQUAL (r.id, "i-1");
+  CU_ASSERT_STRING_EQUAL (r.data_centre, "north");
+  CU_ASSERT_STRING_EQUAL (r.accelerator, "l4");
+  CU_ASSERT_EQUAL (r.range.first_layer, 70);
+  CU_ASSERT_EQUAL (r.range.end_layer, 80);
+  CU_ASSERT_EQUAL (r.born_ms, 17);
+  CU_ASSERT_FALSE (r.is_leaving);
+  gg_runner_record_clear (&r);
+}
+
+static void
+test_foreign_entries (void)
+{
+  const char *const broken[] = {
+    "",
+    "[]",
+    "{}",
+    "{\"service\":1,\"address\":\"10.0.0.1:80\",\"zone\":\"n\",\"slots\":1,\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"n\",\"slots\":1,\"state\":"
+    "\"other\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"n\",\"slots\":\"1\","
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":null,\"zone\":\"n\",\"slots\":1,\"state\":\"ready\"}",
+    "\xff\xfe\x00",
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (broken); i++)
+    {
+      GgRunnerRecord r;
+      CU_ASSERT_FALSE (decode (broken[i], &r));
+      gg_runner_record_clear (&r);
+    }
+}
+
+static void
+test_config (void)
+{
+  GBytes *value = bytes_of (CONFIG);
+  GError *error = NULL;
+  GgRoutingConfig *c = gg_directory_decode_config (value, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  CU_ASSERT_EQUAL (gg_routing_config_get_version (c), 7);
+  const GgCallerRoute *route = gg_routing_config_match (c, "a.example", "/x/1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->kind, GG_REQUEST_STREAMING);
+  CU_ASSERT_TRUE (route->is_resumable);
+  CU_ASSERT_EQUAL (route->n_shares, 2);
+  const GgRoutedService *service = gg_routing_config_find_service (c, "s1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (service->model);
+  CU_ASSERT_EQUAL (service->model->n_layers, 80);
+  CU_ASSERT_EQUAL (service->model->n_links, 1);
+  CU_ASSERT_PTR_NOT_NULL (gg_engine_model_find_accelerator (service->model, "l4"));
+  CU_ASSERT_PTR_NULL (gg_routing_config_find_service (c, "s2")->model);
+  CU_ASSERT_EQUAL (gg_routing_config_find_team (c, "k2")->priority, 3);
+  gg_routing_config_unref (c);
+  g_bytes_unref (value);
+}
+
+/* Any damage to a valid text: it is read or refused, and neither crashes nor leaks. */
+static void
+test_damaged_texts (void)
+{
+  for (guint32 seed = 1; seed <= 4000; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      gboolean is_config = g_rand_boolean (rand);
+      GString *text = g_string_new (is_config ? CONFIG : ENTRY);
+      for (int i = g_rand_int_range (rand, 1, 4); i > 0; i--)
+        {
+          gssize at = g_rand_int_range (rand, 0, (gint32) text->len);
+          if (g_rand_boolean (rand))
+            text->str[at] = (char) g_rand_int_range (rand, 0, 256);
+          else
+            g_string_erase (text, at, g_rand_int_range (rand, 0, (gint32) text->len - (gint32) at));
+          if (text->len == 0)
+            break;
+        }
+      GBytes *value = g_bytes_new (text->str, text->len);
+      if (is_config)
+        gg_routing_config_unref (gg_directory_decode_config (value, NULL));
+      else
+        {
+          GgRunnerRecord r;
+          gg_directory_decode_runner ("servers/i-1", value, &r, NULL);
+          gg_runner_record_clear (&r);
+        }
+      g_bytes_unref (value);
+      g_string_free (text, TRUE);
+      g_rand_free (rand);
+    }
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "runner", test_runner },
+    { "foreign entries", test_foreign_entries },
+    { "config", test_config },
+    { "damaged texts", test_damaged_texts },
+  };
+  return gg_test_run ("directory", cases, G_N_ELEMENTS (cases));
+}
--- /dev/null
+++ b/tests/platform/test_relay_wire.c
@@ -0,0 +1,134 @@
+/* Guards what goes to runners: a caller must not name the team, the runner or the path itself, its
+ * key stays here, and everything else arrives as it was sent. */
+#include "ports/relay_wire.h"
+#include "test_main.h"
+
+#include <string.h>
+
+static GgMessageHead *
+create_request (void)
+{
+  GgMessageHead *head = gg_message_head_create_request ("POST", "/a%2Fb?c=1");
+  gg_message_head_add (head, "Host", "h.example");
+  gg_message_head_add (head, "X-Attempt-Id", "id1");
+  gg_message_head_add (head, "authorization", "bearer key1");
+  gg_message_head_add (head, "X-Tenant", "forged");
+  gg_message_head_add (head, "x-target-instance", "forged");
+  gg_message_head_add (head, "X-Hop-Count", "forged");
+  gg_message_head_add (head, "X-Request-Urgency", "0");
+  gg_message_head_add (head, "X-Deadline-Ms", "20000");
+  gg_message_head_add (head, "X-Token-Count", "1460,80");
+  gg_message_head_add (head, "X-Prefix-Hash", "5c:800,91:410");
+  gg_message_head_add (head, "Connection", "keep-alive, X-Private");
+  gg_message_head_add (head, "X-Private", "1");
+  gg_message_head_add (head, "Transfer-Encoding", "chunked");
+  gg_message_head_add (head, "X-Other", "kept");
+  return head;
+}
+
+static void
+test_caller (void)
+{
+  GgMessageHead *head = create_request ();
+  GgCallerWords words;
+  gg_relay_read_caller (head, &words);
+  CU_ASSERT_STRING_EQUAL (words.key, "key1");
+  CU_ASSERT_STRING_EQUAL (words.attempt_id, "id1");
+  CU_ASSERT_EQUAL (words.time_left_ms, 20000);
+  CU_ASSERT_EQUAL (words.prompt_tokens, 1460);
+  CU_ASSERT_EQUAL (words.max_answer_tokens, 80);
+  CU_ASSERT_FALSE (words.has_last_event);
+  gg_message_head_destroy (head);
+}
+
+static void
+test_request (void)
+{
+  GgMessageHead *head = create_request ();
+  GgFleetRunner a = { .refs = 1, .record = { .address = (char *) "10.0.0.1:80" } };
+  GgFleetRunner b = { .refs = 1, .record = { .address = (char *) "10.0.0.2:80" } };
+  GgLayerPath path = { .hops = { { &a, { 0, 20 } }, { &b, { 20, 80 } } }, .n_hops = 2 };
+  GgRelaySend send = { .runner_id = "i-1",
+                       .team = "t1",
+                       .time_left_ms = 900,
+                       .path = &path,
+                       .has_last_event = TRUE,
+                       .last_event_id = 12,
+                       .urgency = 4 };
+  GgMessageHead *out = gg_relay_build_request (head, &send, 3);
+  GString *text = g_string_new (NULL);
+  gg_message_head_print (out, text);
+  CU_ASSERT_STRING_EQUAL (text->str, "POST /a%2Fb?c=1 HTTP/1.1\r\n"
+                                     "Host: h.example\r\n"
+                                     "X-Attempt-Id: id1\r\n"
+                                     "X-Token-Count: 1460,80\r\n"
+                                     "X-Prefix-Hash: 5c:800,91:410\r\n"
+                                     "X-Other: kept\r\n"
+                                     "Content-Length: 3\r\n"
+                                     "X-Deadline-Ms: 900\r\n"
+                                     "X-Target-Instance: i-1\r\n"
+                                     "X-Tenant: t1\r\n"
+                                     "Last-Event-Id: 12\r\n"
+                                     "X-Hop-Count: 10.0.0.1:80=0-20,10.0.0.2:80=20-80\r\n"
+                                     "X-Request-Urgency: 4\r\n\r\n");
+  g_string_free (text, TRUE);
+  gg_message_head_destroy (out);
+  gg_message_head_destroy (head);
+}
+
+static void
+test_runner_words (void)
+{
+  GgMessageHead *head = gg_message_head_create_response (503);
+  GgRunnerWords words;
+  gg_relay_read_runner (head, &words);
+  CU_ASSERT_FALSE (words.is_refused); /* only the runner's word makes it "not run" */
+  gg_message_head_add (head, "X-Not-Executed", "1");
+  gg_message_head_add (head, "At-Server", "10.0.0.9:80");
+  gg_relay_read_runner (head, &words);
+  CU_ASSERT_TRUE (words.is_refused);
+  CU_ASSERT_STRING_EQUAL (words.faulty_address, "10.0.0.9:80");
+  gg_message_head_set_status (head, 421);
+  gg_relay_read_runner (head, &words);
+  CU_ASSERT_TRUE (words.is_misdirected);
+  gg_message_head_destroy (head);
+}
+
+static void
+test_report (void)
+{
+  static const char text[]
+      = "{\"busy\":true,\"seq\":2,\"layers\":{\"from_rev\":1,\"to\":9},\"born\":5}";
+  GgRunnerReport report;
+  CU_ASSERT_TRUE (gg_relay_read_report (text, sizeof text - 1, &report));
+  CU_ASSERT_TRUE (report.is_busy);
+  CU_ASSERT_EQUAL (report.n_orders, 2);
+  CU_ASSERT_EQUAL (report.range.end_layer, 9);
+  CU_ASSERT_FALSE (gg_relay_read_report ("{\"busy\":1}", 10, &report));
+  CU_ASSERT_FALSE (gg_relay_read_report ("x", 1, &report));
+}
+
+static void
+test_place_order (void)
+{
+  char *body = NULL;
+  GgLayerRange range = { 20, 31 };
+  GgMessageHead *head = gg_relay_build_place_order ("i-1", &range, 412, 2, &body);
+  CU_ASSERT_STRING_EQUAL (body, "{\"op\":\"place\",\"from_rev\":20,\"to\":31,"
+                                "\"handoff_mode\":\"queue\",\"expected\":2,\"fencing_token\":412}");
+  gg_message_head_destroy (head);
+  g_free (body);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "caller", test_caller },
+    { "request", test_request },
+    { "runner words", test_runner_words },
+    { "report", test_report },
+    { "place order", test_place_order },
+  };
+  return gg_test_run ("relay wire", cases, G_N_ELEMENTS (cases));
+}
