Serve the users' platform with one process on an instance

Cause: the whole path on the platform was missing. Change: greengage-routerd: callers, runners, configuration and runner watches, membership with a lease and a fencing token, placement, shared work, ready, stop; deploy file and settings template; design note.

--- /dev/null
+++ b/src/adapters/rpc/work_share.c
@@ -0,0 +1,78 @@
+#include "adapters/rpc/work_share.h"
+
+#include <rpc/rpc.h>
+#include <string.h>
+
+/* Tells this datagram and its version from anything else that may reach the port. */
+#define MAGIC 0x67675731U
+#define MAX_NAME_BYTES 128
+#define ENTRY_BYTES 20
+#define MAX_ENTRIES (GG_WORK_SHARE_MAX_BYTES / ENTRY_BYTES)
+
+uint32_t
+gg_work_share_hash (const char *runner_id, uint64_t born_ms)
+{
+  return g_str_hash (runner_id) ^ (uint32_t) (born_ms * 2654435761U);
+}
+
+void
+gg_work_share_init (GgWorkShare *self)
+{
+  *self = (GgWorkShare){ .entries = g_array_new (FALSE, TRUE, sizeof (GgWorkShareEntry)) };
+}
+
+void
+gg_work_share_clear (GgWorkShare *self)
+{
+  /* The name was allocated by XDR or by the owner, both with malloc. */
+  free (self->instance);
+  g_array_unref (self->entries);
+  *self = (GgWorkShare){ 0 };
+}
+
+static gboolean
+code_entry (XDR *xdr, GgWorkShareEntry *entry)
+{
+  return xdr_uint32_t (xdr, &entry->runner_hash) && xdr_uint32_t (xdr, &entry->work.n_requests)
+         && xdr_uint32_t (xdr, &entry->work.n_first)
+         && xdr_uint64_t (xdr, &entry->work.token_layers);
+}
+
+/* Encodes or decodes, as the stream says. */
+static gboolean
+code (XDR *xdr, GgWorkShare *self)
+{
+  uint32_t magic = MAGIC;
+  uint32_t n_entries = self->entries->len;
+  if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC
+      || !xdr_string (xdr, &self->instance, MAX_NAME_BYTES)
+      || !xdr_uint64_t (xdr, &self->incarnation) || !xdr_uint64_t (xdr, &self->number)
+      || !xdr_uint32_t (xdr, &n_entries) || n_entries > MAX_ENTRIES)
+    return FALSE;
+  g_array_set_size (self->entries, n_entries);
+  for (guint i = 0; i < n_entries; i++)
+    if (!code_entry (xdr, &g_array_index (self->entries, GgWorkShareEntry, i)))
+      return FALSE;
+  return TRUE;
+}
+
+size_t
+gg_work_share_encode (GgWorkShare *self, char *buffer, size_t size_bytes)
+{
+  XDR xdr;
+  xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_ENCODE);
+  size_t used = code (&xdr, self) ? xdr_getpos (&xdr) : 0;
+  xdr_destroy (&xdr);
+  return used;
+}
+
+gboolean
+gg_work_share_decode (char *buffer, size_t size_bytes, GgWorkShare *self_out)
+{
+  XDR xdr;
+  gg_work_share_init (self_out);
+  xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_DECODE);
+  gboolean is_valid = code (&xdr, self_out);
+  xdr_destroy (&xdr);
+  return is_valid;
+}
--- /dev/null
+++ b/src/adapters/rpc/work_share.h
@@ -0,0 +1,37 @@
+/** @file
+ * Datagram in which an instance tells its peers the work that it has given to runners (XDR). */
+#pragma once
+
+#include "core/fleet.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Largest datagram; more runners than fit are told in the next ones. */
+#define GG_WORK_SHARE_MAX_BYTES 1400
+
+/** Work that one instance has given to one runner. */
+typedef struct
+{
+  uint32_t runner_hash; /**< gg_work_share_hash() of its id and start. */
+  GgRunnerWork work;
+} GgWorkShareEntry;
+
+typedef struct
+{
+  char *instance; /**< Owned by the share. */
+  uint64_t incarnation;
+  uint64_t number; /**< Grows with each datagram of an incarnation. */
+  GArray *entries; /**< GgWorkShareEntry. */
+} GgWorkShare;
+
+uint32_t gg_work_share_hash (const char *runner_id, uint64_t born_ms);
+
+void gg_work_share_init (GgWorkShare *self);
+void gg_work_share_clear (GgWorkShare *self);
+
+/** @return the size in bytes, 0 if it does not fit. */
+size_t gg_work_share_encode (GgWorkShare *self, char *buffer, size_t size_bytes);
+
+/** @return FALSE if the bytes are no share. @p self_out is cleared by the caller in any case. */
+gboolean gg_work_share_decode (char *buffer, size_t size_bytes, GgWorkShare *self_out);
--- /dev/null
+++ b/src/daemons/routerd/membership.h
@@ -0,0 +1,28 @@
+/** @file
+ * Live instances, and which of them is the one that gives orders. Both are keys in the store
+ * under a lease of this process. */
+#pragma once
+
+#include "daemons/routerd/router.h"
+
+typedef struct _GgMembership GgMembership;
+
+/** @param peer_address where others tell this instance their work. */
+GgMembership *gg_membership_create (GgRouter *router, const char *peer_address);
+void gg_membership_destroy (GgMembership *self);
+
+/** Ends the lease, so that others take over without waiting for it to run out. */
+void gg_membership_leave (GgMembership *self);
+
+/** Whether this instance is the one that orders, and still can know it: its lease, counted from
+ * the sending of its last renewal and through suspensions, has not run out. */
+gboolean gg_membership_is_leader (const GgMembership *self);
+
+/** Number that grows with each change of the leader. */
+uint64_t gg_membership_get_fence (const GgMembership *self);
+
+/** Gives up leading because a runner has seen a higher fence. */
+void gg_membership_resign (GgMembership *self);
+
+/** Peer addresses of the other live instances. */
+const GPtrArray *gg_membership_get_peers (const GgMembership *self);
--- /dev/null
+++ b/src/daemons/routerd/placer.c
@@ -0,0 +1,353 @@
+#include "daemons/routerd/placer.h"
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/event_log.h"
+#include "core/placement.h"
+#include "ports/relay_wire.h"
+
+#include <string.h>
+
+#define TICK_MS 200
+#define CONNECT_TIMEOUT_MS 1000
+#define ANSWER_TIMEOUT_MS 1500
+#define MAX_IDLE_MS 5000
+#define MAX_BODY_BYTES 65536
+/* An order whose result does not show in the runner's entry after the time of its load and this
+ * much is asked about again. */
+#define SETTLE_MS 3500
+/* An order without an answer may be carried out seconds later. */
+#define UNANSWERED_MS 4000
+#define RETRY_MS 500
+/* Before anything is placed, runners that start together are waited for: a plan for the first few
+ * would have to be changed. */
+#define QUIET_MS 1000
+#define QUIET_MAX_MS 5000
+#define MS_PER_S 1000.0
+
+typedef enum
+{
+  JOB_REPORT, /* asks for the runner's state */
+  JOB_ORDER,  /* orders, expecting that state */
+  JOB_SETTLE, /* waits until the entry shows what was ordered */
+} JobStep;
+
+/* One runner that is to hold another range. */
+typedef struct
+{
+  GgPlacer *placer;
+  char *id;
+  uint64_t born_ms;
+  GgLayerRange target;
+  double load_ms;
+  JobStep step;
+  GgLoopCall *call;
+  GgLoopTimer *timer;
+  uint32_t status;
+  GString *body;
+  uint64_t fence; /* with which it was ordered */
+} Job;
+
+struct _GgPlacer
+{
+  GgRouter *router;
+  GgMembership *membership;
+  GgLoopTimer *timer;
+  GHashTable *jobs; /* id of a runner -> Job */
+  uint64_t fleet_revision;
+  uint64_t fleet_changed_ms;
+  uint64_t waiting_since_ms; /* for runners that start; 0: does not wait */
+};
+
+static GgCounter orders_total
+    = GG_COUNTER ("greengage_router_orders_total", "Orders sent to runners");
+
+static void
+free_job (void *data)
+{
+  Job *job = data;
+  gg_loop_call_cancel (job->call);
+  gg_loop_timer_destroy (job->timer);
+  g_string_free (job->body, TRUE);
+  g_free (job->id);
+  g_free (job);
+}
+
+static void
+end_job (Job *job)
+{
+  g_hash_table_remove (job->placer->jobs, job->id);
+}
+
+static void
+wait_job (Job *job, JobStep step, uint64_t wait_ms)
+{
+  job->step = step;
+  gg_loop_timer_start (job->timer, wait_ms);
+}
+
+static void send_job (Job *job, JobStep step, uint64_t n_orders);
+
+static void
+on_report (Job *job)
+{
+  GgRunnerReport report;
+  if (job->status != 200 || !gg_relay_read_report (job->body->str, job->body->len, &report))
+    {
+      wait_job (job, JOB_SETTLE, RETRY_MS);
+      return;
+    }
+  gboolean is_there = report.range.first_layer == job->target.first_layer
+                      && report.range.end_layer == job->target.end_layer;
+  if (is_there || report.is_busy)
+    wait_job (job, JOB_SETTLE, SETTLE_MS);
+  else if (!gg_membership_is_leader (job->placer->membership))
+    end_job (job);
+  else
+    send_job (job, JOB_ORDER, report.n_orders);
+}
+
+static void
+on_order (Job *job)
+{
+  GgOrderResult result = gg_relay_read_order_status (job->status);
+  gg_event_log_add (GG_EVENT_NOTABLE, "layers_ordered",
+                    "runner=%s layers=%u-%u status=%u fence=%" G_GUINT64_FORMAT, job->id,
+                    job->target.first_layer, job->target.end_layer, job->status,
+                    (guint64) job->fence);
+  switch (result)
+    {
+    case GG_ORDER_STARTED:
+    case GG_ORDER_DONE:
+      wait_job (job, JOB_SETTLE, (uint64_t) job->load_ms + SETTLE_MS);
+      break;
+    case GG_ORDER_FENCED:
+      if (job->fence == gg_membership_get_fence (job->placer->membership))
+        gg_membership_resign (job->placer->membership);
+      wait_job (job, JOB_SETTLE, RETRY_MS);
+      break;
+    case GG_ORDER_STALE:
+    case GG_ORDER_FAILED:
+      wait_job (job, JOB_SETTLE, RETRY_MS);
+      break;
+    }
+}
+
+static void
+on_unanswered (Job *job)
+{
+  gg_event_log_add (GG_EVENT_NOTABLE, "runner_unanswered", "runner=%s step=%s", job->id,
+                    job->step == JOB_ORDER ? "order" : "report");
+  wait_job (job, JOB_SETTLE, job->step == JOB_ORDER ? UNANSWERED_MS : RETRY_MS);
+}
+
+static gboolean
+on_call (void *data, const GgCallEvent *event)
+{
+  Job *job = data;
+  switch (event->kind)
+    {
+    case GG_CALL_HEAD:
+      job->status = gg_message_head_get_status (event->head);
+      gg_message_head_destroy (event->head);
+      return TRUE;
+    case GG_CALL_BODY:
+      if (job->body->len + event->body.size_bytes <= MAX_BODY_BYTES)
+        g_string_append_len (job->body, event->body.bytes, (gssize) event->body.size_bytes);
+      return TRUE;
+    case GG_CALL_END:
+      job->call = NULL;
+      gg_loop_timer_stop (job->timer);
+      if (event->end != GG_CALL_COMPLETE)
+        on_unanswered (job);
+      else if (job->step == JOB_REPORT)
+        on_report (job);
+      else
+        on_order (job);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Sends the report request or the order of a job. */
+static void
+send_job (Job *job, JobStep step, uint64_t n_orders)
+{
+  GgPlacer *self = job->placer;
+  const GgFleetRunner *runner = gg_fleet_find (self->router->fleet, job->id);
+  if (runner == NULL || runner->record.born_ms != job->born_ms)
+    {
+      end_job (job);
+      return;
+    }
+  char *body = NULL;
+  GgMessageHead *head = NULL;
+  if (step == JOB_REPORT)
+    head = gg_relay_build_report_request (job->id);
+  else
+    {
+      gboolean is_fenced
+          = gg_settings_get_boolean (self->router->settings, "runners", "fenced_orders");
+      job->fence = gg_membership_get_fence (self->membership);
+      head = gg_relay_build_place_order (job->id, &job->target, is_fenced ? job->fence : 0,
+                                         n_orders, &body);
+      gg_counter_add (&orders_total, 1);
+    }
+  GgCallRequest request = { .address = runner->record.address,
+                            .head = head,
+                            .body = body,
+                            .body_bytes = body != NULL ? strlen (body) : 0,
+                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                            .max_idle_ms = MAX_IDLE_MS };
+  job->step = step;
+  job->status = 0;
+  g_string_truncate (job->body, 0);
+  job->call = gg_loop_client_call (self->router->client, &request, on_call, job);
+  gg_loop_timer_start (job->timer, ANSWER_TIMEOUT_MS);
+  gg_message_head_destroy (head);
+  g_free (body);
+}
+
+static void
+on_job_timer (void *data)
+{
+  Job *job = data;
+  if (job->step == JOB_SETTLE)
+    {
+      end_job (job); /* the next plan goes by what the runner says then */
+      return;
+    }
+  gg_loop_call_cancel (job->call);
+  job->call = NULL;
+  on_unanswered (job);
+}
+
+static void
+start_job (GgPlacer *self, const GgPlacementRunner *planned, const GgEngineModel *model)
+{
+  Job *job = g_new0 (Job, 1);
+  uint32_t n_layers = planned->target.end_layer - planned->target.first_layer;
+  job->placer = self;
+  job->id = g_strdup (planned->id);
+  job->born_ms = gg_fleet_find (self->router->fleet, planned->id)->record.born_ms;
+  job->target = planned->target;
+  job->load_ms = model->load_s * MS_PER_S * n_layers / model->n_layers;
+  job->timer = gg_loop_timer_create (self->router->loop, on_job_timer, job);
+  job->body = g_string_new (NULL);
+  g_hash_table_insert (self->jobs, job->id, job);
+  send_job (job, JOB_REPORT, 0);
+}
+
+/* What the runner holds, or will hold once the order that is under way has been carried out. */
+static GgLayerRange
+get_current (GgPlacer *self, const GgFleetRunner *runner, gboolean *is_pending_out)
+{
+  Job *job = g_hash_table_lookup (self->jobs, runner->record.id);
+  const GgLayerRange *held = &runner->record.range;
+  *is_pending_out = FALSE;
+  if (job == NULL)
+    return *held;
+  gboolean is_there
+      = held->first_layer == job->target.first_layer && held->end_layer == job->target.end_layer;
+  if (job->born_ms != runner->record.born_ms || (is_there && job->step == JOB_SETTLE))
+    {
+      end_job (job);
+      return *held;
+    }
+  *is_pending_out = TRUE;
+  return job->target;
+}
+
+/* Whether nothing has been placed yet and runners are still coming. */
+static gboolean
+is_fleet_starting (GgPlacer *self, const char *service)
+{
+  const GgFleet *fleet = self->router->fleet;
+  uint64_t now_ms = gg_clock_now_ms ();
+  if (self->fleet_revision != gg_fleet_get_revision (fleet))
+    {
+      self->fleet_revision = gg_fleet_get_revision (fleet);
+      self->fleet_changed_ms = now_ms;
+    }
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgRunnerRecord *record = &gg_fleet_get (fleet, i)->record;
+      if (strcmp (record->service, service) == 0 && record->range.end_layer > 0)
+        return FALSE;
+    }
+  if (self->waiting_since_ms == 0)
+    self->waiting_since_ms = now_ms;
+  return now_ms - self->fleet_changed_ms < QUIET_MS
+         && now_ms - self->waiting_since_ms < QUIET_MAX_MS;
+}
+
+static void
+place_service (GgPlacer *self, const GgRoutedService *service)
+{
+  GgFleet *fleet = self->router->fleet;
+  GArray *planned = g_array_new (FALSE, TRUE, sizeof (GgPlacementRunner));
+  GArray *is_pending = g_array_new (FALSE, TRUE, sizeof (gboolean));
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      if (strcmp (runner->record.service, service->name) != 0)
+        continue;
+      gboolean pending = FALSE;
+      GgPlacementRunner entry = { .id = runner->record.id,
+                                  .data_centre = runner->record.data_centre,
+                                  .is_usable = !runner->record.is_leaving };
+      entry.accelerator
+          = gg_engine_model_find_accelerator (service->model, runner->record.accelerator);
+      entry.current = get_current (self, runner, &pending);
+      g_array_append_val (planned, entry);
+      g_array_append_val (is_pending, pending);
+    }
+  GgPlacementRunner *runners = (GgPlacementRunner *) planned->data;
+  gg_placement_plan (service->model, runners, planned->len);
+  for (guint i = 0; i < planned->len; i++)
+    {
+      gboolean is_same = runners[i].target.first_layer == runners[i].current.first_layer
+                         && runners[i].target.end_layer == runners[i].current.end_layer;
+      if (!is_same && !g_array_index (is_pending, gboolean, i)
+          && runners[i].target.end_layer > runners[i].target.first_layer)
+        start_job (self, &runners[i], service->model);
+    }
+  g_array_unref (is_pending);
+  g_array_unref (planned);
+}
+
+static void
+on_tick (void *data)
+{
+  GgPlacer *self = data;
+  gg_loop_timer_start (self->timer, TICK_MS);
+  const GgRoutingConfig *config = self->router->config;
+  if (config == NULL || !self->router->has_runners || !gg_membership_is_leader (self->membership))
+    return;
+  for (guint i = 0; i < gg_routing_config_count_services (config); i++)
+    {
+      const GgRoutedService *service = gg_routing_config_get_service (config, i);
+      if (service->model != NULL && !is_fleet_starting (self, service->name))
+        place_service (self, service);
+    }
+}
+
+GgPlacer *
+gg_placer_create (GgRouter *router, GgMembership *membership)
+{
+  GgPlacer *self = g_new0 (GgPlacer, 1);
+  self->router = router;
+  self->membership = membership;
+  self->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  self->timer = gg_loop_timer_create (router->loop, on_tick, self);
+  gg_loop_timer_start (self->timer, TICK_MS);
+  return self;
+}
+
+void
+gg_placer_destroy (GgPlacer *self)
+{
+  gg_loop_timer_destroy (self->timer);
+  g_hash_table_unref (self->jobs);
+  g_free (self);
+}
--- /dev/null
+++ b/src/daemons/routerd/problem.h
@@ -0,0 +1,13 @@
+/** @file
+ * Answers of the router's own: problem details (RFC 9457). */
+#pragma once
+
+#include "loop/server.h"
+
+/** Answers the open request.
+ * @param detail a short name of the reason, the same as in the log.
+ * @param retry_after_s when the same request has a fair chance; 0 to say nothing. */
+void gg_problem_reply (GgServerConnection *connection,
+                       uint32_t status,
+                       const char *detail,
+                       uint64_t retry_after_s);
--- /dev/null
+++ b/src/daemons/routerd/router.c
@@ -0,0 +1,87 @@
+#include "daemons/routerd/router.h"
+
+#include "base/clock.h"
+#include "base/event_log.h"
+
+#define MS_PER_S 1000.0
+
+static GgSendBudget *
+create_budget (const GgRouter *self)
+{
+  double window_s = gg_settings_get_decimal (self->settings, "retries", "window_s");
+  double ratio = gg_settings_get_decimal (self->settings, "retries", "ratio");
+  uint64_t extra = gg_settings_get_uint (self->settings, "retries", "extra");
+  return gg_send_budget_create ((uint64_t) (window_s * MS_PER_S), ratio, (uint32_t) extra);
+}
+
+GgSendBudget *
+gg_router_get_budget (GgRouter *self, const char *service)
+{
+  GgSendBudget *budget = g_hash_table_lookup (self->budgets, service);
+  if (budget != NULL)
+    return budget;
+  budget = create_budget (self);
+  gg_send_budget_set_sharers (budget, self->n_instances, gg_clock_now_ms ());
+  g_hash_table_insert (self->budgets, g_strdup (service), budget);
+  return budget;
+}
+
+void
+gg_router_set_instances (GgRouter *self, uint32_t n_instances)
+{
+  self->n_instances = n_instances;
+  uint64_t now_ms = gg_clock_now_ms ();
+  GHashTableIter iter;
+  void *budget;
+  g_hash_table_iter_init (&iter, self->budgets);
+  while (g_hash_table_iter_next (&iter, NULL, &budget))
+    gg_send_budget_set_sharers (budget, n_instances, now_ms);
+}
+
+static void
+apply_limits (GgRouter *self)
+{
+  const GgCallerLimits *limits = gg_routing_config_get_limits (self->config);
+  GgServerLimits server = { .max_head_bytes = limits->max_head_bytes,
+                            .max_body_bytes = limits->max_body_bytes,
+                            .head_timeout_ms = limits->head_timeout_ms,
+                            .idle_timeout_ms = limits->idle_timeout_ms };
+  gg_loop_server_set_limits (self->caller_server, &server);
+}
+
+void
+gg_router_apply_config (GgRouter *self, GgRoutingConfig *config)
+{
+  uint64_t version = gg_routing_config_get_version (config);
+  uint64_t known = self->config != NULL ? gg_routing_config_get_version (self->config) : 0;
+  if (self->config != NULL && version <= known)
+    {
+      if (version < known)
+        gg_event_log_add (GG_EVENT_NOTABLE, "config_older_ignored",
+                          "version=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+                          (guint64) version, (guint64) known);
+      gg_routing_config_unref (config);
+      return;
+    }
+  gg_routing_config_unref (self->config);
+  self->config = config;
+  apply_limits (self);
+  gg_event_log_add (GG_EVENT_NOTABLE, "config_applied",
+                    "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+                    " routes=%u services=%u",
+                    (guint64) version, (guint64) known, gg_routing_config_count_routes (config),
+                    gg_routing_config_count_services (config));
+}
+
+gboolean
+gg_router_has_fresh_keys (const GgRouter *self)
+{
+  return self->key_age_limit_ms == 0
+         || gg_clock_boot_ms () - self->config_fresh_boot_ms <= self->key_age_limit_ms;
+}
+
+gboolean
+gg_router_is_ready (const GgRouter *self)
+{
+  return !self->is_stopping && self->config != NULL && self->has_runners;
+}
--- /dev/null
+++ b/src/daemons/routerd/router_settings.c
@@ -0,0 +1,33 @@
+#include "daemons/routerd/router_settings.h"
+
+#define MINUTE_MS (60 * 1000)
+
+const GgSetting gg_router_settings[] = {
+  { "instance", "name", GG_SETTING_STRING, NULL, 0, 0, "", "Name of this instance." },
+  { "instance", "data_centre", GG_SETTING_STRING, NULL, 0, 0, "", "Data centre of this instance." },
+  { "listen", "callers", GG_SETTING_ADDRESS, NULL, 0, 0, "", "Address for callers." },
+  { "listen", "ready", GG_SETTING_ADDRESS, NULL, 0, 0, "",
+    "Address at which the platform's balancer asks for readiness." },
+  { "listen", "peers", GG_SETTING_ADDRESS, NULL, 0, 0, "",
+    "Address at which other instances tell the work that they have given (UDP)." },
+  { "listen", "metrics", GG_SETTING_ADDRESS, NULL, 0, 0, "", "Address of the counters." },
+  { "store", "address", GG_SETTING_ADDRESS, NULL, 0, 0, "", "Address of the platform's store." },
+  { "store", "lease_floor_ms", GG_SETTING_UINT, "1000", 1, 10 * MINUTE_MS, "ms",
+    "Shortest lease that the store grants." },
+  { "runners", "fenced_orders", GG_SETTING_BOOLEAN, "true", 0, 0, "",
+    "Whether orders to runners carry the fencing token of the instance that orders." },
+  { "retries", "window_s", GG_SETTING_DECIMAL, "10", 0, 0, "s",
+    "Window over which repeated sends to a service are bounded." },
+  { "retries", "ratio", GG_SETTING_DECIMAL, "0.1", 0, 0, "",
+    "Repeated sends allowed for each request in the window." },
+  { "retries", "extra", GG_SETTING_UINT, "50", 0, 1000000, "",
+    "Repeated sends allowed in the window besides, for all instances together." },
+  { "keys", "revoke_ms", GG_SETTING_UINT, "5000", 100, 10 * MINUTE_MS, "ms",
+    "Time after which a key that was taken away must not be accepted by any instance." },
+  { "keys", "strict", GG_SETTING_BOOLEAN, "true", 0, 0, "",
+    "Whether requests with a key are refused while the configuration can't be proven fresh." },
+  { "stop", "grace_s", GG_SETTING_DECIMAL, "8", 0, 0, "s",
+    "Time from SIGTERM until the platform kills the process." },
+};
+
+const size_t gg_n_router_settings = G_N_ELEMENTS (gg_router_settings);
--- /dev/null
+++ b/src/daemons/routerd/routerd_main.c
@@ -0,0 +1,287 @@
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/daemon_options.h"
+#include "base/event_log.h"
+#include "daemons/routerd/config_follower.h"
+#include "daemons/routerd/placer.h"
+#include "daemons/routerd/problem.h"
+#include "daemons/routerd/relay.h"
+#include "daemons/routerd/router_settings.h"
+#include "daemons/routerd/runner_follower.h"
+#include "daemons/routerd/waiting_room.h"
+#include "daemons/routerd/work_exchange.h"
+#include "ports/relay_wire.h"
+
+#include <malloc.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define MS_PER_S 1000
+#define LOG_FLUSH_MS 100
+/* The balancer asks once a second and needs two misses; new connections come until then. */
+#define SETTLE_MS 2600
+#define STOP_CHECK_MS 100
+/* The process ends by itself this long before it would be killed. */
+#define KILL_MARGIN_MS 300
+/* The configuration counts as stale for keys this long before the bound: the store may show
+ * nothing for a second, and a request needs some time to its runner. */
+#define KEY_MARGIN_MS 1300
+/* Limits until the configuration is known. */
+#define FIRST_HEAD_BYTES 16384
+#define FIRST_BODY_BYTES 65536
+#define FIRST_HEAD_TIMEOUT_MS 3000
+#define FIRST_IDLE_TIMEOUT_MS 15000
+#define SMALL_HEAD_BYTES 4096
+
+typedef struct
+{
+  GgRouter router;
+  GgSettings *settings;
+  GgLoopServer *ready_server;
+  GgLoopServer *metrics_server; /* NULL if its address can't be used */
+  GgConfigFollower *config_follower;
+  GgRunnerFollower *runner_follower;
+  GgMembership *membership;
+  GgWorkExchange *work_exchange;
+  GgPlacer *placer;
+  GgLoopTimer *log_timer;
+  GgLoopTimer *stop_timer;
+  uint64_t stop_begun_ms;
+  const char *settings_path;
+} Daemon;
+
+static void
+on_ready_event (void *data, GgServerConnection *connection, const GgServerEvent *event)
+{
+  const GgRouter *router = data;
+  if (event->kind == GG_SERVER_REJECTED)
+    {
+      gg_problem_reply (connection, event->status, "malformed_request", 0);
+      return;
+    }
+  if (event->kind != GG_SERVER_REQUEST)
+    return;
+  const char *target = gg_message_head_get_target (event->request.head);
+  uint32_t status = 404;
+  if (strcmp (target, gg_relay_get_ready_path ()) == 0)
+    status = gg_router_is_ready (router) ? 200 : 503;
+  gg_problem_reply (connection, status, router->is_stopping ? "stopping" : "state", 0);
+  gg_message_head_destroy (event->request.head);
+  if (event->request.body != NULL)
+    g_byte_array_unref (event->request.body);
+}
+
+static void
+on_metrics_event (void *data, GgServerConnection *connection, const GgServerEvent *event)
+{
+  if (event->kind == GG_SERVER_REJECTED)
+    {
+      gg_problem_reply (connection, event->status, "malformed_request", 0);
+      return;
+    }
+  if (event->kind != GG_SERVER_REQUEST)
+    return;
+  GString *text = g_string_new (NULL);
+  gg_counters_expose (text);
+  GgMessageHead *head = gg_message_head_create_response (200);
+  gg_message_head_add (head, "Content-Type", "text/plain; version=0.0.4");
+  gg_server_connection_reply (connection, head, text->str, text->len);
+  gg_message_head_destroy (head);
+  g_string_free (text, TRUE);
+  gg_message_head_destroy (event->request.head);
+  if (event->request.body != NULL)
+    g_byte_array_unref (event->request.body);
+}
+
+static void
+on_log_timer (void *data)
+{
+  Daemon *self = data;
+  gg_event_log_flush ();
+  gg_loop_timer_start (self->log_timer, LOG_FLUSH_MS);
+}
+
+static void
+on_stop_timer (void *data)
+{
+  Daemon *self = data;
+  uint64_t stopped_ms = gg_clock_now_ms () - self->stop_begun_ms;
+  double grace_s = gg_settings_get_decimal (self->settings, "stop", "grace_s");
+  gboolean is_over = stopped_ms + KILL_MARGIN_MS > (uint64_t) (grace_s * MS_PER_S);
+  guint n_busy = gg_loop_server_count_busy (self->router.caller_server);
+  if (stopped_ms >= SETTLE_MS)
+    gg_loop_server_close_idle (self->router.caller_server);
+  if (is_over || (stopped_ms >= SETTLE_MS && n_busy == 0))
+    {
+      gg_event_log_add (GG_EVENT_NOTABLE, "process_stopped",
+                        "ms=%" G_GUINT64_FORMAT " requests_cut=%u", (guint64) stopped_ms, n_busy);
+      gg_loop_stop (self->router.loop);
+      return;
+    }
+  gg_loop_timer_start (self->stop_timer, STOP_CHECK_MS);
+}
+
+static void
+on_terminate (void *data)
+{
+  Daemon *self = data;
+  if (self->router.is_stopping)
+    return;
+  self->router.is_stopping = TRUE;
+  self->stop_begun_ms = gg_clock_now_ms ();
+  gg_event_log_add (GG_EVENT_NOTABLE, "process_stopping", "signal=TERM requests=%u",
+                    gg_loop_server_count_busy (self->router.caller_server));
+  gg_loop_server_set_closing (self->router.caller_server);
+  gg_membership_leave (self->membership);
+  gg_loop_timer_start (self->stop_timer, STOP_CHECK_MS);
+}
+
+/* Addresses and names hold for the life of a process; a changed file is checked and logged. */
+static void
+on_reload (void *data)
+{
+  Daemon *self = data;
+  GError *error = NULL;
+  GgSettings *settings
+      = gg_settings_create (self->settings_path, gg_router_settings, gg_n_router_settings, &error);
+  gg_event_log_add (GG_EVENT_NOTABLE, "settings_read", "valid=%d reason=\"%s\"", settings != NULL,
+                    error != NULL ? error->message : "");
+  g_clear_error (&error);
+  if (settings != NULL)
+    gg_settings_destroy (settings);
+}
+
+static void
+init_router (Daemon *self)
+{
+  GgRouter *router = &self->router;
+  router->settings = self->settings;
+  router->loop = gg_loop_create ();
+  router->client = gg_loop_client_create (router->loop);
+  router->store = gg_store_create (router->loop, router->client,
+                                   gg_settings_get_string (self->settings, "store", "address"));
+  router->instance = gg_settings_get_string (self->settings, "instance", "name");
+  router->data_centre = gg_settings_get_string (self->settings, "instance", "data_centre");
+  router->fleet = gg_fleet_create ();
+  router->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify) gg_send_budget_destroy);
+  router->n_instances = 1;
+  router->waiting_room = gg_waiting_room_create (router->loop);
+  if (gg_settings_get_boolean (self->settings, "keys", "strict"))
+    {
+      uint64_t revoke_ms = gg_settings_get_uint (self->settings, "keys", "revoke_ms");
+      router->key_age_limit_ms
+          = revoke_ms > 2 * KEY_MARGIN_MS ? revoke_ms - KEY_MARGIN_MS : revoke_ms / 2;
+    }
+}
+
+static gboolean
+open_servers (Daemon *self, GError **error)
+{
+  GgRouter *router = &self->router;
+  GgServerLimits limits = { .max_head_bytes = FIRST_HEAD_BYTES,
+                            .max_body_bytes = FIRST_BODY_BYTES,
+                            .head_timeout_ms = FIRST_HEAD_TIMEOUT_MS,
+                            .idle_timeout_ms = FIRST_IDLE_TIMEOUT_MS };
+  GgServerLimits small = limits;
+  small.max_head_bytes = SMALL_HEAD_BYTES;
+  small.max_body_bytes = 0;
+  router->caller_server = gg_loop_server_create (
+      router->loop, gg_settings_get_string (self->settings, "listen", "callers"), &limits,
+      gg_relay_on_server_event, router, error);
+  if (router->caller_server == NULL)
+    return FALSE;
+  self->ready_server = gg_loop_server_create (
+      router->loop, gg_settings_get_string (self->settings, "listen", "ready"), &small,
+      on_ready_event, router, error);
+  if (self->ready_server == NULL)
+    return FALSE;
+  GError *cause = NULL;
+  self->metrics_server = gg_loop_server_create (
+      router->loop, gg_settings_get_string (self->settings, "listen", "metrics"), &small,
+      on_metrics_event, router, &cause);
+  if (self->metrics_server == NULL)
+    {
+      gg_event_log_add (GG_EVENT_NOTABLE, "metrics_not_served", "reason=\"%s\"", cause->message);
+      g_error_free (cause);
+    }
+  return TRUE;
+}
+
+static gboolean
+start (Daemon *self, GError **error)
+{
+  GgRouter *router = &self->router;
+  const char *peer_address = gg_settings_get_string (self->settings, "listen", "peers");
+  init_router (self);
+  if (!open_servers (self, error))
+    return FALSE;
+  self->config_follower = gg_config_follower_create (router);
+  self->runner_follower = gg_runner_follower_create (router);
+  self->membership = gg_membership_create (router, peer_address);
+  self->work_exchange = gg_work_exchange_create (router, self->membership, peer_address, error);
+  if (self->work_exchange == NULL)
+    return FALSE;
+  self->placer = gg_placer_create (router, self->membership);
+  self->log_timer = gg_loop_timer_create (router->loop, on_log_timer, self);
+  self->stop_timer = gg_loop_timer_create (router->loop, on_stop_timer, self);
+  gg_loop_timer_start (self->log_timer, LOG_FLUSH_MS);
+  gg_loop_watch_signal (router->loop, SIGTERM, on_terminate, self);
+  gg_loop_watch_signal (router->loop, SIGINT, on_terminate, self);
+  gg_loop_watch_signal (router->loop, SIGHUP, on_reload, self);
+  return TRUE;
+}
+
+static int
+run (const GgDaemonOptions *options)
+{
+  Daemon self = { .settings_path = options->settings_path };
+  GError *error = NULL;
+  self.settings = gg_settings_create (options->settings_path, gg_router_settings,
+                                      gg_n_router_settings, &error);
+  if (self.settings == NULL)
+    {
+      fprintf (stderr, "greengage-routerd: %s\n", error->message);
+      g_error_free (error);
+      return GG_EXIT_USAGE;
+    }
+  if (options->check_only)
+    {
+      gg_settings_destroy (self.settings);
+      return EXIT_SUCCESS;
+    }
+  gg_event_log_init (gg_settings_get_string (self.settings, "instance", "name"), STDOUT_FILENO);
+  gg_event_log_add (GG_EVENT_NOTABLE, "process_started", "version=%s pid=%d", GG_VERSION,
+                    (int) getpid ());
+  if (!start (&self, &error))
+    {
+      fprintf (stderr, "greengage-routerd: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_FAILURE;
+    }
+  gg_loop_run (self.router.loop);
+  gg_event_log_flush ();
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  const GgDaemonInfo info = {
+    .program = "greengage-routerd",
+    .summary = "Serves callers on the platform: routes requests to runners and places models.",
+    .settings = gg_router_settings,
+    .n_settings = gg_n_router_settings,
+  };
+  GgDaemonOptions options;
+  int status;
+  if (!gg_daemon_options_parse (&options, &info, argc, argv, &status))
+    return status;
+  signal (SIGPIPE, SIG_IGN);
+  status = run (&options);
+  gg_daemon_options_clear (&options);
+  return status;
+}
--- /dev/null
+++ b/src/daemons/routerd/runner_follower.c
@@ -0,0 +1,180 @@
+#include "daemons/routerd/runner_follower.h"
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "ports/directory.h"
+
+#include <string.h>
+
+#define WATCH_MS 10000
+/* Entries are written again about every second by each runner; watching without a pause would
+ * return for each of them. A change is known this much later, well inside the time for which a
+ * leaving runner goes on serving. */
+#define PAUSE_MS 500
+#define RETRY_MS 200
+
+struct _GgRunnerFollower
+{
+  GgRouter *router;
+  GgStoreCall *call;
+  GgLoopTimer *timer;
+  uint64_t revision;
+  gboolean is_listed;      /* all pages were read; from then on changes are watched */
+  GHashTable *listed;      /* ids of the pages read so far */
+  char *last_key;          /* of the last page */
+  uint64_t first_revision; /* of the first page: later changes come by the watch */
+  gboolean is_lost;
+};
+
+static void send_call (GgRunnerFollower *self);
+
+static void
+take_runner (GgRunnerFollower *self, const GgStoreItem *item)
+{
+  GgRunnerRecord record;
+  GError *error = NULL;
+  if (!gg_directory_decode_runner (item->key, item->value, &record, &error))
+    {
+      gg_event_log_add (GG_EVENT_ORDINARY, "runner_entry_unreadable", "key=%s reason=\"%s\"",
+                        item->key, error->message);
+      g_error_free (error);
+      return;
+    }
+  char *id = g_strdup (record.id);
+  if (gg_fleet_put (self->router->fleet, &record))
+    {
+      const GgRunnerRecord *known = &gg_fleet_find (self->router->fleet, id)->record;
+      gg_event_log_add (GG_EVENT_ORDINARY, "runner_changed",
+                        "runner=%s service=%s address=%s data_centre=%s leaving=%d layers=%u-%u "
+                        "revision=%" G_GUINT64_FORMAT,
+                        id, known->service, known->address, known->data_centre, known->is_leaving,
+                        known->range.first_layer, known->range.end_layer, (guint64) item->revision);
+    }
+  g_free (id);
+}
+
+static void
+take_item (GgRunnerFollower *self, const GgStoreItem *item)
+{
+  const char *id = gg_directory_get_runner_id (item->key);
+  if (!self->is_listed)
+    g_hash_table_add (self->listed, g_strdup (id));
+  if (item->value != NULL)
+    take_runner (self, item);
+  else if (gg_fleet_remove (self->router->fleet, id, gg_clock_now_ms ()))
+    gg_event_log_add (GG_EVENT_NOTABLE, "runner_gone", "runner=%s revision=%" G_GUINT64_FORMAT, id,
+                      (guint64) item->revision);
+}
+
+static void
+end_page (GgRunnerFollower *self, const GgStoreReply *reply)
+{
+  if (self->first_revision == 0)
+    self->first_revision = reply->revision;
+  if (reply->has_more && reply->items->len > 0)
+    {
+      const GgStoreItem *last = g_ptr_array_index (reply->items, reply->items->len - 1);
+      g_free (self->last_key);
+      self->last_key = g_strdup (last->key);
+      return;
+    }
+  gg_fleet_retain (self->router->fleet, self->listed, gg_clock_now_ms ());
+  g_hash_table_remove_all (self->listed);
+  self->revision = self->first_revision;
+  self->is_listed = TRUE;
+  self->router->has_runners = TRUE;
+  gg_event_log_add (GG_EVENT_NOTABLE, "runners_listed", "count=%u revision=%" G_GUINT64_FORMAT,
+                    gg_fleet_get_size (self->router->fleet), (guint64) self->revision);
+}
+
+static void
+set_lost (GgRunnerFollower *self, gboolean is_lost)
+{
+  if (self->is_lost != is_lost)
+    gg_event_log_add (GG_EVENT_NOTABLE, is_lost ? "store_lost" : "store_regained",
+                      "watch=runners revision=%" G_GUINT64_FORMAT, (guint64) self->revision);
+  self->is_lost = is_lost;
+}
+
+static void
+start_listing (GgRunnerFollower *self)
+{
+  self->is_listed = FALSE;
+  self->first_revision = 0;
+  g_hash_table_remove_all (self->listed);
+  g_free (self->last_key);
+  self->last_key = g_strdup ("");
+}
+
+static void
+on_reply (void *data, const GgStoreReply *reply)
+{
+  GgRunnerFollower *self = data;
+  self->call = NULL;
+  switch (reply->result)
+    {
+    case GG_STORE_OK:
+    case GG_STORE_ABSENT:
+      set_lost (self, FALSE);
+      for (guint i = 0; i < reply->items->len; i++)
+        take_item (self, g_ptr_array_index (reply->items, i));
+      if (self->is_listed)
+        {
+          self->revision = reply->revision;
+          gg_loop_timer_start (self->timer, reply->items->len > 0 ? PAUSE_MS : 0);
+          return;
+        }
+      end_page (self, reply);
+      send_call (self);
+      return;
+    case GG_STORE_EXPIRED:
+      start_listing (self);
+      send_call (self);
+      return;
+    case GG_STORE_CONFLICT:
+    case GG_STORE_REFUSED:
+    case GG_STORE_UNKNOWN:
+      set_lost (self, TRUE);
+      gg_loop_timer_start (self->timer, RETRY_MS);
+      return;
+    }
+}
+
+static void
+send_call (GgRunnerFollower *self)
+{
+  const char *prefix = gg_directory_get_runner_prefix ();
+  if (self->is_listed)
+    self->call
+        = gg_store_watch (self->router->store, prefix, self->revision, WATCH_MS, on_reply, self);
+  else
+    self->call = gg_store_list (self->router->store, prefix, self->last_key, on_reply, self);
+}
+
+static void
+on_timer (void *data)
+{
+  send_call (data);
+}
+
+GgRunnerFollower *
+gg_runner_follower_create (GgRouter *router)
+{
+  GgRunnerFollower *self = g_new0 (GgRunnerFollower, 1);
+  self->router = router;
+  self->timer = gg_loop_timer_create (router->loop, on_timer, self);
+  self->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  start_listing (self);
+  send_call (self);
+  return self;
+}
+
+void
+gg_runner_follower_destroy (GgRunnerFollower *self)
+{
+  gg_store_call_cancel (self->call);
+  gg_loop_timer_destroy (self->timer);
+  g_hash_table_unref (self->listed);
+  g_free (self->last_key);
+  g_free (self);
+}
--- /dev/null
+++ b/src/daemons/routerd/work_exchange.c
@@ -0,0 +1,135 @@
+#include "daemons/routerd/work_exchange.h"
+
+#include "adapters/rpc/work_share.h"
+#include "base/clock.h"
+#include "core/peer_work.h"
+#include "loop/datagram.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Requests last about a second, so that this keeps the shared picture about a quarter of one
+ * behind. */
+#define SEND_MS 250
+/* A peer that has been silent for this long no longer counts; its requests have ended or will
+ * be seen in what the runners refuse. */
+#define HOLD_MS 2000
+
+struct _GgWorkExchange
+{
+  GgRouter *router;
+  const GgMembership *membership;
+  GgDatagramSocket *socket;
+  GgLoopTimer *timer;
+  GgPeerWork *peer_work;
+  uint64_t incarnation;
+  uint64_t number;
+  gboolean was_idle; /* the last share had no work, and peers know it */
+};
+
+static void
+apply_peer_work (GgWorkExchange *self)
+{
+  GgFleet *fleet = self->router->fleet;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      uint32_t hash = gg_work_share_hash (runner->record.id, runner->record.born_ms);
+      runner->peers = gg_peer_work_get (self->peer_work, hash);
+    }
+}
+
+static void
+on_datagram (void *data, char *bytes, size_t size_bytes)
+{
+  GgWorkExchange *self = data;
+  uint64_t now_ms = gg_clock_now_ms ();
+  GgWorkShare share;
+  if (gg_work_share_decode (bytes, size_bytes, &share)
+      && gg_peer_work_begin (self->peer_work, share.instance, share.incarnation, share.number,
+                             now_ms))
+    for (guint i = 0; i < share.entries->len; i++)
+      {
+        const GgWorkShareEntry *entry = &g_array_index (share.entries, GgWorkShareEntry, i);
+        gg_peer_work_add (self->peer_work, entry->runner_hash, &entry->work);
+      }
+  gg_work_share_clear (&share);
+}
+
+static void
+collect (GgWorkExchange *self, GgWorkShare *share)
+{
+  const GgFleet *fleet = self->router->fleet;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      if (runner->own.n_requests == 0)
+        continue;
+      GgWorkShareEntry entry
+          = { .runner_hash = gg_work_share_hash (runner->record.id, runner->record.born_ms),
+              .work = runner->own };
+      g_array_append_val (share->entries, entry);
+    }
+}
+
+static void
+send_share (GgWorkExchange *self)
+{
+  char bytes[GG_WORK_SHARE_MAX_BYTES];
+  GgWorkShare share;
+  gg_work_share_init (&share);
+  share.instance = strdup (self->router->instance);
+  share.incarnation = self->incarnation;
+  share.number = ++self->number;
+  collect (self, &share);
+  gboolean is_idle = share.entries->len == 0;
+  size_t size_bytes = gg_work_share_encode (&share, bytes, sizeof bytes);
+  const GPtrArray *peers = gg_membership_get_peers (self->membership);
+  /* Silence says the same as an empty share, once the last one with work has run out. */
+  if (size_bytes > 0 && !(is_idle && self->was_idle))
+    for (guint i = 0; i < peers->len; i++)
+      gg_datagram_socket_send (self->socket, g_ptr_array_index (peers, i), bytes, size_bytes);
+  self->was_idle = is_idle;
+  gg_work_share_clear (&share);
+}
+
+static void
+on_timer (void *data)
+{
+  GgWorkExchange *self = data;
+  gg_peer_work_expire (self->peer_work, gg_clock_now_ms ());
+  apply_peer_work (self);
+  send_share (self);
+  gg_loop_timer_start (self->timer, SEND_MS);
+}
+
+GgWorkExchange *
+gg_work_exchange_create (GgRouter *router,
+                         const GgMembership *membership,
+                         const char *address,
+                         GError **error)
+{
+  GgWorkExchange *self = g_new0 (GgWorkExchange, 1);
+  self->router = router;
+  self->membership = membership;
+  self->socket = gg_datagram_socket_create (router->loop, address, on_datagram, self, error);
+  if (self->socket == NULL)
+    {
+      g_free (self);
+      return NULL;
+    }
+  self->incarnation = gg_clock_wall_ms ();
+  self->peer_work = gg_peer_work_create (HOLD_MS);
+  self->timer = gg_loop_timer_create (router->loop, on_timer, self);
+  gg_loop_timer_start (self->timer, SEND_MS);
+  return self;
+}
+
+void
+gg_work_exchange_destroy (GgWorkExchange *self)
+{
+  gg_datagram_socket_destroy (self->socket);
+  gg_loop_timer_destroy (self->timer);
+  gg_peer_work_destroy (self->peer_work);
+  g_free (self);
+}
--- a/tests/process/test_settings_reference.c
+++ b/tests/process/test_settings_reference.c
@@ -36,12 +36,19 @@
   check_program ("greengage-controld");
 }
 
+static void
+test_router (void)
+{
+  check_program ("greengage-routerd");
+}
+
 int
 main (void)
 {
   static const GgTestCase cases[] = {
     { "entry process", test_entry },
     { "control process", test_control },
+    { "router on the platform", test_router },
   };
   return gg_test_run ("settings reference", cases, G_N_ELEMENTS (cases));
 }
