--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,6 +5,9 @@
 /* First suspension after a failure, and the longest one. */
 #define SUSPEND_MS 250
 #define SUSPEND_MAX_MS 4000
+/* First pause after a refusal, and the longest one. */
+#define REFUSED_MS 30
+#define REFUSED_MAX_MS 1000
 
 struct _GgFleet
 {
@@ -49,6 +52,9 @@
 void
 gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms)
 {
+  /* Failures of requests that were under way at the first one count once. */
+  if (now_ms < self->suspended_until_ms)
+    return;
   uint32_t shift = MIN (self->failures, 8U);
   self->failures++;
   self->suspended_until_ms = now_ms + MIN ((uint64_t) SUSPEND_MS << shift, SUSPEND_MAX_MS);
@@ -59,6 +65,19 @@
 {
   self->failures = 0;
   self->suspended_until_ms = 0;
+  self->refusals = 0;
+  self->full_until_ms = 0;
+}
+
+void
+gg_fleet_runner_refuse (GgFleetRunner *self, uint64_t now_ms)
+{
+  /* Refusals of requests that were sent before the first of them was heard count once. */
+  if (now_ms < self->full_until_ms)
+    return;
+  uint32_t shift = MIN (self->refusals, 8U);
+  self->refusals++;
+  self->full_until_ms = now_ms + MIN ((uint64_t) REFUSED_MS << shift, REFUSED_MAX_MS);
 }
 
 static void
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -48,7 +48,8 @@
   gboolean is_listed;          /**< FALSE once its entry is gone. */
   uint32_t failures;           /**< In a row. */
   uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
-  uint64_t full_until_ms;      /**< Refused work as full; same meaning. */
+  uint32_t refusals;           /**< In a row. */
+  uint64_t full_until_ms;      /**< Refused work; receives none before (monotonic). */
   uint64_t unlisted_ms;        /**< When its entry went (monotonic). */
 };
 
@@ -62,6 +63,10 @@
 void gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms);
 void gg_fleet_runner_succeed (GgFleetRunner *self);
 
+/** Counts a refusal. The first ones mean that the runner is full for a moment; one that goes on
+ * refusing is leaving, or lacks memory for longer, and is left alone for longer. */
+void gg_fleet_runner_refuse (GgFleetRunner *self, uint64_t now_ms);
+
 typedef struct _GgFleet GgFleet;
 
 GgFleet *gg_fleet_create (void);
--- a/src/core/layer_path.c
+++ b/src/core/layer_path.c
@@ -307,3 +307,10 @@
       work->token_layers -= get_token_layers (self, &self->hops[i]);
     }
 }
+
+void
+gg_layer_path_succeed (const GgLayerPath *self)
+{
+  for (guint i = 0; i < self->n_hops; i++)
+    gg_fleet_runner_succeed (self->hops[i].runner);
+}
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -8,8 +8,18 @@
  * a smaller reserve on. */
 #define FIRST_COPY_ROOM 1.35
 #define FURTHER_COPY_ROOM 1.12
-/* A runner that fills a gap keeps this part of its memory for requests. */
+/* A runner that is moved keeps this part of its memory for requests. */
 #define GAP_ROOM 0.12
+/* Memory without which a data centre is left as it is. */
+#define SMALLEST_ROOM 1.05
+/* Gain, as a part of the zone's resistance, that is worth the loads: for a runner that holds
+ * nothing, and for one that gives up what it serves with. */
+#define SPARE_GAIN 0.01
+#define MOVE_GAIN 0.3
+/* Changes in one plan; the next one goes by what has become of them. */
+#define MAX_MOVES 4
+/* Worth, in requests, that a layer without any runner counts as. */
+#define WORTH_FLOOR 0.5
 
 typedef struct
 {
@@ -33,62 +43,12 @@
   return strcmp (x->id, y->id);
 }
 
-/* Marks the layers that the members' targets hold. */
-static gboolean *
-mark_held (const Zone *self)
-{
-  gboolean *is_held = g_new0 (gboolean, self->model->n_layers + 1);
-  for (guint i = 0; i < self->members->len; i++)
-    {
-      const GgPlacementRunner *runner = g_ptr_array_index (self->members, i);
-      for (uint32_t l = runner->target.first_layer;
-           l < MIN (runner->target.end_layer, self->model->n_layers); l++)
-        is_held[l] = TRUE;
-    }
-  return is_held;
-}
-
 static uint32_t
 fit_with_room (const GgEngineModel *model, const GgAccelerator *accelerator)
 {
   return (uint32_t) (accelerator->memory_mb * (1 - GAP_ROOM) / model->layer_mb);
 }
 
-/* Gives the layers that nobody holds to members that hold nothing.
- * @return FALSE if some layer is still held by nobody; targets may have changed. */
-static gboolean
-fill_gaps (const Zone *self)
-{
-  gboolean *is_held = mark_held (self);
-  uint32_t at = 0;
-  guint next = 0;
-  while (at < self->model->n_layers)
-    {
-      if (is_held[at])
-        {
-          at++;
-          continue;
-        }
-      GgPlacementRunner *spare = NULL;
-      while (next < self->members->len && spare == NULL)
-        {
-          GgPlacementRunner *runner = g_ptr_array_index (self->members, next++);
-          if (is_empty (&runner->target))
-            spare = runner;
-        }
-      if (spare == NULL)
-        break;
-      uint32_t end = at;
-      uint32_t fit = fit_with_room (self->model, spare->accelerator);
-      while (end < self->model->n_layers && !is_held[end] && end - at < fit)
-        end++;
-      spare->target = (GgLayerRange){ at, end };
-      at = end;
-    }
-  g_free (is_held);
-  return at >= self->model->n_layers;
-}
-
 /* Lays one copy over members[first..first+n) in proportion to their memory, so that each has the
  * same part of it left for requests. */
 static void
@@ -184,31 +144,152 @@
   add_copies (self);
 }
 
+/* Part of the answer that a layer's requests can get from one runner: requests that fit in its
+ * memory, weighed down for a slow card, on which each of them stays longer. */
+static double
+get_worth (const Zone *self, const GgPlacementRunner *runner, uint32_t n_layers)
+{
+  const GgEngineModel *model = self->model;
+  double tokens = MAX (model->usual_prompt_tokens + model->usual_answer_tokens, 1);
+  double capacity = gg_engine_model_get_capacity (model, runner->accelerator, n_layers);
+  return n_layers > 0 ? capacity / n_layers / tokens / sqrt (runner->accelerator->pace) : 0;
+}
+
 static void
-plan_zone (const Zone *self)
+add_worth (const Zone *self, double *worth, const GgPlacementRunner *runner, double sign)
 {
-  keep_current (self);
-  gboolean *is_held = mark_held (self);
-  guint n_held = 0;
-  for (uint32_t l = 0; l < self->model->n_layers; l++)
-    n_held += is_held[l] ? 1 : 0;
-  g_free (is_held);
+  const GgLayerRange *range = &runner->target;
+  double value = sign * get_worth (self, runner, range->end_layer - range->first_layer);
+  for (uint32_t l = range->first_layer; l < MIN (range->end_layer, self->model->n_layers); l++)
+    worth[l] += value;
+}
 
-  if (n_held == 0)
+/* Worth of each layer over all members: what the narrowest layer lets through bounds the rest. */
+static double *
+sum_worth (const Zone *self)
+{
+  double *worth = g_new0 (double, self->model->n_layers);
+  for (guint i = 0; i < self->members->len; i++)
+    add_worth (self, worth, g_ptr_array_index (self->members, i), 1);
+  return worth;
+}
+
+/* The narrowest layer bounds all requests; the cube lets it outweigh the others in the sum, while
+ * a second narrow layer still counts. */
+static double
+get_resistance (double worth)
+{
+  double w = MAX (worth, 0) + WORTH_FLOOR;
+  return 1 / (w * w * w);
+}
+
+typedef struct
+{
+  GgPlacementRunner *runner;
+  GgLayerRange range;
+  double resistance; /* of the whole zone after the move */
+  double gain;       /* part of the zone's resistance that it takes away */
+  gboolean is_spare; /* the runner holds nothing now */
+} Move;
+
+/* Finds the best range for one runner. @p worth is that of the zone without it. */
+static void
+find_range (const Zone *self, GgPlacementRunner *runner, const double *worth, Move *best)
+{
+  uint32_t n_layers = self->model->n_layers;
+  uint32_t fit = fit_with_room (self->model, runner->accelerator);
+  double without = 0;
+  for (uint32_t l = 0; l < n_layers; l++)
+    without += get_resistance (worth[l]);
+  for (uint32_t n = 1; n <= MIN (fit, n_layers); n++)
     {
-      plan_anew (self);
-      return;
+      double value = get_worth (self, runner, n);
+      double resistance = without;
+      for (uint32_t end = 1; end <= n_layers; end++)
+        {
+          double held = worth[end - 1];
+          resistance += get_resistance (held + value) - get_resistance (held);
+          if (end > n)
+            {
+              held = worth[end - 1 - n];
+              resistance -= get_resistance (held + value) - get_resistance (held);
+            }
+          if (end >= n && resistance < best->resistance)
+            {
+              best->runner = runner;
+              best->range = (GgLayerRange){ end - n, end };
+              best->resistance = resistance;
+            }
+        }
     }
-  if (n_held < self->model->n_layers && !fill_gaps (self))
+}
+
+/* A spare runner goes before one that serves. */
+static gboolean
+is_better (const Move *move, const Move *chosen)
+{
+  if (move->runner == NULL || move->gain < (move->is_spare ? SPARE_GAIN : MOVE_GAIN))
+    return FALSE;
+  if (chosen->runner == NULL || move->is_spare != chosen->is_spare)
+    return chosen->runner == NULL || move->is_spare;
+  return move->gain > chosen->gain;
+}
+
+/* Carries out the one change that lets most through.
+ * @return FALSE if none is worth its loads. */
+static gboolean
+improve (const Zone *self)
+{
+  double *worth = sum_worth (self);
+  double now = 0;
+  for (uint32_t l = 0; l < self->model->n_layers; l++)
+    now += get_resistance (worth[l]);
+  Move chosen = { 0 };
+  for (guint i = 0; i < self->members->len; i++)
     {
-      /* Too little is left for a whole copy: keep what there is, other data centres serve. */
-      if (count_for_copy (self, 0, FURTHER_COPY_ROOM) > 0)
-        plan_anew (self);
-      else
-        keep_current (self);
-      return;
+      GgPlacementRunner *runner = g_ptr_array_index (self->members, i);
+      if (runner->is_moving)
+        continue;
+      Move move = { .resistance = now, .is_spare = is_empty (&runner->target) };
+      add_worth (self, worth, runner, -1);
+      find_range (self, runner, worth, &move);
+      add_worth (self, worth, runner, 1);
+      move.gain = 1 - move.resistance / now;
+      if (is_better (&move, &chosen))
+        chosen = move;
     }
-  add_copies (self);
+  g_free (worth);
+  if (chosen.runner == NULL)
+    return FALSE;
+  chosen.runner->target = chosen.range;
+  chosen.runner->is_moving = TRUE;
+  return TRUE;
+}
+
+static gboolean
+can_hold_copy (const Zone *self)
+{
+  return count_for_copy (self, 0, SMALLEST_ROOM) > 0;
+}
+
+static void
+plan_zone (const Zone *self)
+{
+  gboolean holds_any = FALSE;
+  keep_current (self);
+  for (guint i = 0; i < self->members->len; i++)
+    {
+      const GgPlacementRunner *runner = g_ptr_array_index (self->members, i);
+      holds_any = holds_any || !is_empty (&runner->current);
+    }
+  /* Where no whole copy fits, other data centres serve. */
+  if (!can_hold_copy (self))
+    return;
+  if (!holds_any)
+    plan_anew (self);
+  guint n_moves = 0;
+  while (n_moves < MAX_MOVES && improve (self))
+    n_moves++;
 }
 
 void
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -12,12 +12,13 @@
   const char *data_centre;
   const GgAccelerator *accelerator;
   gboolean is_usable;   /**< Alive and staying. */
+  gboolean is_moving;   /**< It carries out an order; set by the plan for those that it moves. */
   GgLayerRange current; /**< What it holds, or will hold when its present load ends. */
   GgLayerRange target;  /**< Result: what it should hold. */
 } GgPlacementRunner;
 
-/** Sets the target of each runner. The plan moves as few layers as it can: a data centre whose
- * layers are all held is left alone; gaps go to runners that hold nothing; only if these can't
- * fill them the data centre is laid out anew. Runners that are left over form further copies
- * where they can hold a whole one. Targets of runners that can't be used equal what they hold. */
+/** Sets the target of each runner. A data centre that holds nothing is laid out in whole copies,
+ * the fast cards first. Otherwise the plan makes a few changes, each the one that widens the
+ * narrowest layers most: runners that hold nothing go first, and one that serves is moved only
+ * where a range was lost. Targets of runners that can't be used equal what they hold. */
 void gg_placement_plan (const GgEngineModel *model, GgPlacementRunner *runners, guint n_runners);
--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -6,19 +6,30 @@
 #include <string.h>
 
 /* Each reply proves that the configuration was the newest when the call was sent; with this wait
- * the proof is at most twice as old, well under the bound for keys. */
+ * the proof is at most twice as old, well under the bound for keys. Longer than the second for
+ * which a store that drops its history may show nothing: what was written before the call was
+ * sent is then told. */
 #define WATCH_MS 1500
-/* Pause after a failed call. */
+/* Pause after a failed call: short after the first one, since a waiting watch may be cut. */
+#define FIRST_RETRY_MS 10
 #define RETRY_MS 150
 
+typedef enum
+{
+  STEP_READ,  /* the key was never read, or history was lost */
+  STEP_CHECK, /* a call failed: prove the known revision before waiting for the next one */
+  STEP_WATCH,
+} Step;
+
 struct _GgConfigFollower
 {
   GgRouter *router;
   GgStoreCall *call;
   GgLoopTimer *retry_timer;
-  uint64_t revision; /* of the store, up to which changes are known */
-  gboolean is_read;  /* the key was read once; from then on it is watched */
-  gboolean is_lost;  /* the store does not answer */
+  Step step;
+  uint64_t revision;      /* of the store, up to which changes are known */
+  uint64_t item_revision; /* of the key; 0: it does not exist */
+  gboolean is_lost;       /* the store does not answer */
 };
 
 static void send_call (GgConfigFollower *self);
@@ -28,6 +39,7 @@
 {
   if (item->value == NULL || strcmp (item->key, gg_directory_get_config_key ()) != 0)
     return;
+  self->item_revision = item->revision;
   GError *error = NULL;
   GgRoutingConfig *config = gg_directory_decode_config (item->value, &error);
   if (config == NULL)
@@ -50,6 +62,20 @@
   self->is_lost = is_lost;
 }
 
+static void
+take_reply (GgConfigFollower *self, const GgStoreReply *reply)
+{
+  for (guint i = 0; i < reply->items->len; i++)
+    take_item (self, g_ptr_array_index (reply->items, i));
+  /* A check shows the state of one key only, so the watch goes on from what it knew. */
+  if (self->step != STEP_CHECK)
+    self->revision = reply->revision;
+  self->step = STEP_WATCH;
+  self->router->config_fresh_boot_ms = reply->sent_boot_ms;
+  set_lost (self, FALSE);
+  send_call (self);
+}
+
 static void
 on_reply (void *data, const GgStoreReply *reply)
 {
@@ -59,23 +85,19 @@
     {
     case GG_STORE_OK:
     case GG_STORE_ABSENT:
-      for (guint i = 0; i < reply->items->len; i++)
-        take_item (self, g_ptr_array_index (reply->items, i));
-      self->revision = reply->revision;
-      self->is_read = TRUE;
-      self->router->config_fresh_boot_ms = reply->sent_boot_ms;
-      set_lost (self, FALSE);
-      send_call (self);
+    case GG_STORE_CONFLICT:
+      take_reply (self, reply);
       return;
     case GG_STORE_EXPIRED:
-      self->is_read = FALSE;
+      self->step = STEP_READ;
       send_call (self);
       return;
-    case GG_STORE_CONFLICT:
     case GG_STORE_REFUSED:
     case GG_STORE_UNKNOWN:
+      if (self->step == STEP_WATCH)
+        self->step = STEP_CHECK;
+      gg_loop_timer_start (self->retry_timer, self->is_lost ? RETRY_MS : FIRST_RETRY_MS);
       set_lost (self, TRUE);
-      gg_loop_timer_start (self->retry_timer, RETRY_MS);
       return;
     }
 }
@@ -84,11 +106,19 @@
 send_call (GgConfigFollower *self)
 {
   const char *key = gg_directory_get_config_key ();
-  if (self->is_read)
-    self->call
-        = gg_store_watch (self->router->store, key, self->revision, WATCH_MS, on_reply, self);
-  else
-    self->call = gg_store_read (self->router->store, key, on_reply, self);
+  GgStore *store = self->router->store;
+  switch (self->step)
+    {
+    case STEP_READ:
+      self->call = gg_store_read (store, key, on_reply, self);
+      break;
+    case STEP_CHECK:
+      self->call = gg_store_check (store, key, self->item_revision, on_reply, self);
+      break;
+    case STEP_WATCH:
+      self->call = gg_store_watch (store, key, self->revision, WATCH_MS, on_reply, self);
+      break;
+    }
 }
 
 static void
--- a/src/daemons/routerd/placer.c
+++ b/src/daemons/routerd/placer.c
@@ -286,21 +286,18 @@
 {
   GgFleet *fleet = self->router->fleet;
   GArray *planned = g_array_new (FALSE, TRUE, sizeof (GgPlacementRunner));
-  GArray *is_pending = g_array_new (FALSE, TRUE, sizeof (gboolean));
   for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
     {
       const GgFleetRunner *runner = gg_fleet_get (fleet, i);
       if (strcmp (runner->record.service, service->name) != 0)
         continue;
-      gboolean pending = FALSE;
       GgPlacementRunner entry = { .id = runner->record.id,
                                   .data_centre = runner->record.data_centre,
                                   .is_usable = !runner->record.is_leaving };
       entry.accelerator
           = gg_engine_model_find_accelerator (service->model, runner->record.accelerator);
-      entry.current = get_current (self, runner, &pending);
+      entry.current = get_current (self, runner, &entry.is_moving);
       g_array_append_val (planned, entry);
-      g_array_append_val (is_pending, pending);
     }
   GgPlacementRunner *runners = (GgPlacementRunner *) planned->data;
   gg_placement_plan (service->model, runners, planned->len);
@@ -308,11 +305,9 @@
     {
       gboolean is_same = runners[i].target.first_layer == runners[i].current.first_layer
                          && runners[i].target.end_layer == runners[i].current.end_layer;
-      if (!is_same && !g_array_index (is_pending, gboolean, i)
-          && runners[i].target.end_layer > runners[i].target.first_layer)
+      if (!is_same && runners[i].target.end_layer > runners[i].target.first_layer)
         start_job (self, &runners[i], service->model);
     }
-  g_array_unref (is_pending);
   g_array_unref (planned);
 }
 
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -36,8 +36,6 @@
 #define MAX_HELD_BYTES (256 * 1024)
 /* Reading from a runner stops while the caller has this much to take. */
 #define MAX_PENDING_BYTES (128 * 1024)
-/* A runner that refused as full is left alone for this long. */
-#define FULL_MS 40
 /* Answer tokens that are expected if the caller gives no estimate: part of its maximum. */
 #define UNHINTED_PART 0.6
 /* Estimates are often too low; memory is reserved for more. */
@@ -338,7 +336,10 @@
   switch (end)
     {
     case GG_SEND_COMPLETE:
-      gg_fleet_runner_succeed (runner);
+      if (self->has_path)
+        gg_layer_path_succeed (&self->path);
+      else
+        gg_fleet_runner_succeed (runner);
       return;
     case GG_SEND_FAILED:
       break;
@@ -346,7 +347,7 @@
       if (self->answer_words.is_misdirected)
         gg_fleet_runner_fail (runner, now_ms);
       else
-        runner->full_until_ms = now_ms + FULL_MS;
+        gg_fleet_runner_refuse (runner, now_ms);
       break;
     case GG_SEND_UNSENT:
     case GG_SEND_LOST:
@@ -712,6 +713,11 @@
 begin (GgRelay *self)
 {
   const char *reason = NULL;
+  if (self->router->is_refusing)
+    {
+      reject (self, "stopping", RETRY_AFTER_UNKNOWN_S);
+      return;
+    }
   uint32_t status = authorize (self, &reason);
   if (status != 0)
     {
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -32,7 +32,8 @@
   GgWaitingRoom *waiting_room;
   GgLoopServer *caller_server;
   gboolean has_runners; /**< The runners were listed once. */
-  gboolean is_stopping;
+  gboolean is_stopping; /**< Not ready any more; requests that still come are served. */
+  gboolean is_refusing; /**< Too late in the stop for a request to be served whole. */
 } GgRouter;
 
 /** Returns the budget of repeated sends to a service. */
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -26,9 +26,9 @@
 #define STOP_CHECK_MS 100
 /* The process ends by itself this long before it would be killed. */
 #define KILL_MARGIN_MS 300
-/* The configuration counts as stale for keys this long before the bound: the store may show
- * nothing for a second, and a request needs some time to its runner. */
-#define KEY_MARGIN_MS 1300
+/* The configuration counts as stale for keys this long before the bound, for the time that a
+ * request takes to its runner. */
+#define KEY_MARGIN_MS 300
 /* Limits until the configuration is known. */
 #define FIRST_HEAD_BYTES 16384
 #define FIRST_BODY_BYTES 65536
@@ -113,7 +113,11 @@
   gboolean is_over = stopped_ms + KILL_MARGIN_MS > (uint64_t) (grace_s * MS_PER_S);
   guint n_busy = gg_loop_server_count_busy (self->router.caller_server);
   if (stopped_ms >= SETTLE_MS)
-    gg_loop_server_close_idle (self->router.caller_server);
+    {
+      self->router.is_refusing = TRUE;
+      gg_loop_server_stop_listening (self->router.caller_server);
+      gg_loop_server_close_idle (self->router.caller_server);
+    }
   if (is_over || (stopped_ms >= SETTLE_MS && n_busy == 0))
     {
       gg_event_log_add (GG_EVENT_NOTABLE, "process_stopped",
--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -375,14 +375,23 @@
   g_free (self);
 }
 
+void
+gg_loop_server_stop_listening (GgLoopServer *self)
+{
+  if (self->accept_event == NULL)
+    return;
+  event_free (self->accept_event);
+  self->accept_event = NULL;
+  close (self->listener);
+}
+
 void
 gg_loop_server_destroy (GgLoopServer *self)
 {
   if (self == NULL)
     return;
   close_all (self, FALSE);
-  event_free (self->accept_event);
-  close (self->listener);
+  gg_loop_server_stop_listening (self);
   gg_loop_defer (self->loop, free_server, self);
 }
 
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -65,6 +65,9 @@
 /** From now on every answer announces the end of its connection. */
 void gg_loop_server_set_closing (GgLoopServer *self);
 
+/** Takes no new connections from now on. */
+void gg_loop_server_stop_listening (GgLoopServer *self);
+
 /** Closes the connections on which no request is open. */
 void gg_loop_server_close_idle (GgLoopServer *self);
 
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -74,6 +74,11 @@
                              GgStoreFunc func,
                              void *data);
 
+/** Proves that a key still has @p revision: GG_STORE_OK if so, else GG_STORE_CONFLICT with the
+ * present item. Nothing is written. */
+GgStoreCall *
+gg_store_check (GgStore *self, const char *key, uint64_t revision, GgStoreFunc func, void *data);
+
 GgStoreCall *gg_store_open_lease (GgStore *self, uint64_t ttl_ms, GgStoreFunc func, void *data);
 GgStoreCall *gg_store_renew_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
 GgStoreCall *gg_store_end_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
