--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -353,7 +353,14 @@
   return self;
 }
 
-/* Closes all connections for which @p state_only holds: idle ones, or every one. */
+/* Whether nothing is under way: no request, and no answer that the client has not taken yet. */
+static gboolean
+is_quiet (const GgServerConnection *self)
+{
+  return self->state == STATE_IDLE && gg_loop_socket_get_pending (self->socket) == 0;
+}
+
+/* Closes the quiet connections, or every one. */
 static void
 close_all (GgLoopServer *self, gboolean is_idle_only)
 {
@@ -361,7 +368,7 @@
   for (GList *l = connections; l != NULL; l = l->next)
     {
       GgServerConnection *connection = l->data;
-      if (!is_idle_only || connection->state == STATE_IDLE)
+      if (!is_idle_only || is_quiet (connection))
         close_connection (connection, FALSE);
     }
   g_list_free (connections);
@@ -422,8 +429,7 @@
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      const GgServerConnection *connection = key;
-      if (connection->state == STATE_READING || connection->state == STATE_ANSWERING)
+      if (!is_quiet (key))
         n++;
     }
   return n;
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -68,10 +68,10 @@
 /** Takes no new connections from now on. */
 void gg_loop_server_stop_listening (GgLoopServer *self);
 
-/** Closes the connections on which no request is open. */
+/** Closes the connections on which no request is open and no answer on its way. */
 void gg_loop_server_close_idle (GgLoopServer *self);
 
-/** Connections with a request or an answer under way. */
+/** Connections with a request or an answer under way, or closing after one. */
 guint gg_loop_server_count_busy (const GgLoopServer *self);
 
 void gg_server_connection_set_data (GgServerConnection *self, void *data);
--- a/tests/loop/test_server.c
+++ b/tests/loop/test_server.c
@@ -201,6 +201,63 @@
   g_free (address);
 }
 
+#define LARGE_BYTES (4 * 1024 * 1024)
+
+typedef struct
+{
+  GgLoopServer *server;
+  size_t received_bytes;
+  gboolean done;
+} LargeAnswer;
+
+static void
+on_large_request (void *data, GgServerConnection *connection, const GgServerEvent *event)
+{
+  LargeAnswer *a = data;
+  if (event->kind != GG_SERVER_REQUEST)
+    return;
+  char *body = g_malloc0 (LARGE_BYTES);
+  GgMessageHead *head = gg_message_head_create_response (200);
+  gg_server_connection_reply (connection, head, body, LARGE_BYTES);
+  gg_loop_server_close_idle (a->server);
+  CU_ASSERT_EQUAL (gg_loop_server_count_busy (a->server), 1);
+  gg_message_head_destroy (head);
+  gg_message_head_destroy (event->request.head);
+  g_free (body);
+}
+
+static void
+on_large_answer (void *data, const GgSocketEvent *event)
+{
+  LargeAnswer *a = data;
+  if (event->kind == GG_SOCKET_DATA)
+    a->received_bytes += event->size_bytes;
+  a->done = a->received_bytes > LARGE_BYTES || event->kind == GG_SOCKET_EOF
+            || event->kind == GG_SOCKET_RESET;
+}
+
+/* A stop closes idle connections: an answer that was given but not yet taken is not idle. */
+static void
+test_answer_on_its_way_is_not_idle (void)
+{
+  LargeAnswer a = { 0 };
+  GgLoop *loop = gg_loop_create ();
+  GgServerLimits limits = {
+    .max_head_bytes = 1000, .max_body_bytes = 100, .head_timeout_ms = 2000, .idle_timeout_ms = 3000
+  };
+  char *address = gg_process_reserve_address ();
+  static const char text[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  a.server = gg_loop_server_create (loop, address, &limits, on_large_request, &a, NULL);
+  GgLoopSocket *socket = gg_loop_socket_connect (loop, address, on_large_answer, &a);
+  gg_loop_socket_write (socket, text, sizeof text - 1);
+  CU_ASSERT_TRUE (loop_fixture_run (loop, &a.done, LIMIT_MS));
+  CU_ASSERT_TRUE (a.received_bytes > LARGE_BYTES);
+  gg_loop_socket_destroy (socket, FALSE);
+  gg_loop_server_destroy (a.server);
+  gg_loop_destroy (loop);
+  g_free (address);
+}
+
 int
 main (void)
 {
@@ -209,6 +266,7 @@
     { "refusals", test_refusals },
     { "large chunked body is refused", test_large_chunked_body_is_refused },
     { "refusal reaches the caller", test_refusal_reaches_the_caller },
+    { "answer on its way is not idle", test_answer_on_its_way_is_not_idle },
     { "caller that leaves is noticed", test_caller_that_leaves_is_noticed },
   };
   return gg_test_run ("loop server", cases, G_N_ELEMENTS (cases));
