Tell peers what runners were ordered to hold; prove keys every 1.6 s

Ruled out: the store's return (configuration proven 0.1 to 0.7 s after it). Change: an accepted order counts as a pledge, told in the datagrams of the leader; layers that a runner gives up take no new work at once. After two refusals a request waits for news. Shares of many runners take several datagrams. Watch of 1.6 s.

--- a/src/adapters/rpc/work_share.c
+++ b/src/adapters/rpc/work_share.c
@@ -4,10 +4,8 @@
 #include <string.h>
 
 /* Tells this datagram and its version from anything else that may reach the port. */
-#define MAGIC 0x67675731U
+#define MAGIC 0x67675732U
 #define MAX_NAME_BYTES 128
-#define ENTRY_BYTES 20
-#define MAX_ENTRIES (GG_WORK_SHARE_MAX_BYTES / ENTRY_BYTES)
 
 uint32_t
 gg_work_share_hash (const char *runner_id, uint64_t born_ms)
@@ -35,7 +33,9 @@
 {
   return xdr_uint32_t (xdr, &entry->runner_hash) && xdr_uint32_t (xdr, &entry->work.n_requests)
          && xdr_uint32_t (xdr, &entry->work.n_first)
-         && xdr_uint64_t (xdr, &entry->work.token_layers);
+         && xdr_uint64_t (xdr, &entry->work.token_layers)
+         && xdr_uint32_t (xdr, &entry->pledged.first_layer)
+         && xdr_uint32_t (xdr, &entry->pledged.end_layer);
 }
 
 /* Encodes or decodes, as the stream says. */
@@ -47,7 +47,7 @@
   if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC
       || !xdr_string (xdr, &self->instance, MAX_NAME_BYTES)
       || !xdr_uint64_t (xdr, &self->incarnation) || !xdr_uint64_t (xdr, &self->number)
-      || !xdr_uint32_t (xdr, &n_entries) || n_entries > MAX_ENTRIES)
+      || !xdr_uint32_t (xdr, &n_entries) || n_entries > GG_WORK_SHARE_MAX_ENTRIES)
     return FALSE;
   g_array_set_size (self->entries, n_entries);
   for (guint i = 0; i < n_entries; i++)
--- a/src/adapters/rpc/work_share.h
+++ b/src/adapters/rpc/work_share.h
@@ -7,14 +7,17 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** Largest datagram; more runners than fit are told in the next ones. */
+/** Largest datagram, and the runners that fit into it. */
 #define GG_WORK_SHARE_MAX_BYTES 1400
+#define GG_WORK_SHARE_MAX_ENTRIES 40
 
-/** Work that one instance has given to one runner. */
+/** What one instance says of one runner. */
 typedef struct
 {
   uint32_t runner_hash; /**< gg_work_share_hash() of its id and start. */
-  GgRunnerWork work;
+  GgRunnerWork work;    /**< That the instance has given to it. */
+  GgLayerRange pledged; /**< What it was ordered to hold, from the instance that orders; empty for
+                         * none. */
 } GgWorkShareEntry;
 
 typedef struct
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -1,7 +1,7 @@
 #include "core/attempt.h"
 
 /* Sends that no runner ran are free of the operators' bound, but each costs time. */
-#define MAX_MISSES 4
+#define MAX_MISSES 8
 
 void
 gg_attempt_note (GgAttempt *self, GgSendEnd end)
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -9,6 +9,9 @@
 #define REFUSED_MS 30
 #define REFUSED_MAX_MS 1000
 
+/* An order that its runner has not carried out after this long is asked about anew. */
+#define PLEDGE_MS 10000
+
 struct _GgFleet
 {
   GPtrArray *runners; /* GgFleetRunner in order of id */
@@ -49,6 +52,24 @@
          && now_ms >= self->full_until_ms;
 }
 
+void
+gg_fleet_runner_pledge (GgFleetRunner *self, const GgLayerRange *range, uint64_t now_ms)
+{
+  self->pledged = *range;
+  self->pledged_until_ms = now_ms + PLEDGE_MS;
+}
+
+GgLayerRange
+gg_fleet_runner_get_range (const GgFleetRunner *self, uint64_t now_ms)
+{
+  GgLayerRange range = self->record.range;
+  if (self->pledged.end_layer == 0 || now_ms >= self->pledged_until_ms)
+    return range;
+  range.first_layer = MAX (range.first_layer, self->pledged.first_layer);
+  range.end_layer = MIN (range.end_layer, self->pledged.end_layer);
+  return range.end_layer > range.first_layer ? range : (GgLayerRange){ 0, 0 };
+}
+
 void
 gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -45,6 +45,9 @@
   GgRunnerRecord record;
   GgRunnerWork own;            /**< Given by this process. */
   GgRunnerWork peers;          /**< Given by other instances, as they said last. */
+  GgLayerRange pledged;        /**< What it was ordered to hold, as long as its entry shows another
+                                * range; empty for none. */
+  uint64_t pledged_until_ms;   /**< The pledge counts until then (monotonic). */
   gboolean is_listed;          /**< FALSE once its entry is gone. */
   uint32_t failures;           /**< In a row. */
   uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
@@ -63,6 +66,13 @@
 /** Whether new work may go to it. */
 gboolean gg_fleet_runner_is_usable (const GgFleetRunner *self, uint64_t now_ms);
 
+/** Notes what the runner was ordered to hold: layers that it gives up take no new work from then
+ * on, before its entry shows that they are gone. */
+void gg_fleet_runner_pledge (GgFleetRunner *self, const GgLayerRange *range, uint64_t now_ms);
+
+/** Returns the layers for which it takes new work: those that it holds and is to go on holding. */
+GgLayerRange gg_fleet_runner_get_range (const GgFleetRunner *self, uint64_t now_ms);
+
 /** Counts a failure and suspends the runner for a time that doubles with each one in a row. */
 void gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms);
 void gg_fleet_runner_succeed (GgFleetRunner *self);
--- a/src/core/layer_path.c
+++ b/src/core/layer_path.c
@@ -26,6 +26,7 @@
 typedef struct
 {
   GgFleetRunner *runner;
+  GgLayerRange range; /* for which it takes new work */
   const GgAccelerator *accelerator;
   double spread; /* factor on its cost by use */
 } Candidate;
@@ -71,14 +72,14 @@
     {
       GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
       const GgRunnerRecord *record = &runner->record;
+      GgLayerRange range = gg_fleet_runner_get_range (runner, query->now_ms);
       if (runner == query->excluded || strcmp (record->service, query->service) != 0
-          || record->range.end_layer <= record->range.first_layer
-          || record->range.end_layer > query->model->n_layers
+          || range.end_layer <= range.first_layer || range.end_layer > query->model->n_layers
           || !gg_fleet_runner_is_usable (runner, query->now_ms))
         continue;
       if (data_centre != NULL && strcmp (record->data_centre, data_centre) != 0)
         continue;
-      Candidate candidate = { .runner = runner };
+      Candidate candidate = { .runner = runner, .range = range };
       candidate.accelerator = gg_engine_model_find_accelerator (query->model, record->accelerator);
       if (candidate.accelerator == NULL)
         continue;
@@ -131,7 +132,7 @@
   for (guint i = 0; i < n; i++)
     {
       const Candidate *candidate = &candidates[i];
-      const GgLayerRange *range = &candidate->runner->record.range;
+      const GgLayerRange *range = &candidate->range;
       if (at < range->first_layer || at >= range->end_layer || (at == 0 && !has_slot (candidate))
           || is_used (nodes, at, candidate->runner))
         continue;
@@ -175,7 +176,7 @@
   uint32_t end = 0;
   for (guint i = 0; i < n && end < n_layers;)
     {
-      const GgLayerRange *range = &candidates[i].runner->record.range;
+      const GgLayerRange *range = &candidates[i].range;
       if (range->first_layer <= end && range->end_layer > end)
         {
           end = range->end_layer;
@@ -204,8 +205,8 @@
   is_boundary[n_layers] = TRUE;
   for (guint i = 0; i < n; i++)
     {
-      is_boundary[candidates[i].runner->record.range.first_layer] = TRUE;
-      is_boundary[candidates[i].runner->record.range.end_layer] = TRUE;
+      is_boundary[candidates[i].range.first_layer] = TRUE;
+      is_boundary[candidates[i].range.end_layer] = TRUE;
     }
   nodes[0].is_reached = TRUE;
   if (query->first != NULL)
--- a/src/core/peer_work.c
+++ b/src/core/peer_work.c
@@ -1,11 +1,17 @@
 #include "core/peer_work.h"
 
+typedef struct
+{
+  GgRunnerWork work;
+  uint64_t heard_ms;
+} Said;
+
 typedef struct
 {
   uint64_t incarnation;
   uint64_t number;
   uint64_t heard_ms;
-  GHashTable *work; /* hash of a runner -> GgRunnerWork */
+  GHashTable *said; /* hash of a runner -> Said */
 } Peer;
 
 struct _GgPeerWork
@@ -19,7 +25,7 @@
 free_peer (void *data)
 {
   Peer *peer = data;
-  g_hash_table_unref (peer->work);
+  g_hash_table_unref (peer->said);
   g_free (peer);
 }
 
@@ -47,15 +53,16 @@
   if (known == NULL)
     {
       known = g_new0 (Peer, 1);
-      known->work = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+      known->said = g_hash_table_new_full (NULL, NULL, NULL, g_free);
       g_hash_table_insert (self->peers, g_strdup (peer), known);
     }
   else if (known->incarnation == incarnation && known->number >= number)
     return FALSE;
+  if (known->incarnation != incarnation)
+    g_hash_table_remove_all (known->said);
   known->incarnation = incarnation;
   known->number = number;
   known->heard_ms = now_ms;
-  g_hash_table_remove_all (known->work);
   self->current = known;
   return TRUE;
 }
@@ -63,22 +70,36 @@
 void
 gg_peer_work_add (GgPeerWork *self, uint32_t runner_hash, const GgRunnerWork *work)
 {
-  GgRunnerWork *copy = g_new (GgRunnerWork, 1);
-  *copy = *work;
-  g_hash_table_insert (self->current->work, GUINT_TO_POINTER (runner_hash), copy);
+  Said *said = g_new (Said, 1);
+  *said = (Said){ .work = *work, .heard_ms = self->current->heard_ms };
+  g_hash_table_insert (self->current->said, GUINT_TO_POINTER (runner_hash), said);
+}
+
+static void
+expire_said (GHashTable *said, uint64_t before_ms)
+{
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, said);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const Said *) value)->heard_ms < before_ms)
+      g_hash_table_iter_remove (&iter);
 }
 
 void
 gg_peer_work_expire (GgPeerWork *self, uint64_t now_ms)
 {
+  uint64_t before_ms = now_ms > self->hold_ms ? now_ms - self->hold_ms : 0;
   GHashTableIter iter;
   void *value;
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Peer *peer = value;
-      if (now_ms - peer->heard_ms > self->hold_ms)
+      if (peer->heard_ms < before_ms)
         g_hash_table_iter_remove (&iter);
+      else
+        expire_said (peer->said, before_ms);
     }
 }
 
@@ -92,12 +113,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Peer *peer = value;
-      const GgRunnerWork *work = g_hash_table_lookup (peer->work, GUINT_TO_POINTER (runner_hash));
-      if (work == NULL)
+      const Said *said = g_hash_table_lookup (peer->said, GUINT_TO_POINTER (runner_hash));
+      if (said == NULL)
         continue;
-      sum.n_requests += work->n_requests;
-      sum.n_first += work->n_first;
-      sum.token_layers += work->token_layers;
+      sum.n_requests += said->work.n_requests;
+      sum.n_first += said->work.n_first;
+      sum.token_layers += said->work.token_layers;
     }
   return sum;
 }
--- a/src/core/peer_work.h
+++ b/src/core/peer_work.h
@@ -10,8 +10,8 @@
 GgPeerWork *gg_peer_work_create (uint64_t hold_ms);
 void gg_peer_work_destroy (GgPeerWork *self);
 
-/** Begins a peer's new word, which replaces its earlier one. A word that is older than the known
- * one, of the same incarnation, is ignored.
+/** Begins a peer's next word, which replaces what it said of the same runners before. A word that
+ * is older than the known one, of the same incarnation, is ignored.
  * @return FALSE if it is to be ignored. */
 gboolean gg_peer_work_begin (
     GgPeerWork *self, const char *peer, uint64_t incarnation, uint64_t number, uint64_t now_ms);
@@ -19,7 +19,7 @@
 /** Adds one runner to the word that was begun last. */
 void gg_peer_work_add (GgPeerWork *self, uint32_t runner_hash, const GgRunnerWork *work);
 
-/** Forgets peers that have been silent for too long. */
+/** Forgets what was not said again for too long. */
 void gg_peer_work_expire (GgPeerWork *self, uint64_t now_ms);
 
 /** Returns the sum over all peers for one runner. */
--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -10,7 +10,7 @@
  * the proof is at most twice as old, well under the bound for keys. Longer than the second for
  * which a store that drops its history may show nothing: what was written before the call was
  * sent is then told. */
-#define WATCH_MS 2000
+#define WATCH_MS 1600
 /* Pauses after failed calls: the first one is short, since a waiting watch may be cut while the
  * store is well; they stay under the time in which keys must be proven again. */
 #define RETRY_MS 60
--- a/src/daemons/routerd/placer.c
+++ b/src/daemons/routerd/placer.c
@@ -108,6 +108,14 @@
     send_job (job, JOB_ORDER, report.n_orders);
 }
 
+static void
+pledge (Job *job)
+{
+  GgFleetRunner *runner = gg_fleet_find (job->placer->router->fleet, job->id);
+  if (runner != NULL)
+    gg_fleet_runner_pledge (runner, &job->target, gg_clock_now_ms ());
+}
+
 static void
 on_order (Job *job)
 {
@@ -120,6 +128,7 @@
     {
     case GG_ORDER_STARTED:
     case GG_ORDER_DONE:
+      pledge (job);
       wait_job (job, JOB_SETTLE, (uint64_t) job->load_ms + SETTLE_MS);
       break;
     case GG_ORDER_FENCED:
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -37,6 +37,9 @@
 #define MAX_HELD_BYTES (256 * 1024)
 /* Reading from a runner stops while the caller has this much to take. */
 #define MAX_PENDING_BYTES (128 * 1024)
+/* Runners that refuse one after another show that this process knows less than it should, as while
+ * layers move: after so many it waits for news before the next try. */
+#define MISSES_AT_ONCE 2
 /* Answer tokens that are expected if the caller gives no estimate: part of its maximum. */
 #define UNHINTED_PART 0.6
 /* A request grows into its memory: over its life it holds its prompt and about half of its answer,
@@ -732,7 +735,7 @@
 static void
 choose_and_send (GgRelay *self)
 {
-  if (choose_runner (self) == GG_PATH_FOUND)
+  if (self->attempt.n_misses <= MISSES_AT_ONCE && choose_runner (self) == GG_PATH_FOUND)
     {
       send_request (self);
       return;
--- a/src/daemons/routerd/work_exchange.c
+++ b/src/daemons/routerd/work_exchange.c
@@ -24,7 +24,7 @@
   GgPeerWork *peer_work;
   uint64_t incarnation;
   uint64_t number;
-  gboolean was_idle; /* the last share had no work, and peers know it */
+  GHashTable *told; /* set of hashes of runners that peers were told to have work */
 };
 
 static void
@@ -39,6 +39,18 @@
     }
 }
 
+static void
+take_pledge (GgWorkExchange *self, const GgWorkShareEntry *entry, uint64_t now_ms)
+{
+  GgFleet *fleet = self->router->fleet;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      if (gg_work_share_hash (runner->record.id, runner->record.born_ms) == entry->runner_hash)
+        gg_fleet_runner_pledge (runner, &entry->pledged, now_ms);
+    }
+}
+
 static void
 on_datagram (void *data, char *bytes, size_t size_bytes)
 {
@@ -52,44 +64,68 @@
       {
         const GgWorkShareEntry *entry = &g_array_index (share.entries, GgWorkShareEntry, i);
         gg_peer_work_add (self->peer_work, entry->runner_hash, &entry->work);
+        if (entry->pledged.end_layer > 0)
+          take_pledge (self, entry, now_ms);
       }
   gg_work_share_clear (&share);
 }
 
+/* Whether a runner's pledge is worth telling: its entry does not show it yet. */
+static gboolean
+has_open_pledge (const GgFleetRunner *runner, uint64_t now_ms)
+{
+  return runner->pledged.end_layer > 0 && now_ms < runner->pledged_until_ms
+         && (runner->pledged.first_layer != runner->record.range.first_layer
+             || runner->pledged.end_layer != runner->record.range.end_layer);
+}
+
 static void
-collect (GgWorkExchange *self, GgWorkShare *share)
+send_part (GgWorkExchange *self, GgWorkShare *share)
 {
-  const GgFleet *fleet = self->router->fleet;
-  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
-    {
-      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
-      if (runner->own.n_requests == 0)
-        continue;
-      GgWorkShareEntry entry
-          = { .runner_hash = gg_work_share_hash (runner->record.id, runner->record.born_ms),
-              .work = runner->own };
-      g_array_append_val (share->entries, entry);
-    }
+  char bytes[GG_WORK_SHARE_MAX_BYTES];
+  if (share->entries->len == 0)
+    return;
+  share->number = ++self->number;
+  size_t size_bytes = gg_work_share_encode (share, bytes, sizeof bytes);
+  g_assert (size_bytes > 0);
+  const GPtrArray *peers = gg_membership_get_peers (self->membership);
+  for (guint i = 0; i < peers->len; i++)
+    gg_datagram_socket_send (self->socket, g_ptr_array_index (peers, i), bytes, size_bytes);
+  g_array_set_size (share->entries, 0);
 }
 
+/* Tells each runner that has work, and once more that it has none. */
 static void
 send_share (GgWorkExchange *self)
 {
-  char bytes[GG_WORK_SHARE_MAX_BYTES];
+  const GgFleet *fleet = self->router->fleet;
+  uint64_t now_ms = gg_clock_now_ms ();
+  gboolean is_leader = gg_membership_is_leader (self->membership);
   GgWorkShare share;
   gg_work_share_init (&share);
   share.instance = strdup (self->router->instance);
   share.incarnation = self->incarnation;
-  share.number = ++self->number;
-  collect (self, &share);
-  gboolean is_idle = share.entries->len == 0;
-  size_t size_bytes = gg_work_share_encode (&share, bytes, sizeof bytes);
-  const GPtrArray *peers = gg_membership_get_peers (self->membership);
-  /* Silence says the same as an empty share, once the last one with work has run out. */
-  if (size_bytes > 0 && !(is_idle && self->was_idle))
-    for (guint i = 0; i < peers->len; i++)
-      gg_datagram_socket_send (self->socket, g_ptr_array_index (peers, i), bytes, size_bytes);
-  self->was_idle = is_idle;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      uint32_t hash = gg_work_share_hash (runner->record.id, runner->record.born_ms);
+      gboolean has_work = runner->own.n_requests > 0;
+      gboolean is_pledged = is_leader && has_open_pledge (runner, now_ms);
+      gboolean was_told = g_hash_table_contains (self->told, GUINT_TO_POINTER (hash));
+      if (!has_work && !was_told && !is_pledged)
+        continue;
+      GgWorkShareEntry entry = { .runner_hash = hash, .work = runner->own };
+      if (is_pledged)
+        entry.pledged = runner->pledged;
+      g_array_append_val (share.entries, entry);
+      if (has_work)
+        g_hash_table_add (self->told, GUINT_TO_POINTER (hash));
+      else
+        g_hash_table_remove (self->told, GUINT_TO_POINTER (hash));
+      if (share.entries->len == GG_WORK_SHARE_MAX_ENTRIES)
+        send_part (self, &share);
+    }
+  send_part (self, &share);
   gg_work_share_clear (&share);
 }
 
@@ -120,6 +156,7 @@
     }
   self->incarnation = gg_clock_wall_ms ();
   self->peer_work = gg_peer_work_create (HOLD_MS);
+  self->told = g_hash_table_new (NULL, NULL);
   self->timer = gg_loop_timer_create (router->loop, on_timer, self);
   gg_loop_timer_start (self->timer, SEND_MS);
   return self;
@@ -131,5 +168,6 @@
   gg_datagram_socket_destroy (self->socket);
   gg_loop_timer_destroy (self->timer);
   gg_peer_work_destroy (self->peer_work);
+  g_hash_table_unref (self->told);
   g_free (self);
 }
--- /dev/null
+++ b/tests/adapters/test_work_share.c
@@ -0,0 +1,75 @@
+/* Guards the datagrams between instances: a full one fits, and bytes from elsewhere are refused. */
+#include "adapters/rpc/work_share.h"
+#include "test_main.h"
+
+#include <string.h>
+
+static void
+fill (GgWorkShare *share, guint n)
+{
+  gg_work_share_init (share);
+  share->instance = strdup ("front-karongi-1");
+  share->incarnation = 17;
+  share->number = 4;
+  for (guint i = 0; i < n; i++)
+    {
+      GgWorkShareEntry entry
+          = { .runner_hash = i,
+              .work = { .n_requests = i + 1, .n_first = 1, .token_layers = 1ULL << 40 },
+              .pledged = { 10, 20 } };
+      g_array_append_val (share->entries, entry);
+    }
+}
+
+static void
+test_round_trip (void)
+{
+  char bytes[GG_WORK_SHARE_MAX_BYTES];
+  GgWorkShare sent;
+  GgWorkShare got;
+  fill (&sent, GG_WORK_SHARE_MAX_ENTRIES);
+  size_t n = gg_work_share_encode (&sent, bytes, sizeof bytes);
+  CU_ASSERT_TRUE_FATAL (n > 0);
+  CU_ASSERT_TRUE_FATAL (gg_work_share_decode (bytes, n, &got));
+  CU_ASSERT_STRING_EQUAL (got.instance, "front-karongi-1");
+  CU_ASSERT_EQUAL (got.entries->len, GG_WORK_SHARE_MAX_ENTRIES);
+  const GgWorkShareEntry *last
+      = &g_array_index (got.entries, GgWorkShareEntry, got.entries->len - 1);
+  CU_ASSERT_EQUAL (last->work.n_requests, GG_WORK_SHARE_MAX_ENTRIES);
+  CU_ASSERT_EQUAL (last->work.token_layers, 1ULL << 40);
+  CU_ASSERT_EQUAL (last->pledged.end_layer, 20);
+  gg_work_share_clear (&sent);
+  gg_work_share_clear (&got);
+}
+
+static void
+test_damaged_bytes (void)
+{
+  char whole[GG_WORK_SHARE_MAX_BYTES];
+  GgWorkShare sent;
+  fill (&sent, 5);
+  size_t n = gg_work_share_encode (&sent, whole, sizeof whole);
+  for (guint32 seed = 1; seed <= 3000; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      char bytes[GG_WORK_SHARE_MAX_BYTES];
+      memcpy (bytes, whole, n);
+      for (int i = 0; i < 3; i++)
+        bytes[g_rand_int_range (rand, 0, (gint32) n)] = (char) g_rand_int_range (rand, 0, 256);
+      GgWorkShare got;
+      gg_work_share_decode (bytes, (size_t) g_rand_int_range (rand, 0, (gint32) n + 1), &got);
+      gg_work_share_clear (&got);
+      g_rand_free (rand);
+    }
+  gg_work_share_clear (&sent);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "round trip", test_round_trip },
+    { "damaged bytes", test_damaged_bytes },
+  };
+  return gg_test_run ("work share", cases, G_N_ELEMENTS (cases));
+}
