--- a/src/daemons/routerd/problem.c
+++ b/src/daemons/routerd/problem.c
@@ -32,3 +32,16 @@
   gg_message_head_destroy (head);
   g_free (body);
 }
+
+void
+gg_problem_refuse (GgServerConnection *connection, uint32_t status)
+{
+  const char *detail = "malformed_request";
+  if (status == 408)
+    detail = "head_timeout";
+  else if (status == 413)
+    detail = "body_too_large";
+  else if (status == 431)
+    detail = "head_too_large";
+  gg_problem_reply (connection, status, detail, 0);
+}
--- a/src/daemons/routerd/problem.h
+++ b/src/daemons/routerd/problem.h
@@ -12,3 +12,6 @@
                        uint32_t status,
                        const char *detail,
                        uint64_t retry_after_ms);
+
+/** Answers bytes that the server refused: 400, 408, 413 or 431. */
+void gg_problem_refuse (GgServerConnection *connection, uint32_t status);
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -907,7 +907,7 @@
       break;
     case GG_SERVER_REJECTED:
       gg_event_log_add (GG_EVENT_NOTABLE, "request_malformed", "status=%u", event->status);
-      gg_problem_reply (connection, event->status, "malformed_request", 0);
+      gg_problem_refuse (connection, event->status);
       break;
     case GG_SERVER_GONE:
       if (self != NULL)
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -60,7 +60,7 @@
   const GgRouter *router = data;
   if (event->kind == GG_SERVER_REJECTED)
     {
-      gg_problem_reply (connection, event->status, "malformed_request", 0);
+      gg_problem_refuse (connection, event->status);
       return;
     }
   if (event->kind != GG_SERVER_REQUEST)
@@ -80,7 +80,7 @@
 {
   if (event->kind == GG_SERVER_REJECTED)
     {
-      gg_problem_reply (connection, event->status, "malformed_request", 0);
+      gg_problem_refuse (connection, event->status);
       return;
     }
   if (event->kind != GG_SERVER_REQUEST)
--- /dev/null
+++ b/tests/fakes/fake_runner.c
@@ -0,0 +1,353 @@
+/* Fake runner of the users' platform. With --kind it is a model runner that holds no layers until
+ * it is ordered; without, a plain service. It registers itself in the store (--store) under --id.
+ * What a request's target contains decides the fault that it plays: "refuse" (not run), "lose"
+ * (run, connection closed), "cut" (a stream ends in the middle of an event unless it is resumed),
+ * "unsigned", "fail" (its own 500). GET /test/runs tells how many requests it has run. */
+#include "base/clock.h"
+#include "base/json.h"
+#include "fake_loop.h"
+#include "loop/client.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define N_EVENTS 6
+#define EVENT_MS 10
+#define LOAD_MS 30
+#define REGISTER_MS 500
+#define CUT_AFTER 3
+
+static struct
+{
+  GgFakeLoop *fake;
+  GgLoopClient *client;
+  GgLoopTimer *load_timer;
+  GgLoopTimer *register_timer;
+  const char *id;
+  const char *address;
+  uint64_t born_ms;
+  uint32_t first_layer;
+  uint32_t end_layer;
+  uint32_t next_first;
+  uint32_t next_end;
+  uint64_t n_orders;
+  uint64_t n_runs;
+  gboolean is_busy;
+  gboolean is_leaving;
+  GHashTable *streams; /* set of Stream */
+} runner;
+
+typedef struct
+{
+  GgServerConnection *connection;
+  GgLoopTimer *timer;
+  uint64_t next;
+  gboolean is_cut;
+} Stream;
+
+static void
+add_state (JsonBuilder *b)
+{
+  gg_json_add_uint (b, "born", runner.born_ms);
+  if (gg_fake_loop_get_option (runner.fake, "kind") == NULL)
+    return;
+  gg_json_add_string (b, "kind", gg_fake_loop_get_option (runner.fake, "kind"));
+  json_builder_set_member_name (b, "layers");
+  if (runner.end_layer == 0)
+    {
+      json_builder_add_null_value (b);
+      return;
+    }
+  json_builder_begin_object (b);
+  gg_json_add_uint (b, "from_rev", runner.first_layer);
+  gg_json_add_uint (b, "to", runner.end_layer);
+  gg_json_add_uint (b, "version", 1);
+  json_builder_end_object (b);
+}
+
+static char *
+print_entry (void)
+{
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  gg_json_add_string (b, "service", gg_fake_loop_get_option (runner.fake, "service"));
+  gg_json_add_string (b, "address", runner.address);
+  gg_json_add_string (b, "zone", gg_fake_loop_get_option (runner.fake, "zone"));
+  gg_json_add_string (b, "version", "v1");
+  gg_json_add_uint (b, "slots", 16);
+  gg_json_add_string (b, "state", runner.is_leaving ? "draining" : "ready");
+  add_state (b);
+  json_builder_end_object (b);
+  return gg_json_print (b);
+}
+
+static gboolean
+on_registered (void *data, const GgCallEvent *event)
+{
+  if (event->kind == GG_CALL_HEAD)
+    gg_message_head_destroy (event->head);
+  return TRUE;
+}
+
+static void
+register_self (void *data)
+{
+  char *entry = print_entry ();
+  char *value = g_base64_encode ((const guchar *) entry, strlen (entry));
+  char *body = g_strdup_printf ("{\"puts\":[{\"key\":\"servers/%s\",\"value\":\"%s\"}]}", runner.id,
+                                value);
+  GgMessageHead *head = gg_message_head_create_request ("POST", "/test/put");
+  gg_message_head_add_uint (head, "Content-Length", strlen (body));
+  GgCallRequest request = { .address = gg_fake_loop_get_option (runner.fake, "store"),
+                            .head = head,
+                            .body = body,
+                            .body_bytes = strlen (body),
+                            .connect_timeout_ms = 1000 };
+  gg_loop_client_call (runner.client, &request, on_registered, NULL);
+  gg_message_head_destroy (head);
+  g_free (body);
+  g_free (value);
+  g_free (entry);
+  gg_loop_timer_start (runner.register_timer, REGISTER_MS);
+}
+
+static void
+on_loaded (void *data)
+{
+  runner.first_layer = runner.next_first;
+  runner.end_layer = runner.next_end;
+  runner.is_busy = FALSE;
+  register_self (NULL);
+}
+
+static void
+take_order (GgServerConnection *connection, JsonObject *body)
+{
+  uint64_t expected = 0;
+  const char *op = "";
+  gg_json_read_string (body, "op", &op);
+  if (strcmp (op, "place") != 0)
+    gg_fake_loop_reply (connection, 400, "");
+  else if (runner.is_busy
+           || (gg_json_read_uint (body, "expected", &expected) && expected != runner.n_orders))
+    gg_fake_loop_reply (connection, 409, "");
+  else
+    {
+      gg_json_read_uint32 (body, "from_rev", &runner.next_first);
+      gg_json_read_uint32 (body, "to", &runner.next_end);
+      runner.n_orders++;
+      runner.is_busy = TRUE;
+      gg_loop_timer_start (runner.load_timer, LOAD_MS);
+      gg_fake_loop_reply (connection, 202, "");
+    }
+}
+
+static void
+report (GgServerConnection *connection)
+{
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  gg_json_add_boolean (b, "busy", runner.is_busy);
+  gg_json_add_uint (b, "seq", runner.n_orders);
+  add_state (b);
+  json_builder_end_object (b);
+  gg_fake_loop_reply_json (connection, 200, b);
+}
+
+/* Whether a path begins here, with layers that are held, and covers each layer once in order. */
+static gboolean
+is_path_valid (const char *path)
+{
+  unsigned at = 0;
+  char **parts = g_strsplit (path, ",", -1);
+  gboolean is_valid = g_str_has_prefix (parts[0], runner.address);
+  for (char **p = parts; *p != NULL && is_valid; p++)
+    {
+      unsigned first = 0;
+      unsigned end = 0;
+      const char *range = strchr (*p, '=');
+      is_valid = range != NULL && sscanf (range, "=%u-%u", &first, &end) == 2 && first == at
+                 && end > first;
+      if (p == parts)
+        is_valid = is_valid && first >= runner.first_layer && end <= runner.end_layer;
+      at = end;
+    }
+  g_strfreev (parts);
+  return is_valid && at == (unsigned) atoi (gg_fake_loop_get_option (runner.fake, "layers"));
+}
+
+static GgMessageHead *
+create_answer (uint32_t status, const char *target)
+{
+  const char *attempt = gg_message_head_get (gg_fake_loop_get_head (runner.fake), "X-Attempt-Id");
+  GgMessageHead *head = gg_message_head_create_response (status);
+  if (attempt != NULL)
+    gg_message_head_add (head, "X-Attempt-Id", attempt);
+  if (strstr (target, "unsigned") == NULL)
+    gg_message_head_add (head, "X-Response-Signature", "signed");
+  return head;
+}
+
+static void
+end_stream (Stream *stream)
+{
+  gg_loop_timer_destroy (stream->timer);
+  g_hash_table_remove (runner.streams, stream);
+  g_free (stream);
+}
+
+static void
+on_event_due (void *data)
+{
+  Stream *stream = data;
+  char event[64];
+  if (stream->is_cut && stream->next > CUT_AFTER)
+    {
+      GgServerConnection *connection = stream->connection;
+      end_stream (stream);
+      gg_server_connection_abort (connection);
+      return;
+    }
+  int n = g_snprintf (event, sizeof event, "id: %u\ndata: token %u\n\n", (guint) stream->next,
+                      (guint) stream->next);
+  /* The last event before a cut is not whole. */
+  if (stream->is_cut && stream->next == CUT_AFTER)
+    n -= 5;
+  gg_server_connection_write (stream->connection, event, (size_t) n);
+  if (stream->next++ < N_EVENTS)
+    {
+      gg_loop_timer_start (stream->timer, EVENT_MS);
+      return;
+    }
+  gg_server_connection_end (stream->connection);
+  end_stream (stream);
+}
+
+static void
+run_stream (GgServerConnection *connection, const char *target)
+{
+  const GgMessageHead *request = gg_fake_loop_get_head (runner.fake);
+  uint64_t last = 0;
+  gboolean is_resumed = gg_message_head_get_uint (request, "Last-Event-Id", &last);
+  GgMessageHead *head = create_answer (200, target);
+  gg_message_head_add (head, "Content-Type", "text/event-stream");
+  gg_server_connection_begin (connection, head);
+  gg_message_head_destroy (head);
+  Stream *stream = g_new0 (Stream, 1);
+  stream->connection = connection;
+  stream->next = last + 1;
+  stream->is_cut = strstr (target, "cut") != NULL && !is_resumed;
+  stream->timer = gg_loop_timer_create (gg_fake_loop_get_loop (runner.fake), on_event_due, stream);
+  g_hash_table_add (runner.streams, stream);
+  gg_loop_timer_start (stream->timer, EVENT_MS);
+}
+
+static void
+refuse (GgServerConnection *connection, uint32_t status)
+{
+  GgMessageHead *head = gg_message_head_create_response (status);
+  gg_message_head_add (head, "X-Not-Executed", "1");
+  gg_server_connection_reply (connection, head, "", 0);
+  gg_message_head_destroy (head);
+}
+
+/* Shows what arrived, so that a session tells which fields were passed on. */
+static void
+run_plain (GgServerConnection *connection, const char *method, const char *target)
+{
+  const GgMessageHead *request = gg_fake_loop_get_head (runner.fake);
+  const char *team = gg_message_head_get (request, "X-Tenant");
+  const char *key = gg_message_head_get (request, "Authorization");
+  uint32_t status = strstr (target, "fail") != NULL ? 500 : 200;
+  char *body = g_strdup_printf ("%s %s team=%s key=%s\n", method, target,
+                                team != NULL ? team : "none", key != NULL ? "passed on" : "none");
+  GgMessageHead *head = create_answer (status, target);
+  gg_server_connection_reply (connection, head, body, strlen (body));
+  gg_message_head_destroy (head);
+  g_free (body);
+}
+
+static void
+run_request (GgServerConnection *connection, const char *method, const char *target)
+{
+  const GgMessageHead *request = gg_fake_loop_get_head (runner.fake);
+  const char *path = gg_message_head_get (request, "X-Hop-Count");
+  if (g_strcmp0 (gg_message_head_get (request, "X-Target-Instance"), runner.id) != 0
+      || (path != NULL && !is_path_valid (path)))
+    {
+      refuse (connection, 421);
+      return;
+    }
+  if (strstr (target, "refuse") != NULL)
+    {
+      refuse (connection, 503);
+      return;
+    }
+  runner.n_runs++;
+  if (strstr (target, "lose") != NULL)
+    gg_server_connection_abort (connection);
+  else if (path != NULL)
+    run_stream (connection, target);
+  else
+    run_plain (connection, method, target);
+}
+
+static void
+on_request (GgServerConnection *connection,
+            const char *method,
+            const char *target,
+            JsonObject *body)
+{
+  char text[32];
+  if (strcmp (target, "/api/order") == 0 && body != NULL)
+    take_order (connection, body);
+  else if (strcmp (target, "/api/report") == 0)
+    report (connection);
+  else if (strcmp (target, "/test/runs") == 0)
+    {
+      g_snprintf (text, sizeof text, "%u", (guint) runner.n_runs);
+      gg_fake_loop_reply (connection, 200, text);
+    }
+  else
+    run_request (connection, method, target);
+}
+
+static void
+on_gone (GgServerConnection *connection)
+{
+  GHashTableIter iter;
+  void *key;
+  g_hash_table_iter_init (&iter, runner.streams);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (((const Stream *) key)->connection == connection)
+      {
+        end_stream (key);
+        return;
+      }
+}
+
+static void
+on_leave (void *data)
+{
+  runner.is_leaving = TRUE;
+  register_self (NULL);
+}
+
+int
+main (int argc, char **argv)
+{
+  runner.fake = gg_fake_loop_create (argc, argv, on_request, on_gone);
+  GgLoop *loop = gg_fake_loop_get_loop (runner.fake);
+  runner.id = gg_fake_loop_get_option (runner.fake, "id");
+  runner.address = gg_fake_loop_get_option (runner.fake, "listen");
+  runner.born_ms = gg_clock_wall_ms ();
+  runner.streams = g_hash_table_new (NULL, NULL);
+  runner.client = gg_loop_client_create (loop);
+  runner.load_timer = gg_loop_timer_create (loop, on_loaded, NULL);
+  runner.register_timer = gg_loop_timer_create (loop, register_self, NULL);
+  gg_loop_watch_signal (loop, SIGUSR1, on_leave, NULL);
+  register_self (NULL);
+  return gg_fake_loop_run (runner.fake);
+}
--- /dev/null
+++ b/tests/fakes/fake_store.c
@@ -0,0 +1,429 @@
+/* Fake of the platform's metadata store: keys with revisions, lists, watches with history, leases,
+ * transactions with conditions. Nothing is kept. POST /test/put writes without a condition, as the
+ * operators and runners do. SIGUSR1 forgets the history, SIGUSR2 begins or ends an outage in which
+ * every call is refused. */
+#include "base/clock.h"
+#include "base/json.h"
+#include "fake_loop.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEASE_CHECK_MS 20
+#define PAGE_ITEMS 500
+
+typedef struct
+{
+  char *key;
+  char *value; /* base64 as it came; NULL in an event that removes the key */
+  uint64_t revision;
+  uint64_t created;
+  uint64_t lease;
+} Item;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t ttl_ms;
+  uint64_t end_ms;
+} Lease;
+
+typedef struct
+{
+  GgServerConnection *connection;
+  char *prefix;
+  uint64_t after;
+  uint64_t end_ms;
+} Watch;
+
+static struct
+{
+  GgFakeLoop *fake;
+  GHashTable *items;  /* key -> Item */
+  GPtrArray *history; /* Item */
+  GHashTable *leases; /* id -> Lease */
+  GPtrArray *watches;
+  GgLoopTimer *timer;
+  uint64_t revision;
+  uint64_t first_revision; /* changes up to here are forgotten */
+  uint64_t next_lease;
+  gboolean is_away;
+} store = { .revision = 1, .next_lease = 100 };
+
+static void
+free_item (void *data)
+{
+  Item *item = data;
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static void
+free_watch (void *data)
+{
+  Watch *watch = data;
+  g_free (watch->prefix);
+  g_free (watch);
+}
+
+static void
+add_item (JsonBuilder *b, const Item *item)
+{
+  json_builder_begin_object (b);
+  gg_json_add_string (b, "key", item->key);
+  gg_json_add_uint (b, "revision", item->revision);
+  if (item->value == NULL)
+    gg_json_add_boolean (b, "is_gone", TRUE);
+  else
+    {
+      gg_json_add_string (b, "value", item->value);
+      gg_json_add_uint (b, "created", item->created);
+      gg_json_add_uint (b, "lease", item->lease);
+    }
+  json_builder_end_object (b);
+}
+
+static gboolean
+answer_watch (const Watch *watch, gboolean is_over)
+{
+  guint n = 0;
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "events");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < store.history->len; i++)
+    {
+      const Item *item = g_ptr_array_index (store.history, i);
+      if (item->revision > watch->after && g_str_has_prefix (item->key, watch->prefix))
+        {
+          add_item (b, item);
+          n++;
+        }
+    }
+  json_builder_end_array (b);
+  gg_json_add_uint (b, "store_revision", store.revision);
+  json_builder_end_object (b);
+  if (n > 0 || is_over)
+    {
+      gg_fake_loop_reply_json (watch->connection, 200, b);
+      return TRUE;
+    }
+  g_object_unref (b);
+  return FALSE;
+}
+
+static void
+answer_watches (void)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  for (guint i = store.watches->len; i-- > 0;)
+    {
+      const Watch *watch = g_ptr_array_index (store.watches, i);
+      if (answer_watch (watch, now_ms >= watch->end_ms))
+        g_ptr_array_remove_index (store.watches, i);
+    }
+}
+
+static void
+note_change (const Item *item)
+{
+  Item *event = g_new0 (Item, 1);
+  *event = *item;
+  event->key = g_strdup (item->key);
+  event->value = g_strdup (item->value);
+  g_ptr_array_add (store.history, event);
+}
+
+static void
+put (const char *key, const char *value, uint64_t lease)
+{
+  const Item *known = g_hash_table_lookup (store.items, key);
+  Item *item = g_new0 (Item, 1);
+  item->key = g_strdup (key);
+  item->value = g_strdup (value);
+  item->revision = store.revision;
+  item->created = known != NULL ? known->created : store.revision;
+  item->lease = lease;
+  g_hash_table_replace (store.items, item->key, item);
+  note_change (item);
+}
+
+static void
+remove_key (const char *key)
+{
+  Item gone = { .key = g_strdup (key), .revision = store.revision };
+  if (g_hash_table_remove (store.items, key))
+    note_change (&gone);
+  g_free (gone.key);
+}
+
+static void
+end_lease (uint64_t id)
+{
+  GList *keys = g_hash_table_get_keys (store.items);
+  store.revision++;
+  for (GList *l = keys; l != NULL; l = l->next)
+    {
+      const Item *item = g_hash_table_lookup (store.items, l->data);
+      if (item->lease == id)
+        remove_key (l->data);
+    }
+  g_list_free (keys);
+  g_hash_table_remove (store.leases, GUINT_TO_POINTER ((guint) id));
+}
+
+static void
+on_tick (void *data)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  GList *leases = g_hash_table_get_values (store.leases);
+  for (GList *l = leases; l != NULL; l = l->next)
+    if (now_ms >= ((const Lease *) l->data)->end_ms)
+      end_lease (((const Lease *) l->data)->id);
+  g_list_free (leases);
+  answer_watches ();
+  gg_loop_timer_start (store.timer, LEASE_CHECK_MS);
+}
+
+static void
+read_key (GgServerConnection *connection, const char *target)
+{
+  char *key = gg_fake_loop_get_argument (target, "key");
+  const Item *item = key != NULL ? g_hash_table_lookup (store.items, key) : NULL;
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  if (item != NULL)
+    {
+      gg_json_add_string (b, "key", item->key);
+      gg_json_add_string (b, "value", item->value);
+      gg_json_add_uint (b, "revision", item->revision);
+      gg_json_add_uint (b, "lease", item->lease);
+    }
+  gg_json_add_uint (b, "store_revision", store.revision);
+  json_builder_end_object (b);
+  gg_fake_loop_reply_json (connection, item != NULL ? 200 : 404, b);
+  g_free (key);
+}
+
+static void
+list_keys (GgServerConnection *connection, const char *target)
+{
+  char *prefix = gg_fake_loop_get_argument (target, "path_prefix");
+  char *after = gg_fake_loop_get_argument (target, "after");
+  GList *keys = g_list_sort (g_hash_table_get_keys (store.items), (GCompareFunc) strcmp);
+  guint n = 0;
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "items");
+  json_builder_begin_array (b);
+  for (GList *l = keys; l != NULL && n < PAGE_ITEMS; l = l->next)
+    if (g_str_has_prefix (l->data, prefix) && (after == NULL || strcmp (l->data, after) > 0))
+      {
+        add_item (b, g_hash_table_lookup (store.items, l->data));
+        n++;
+      }
+  json_builder_end_array (b);
+  gg_json_add_boolean (b, "has_more", n == PAGE_ITEMS);
+  gg_json_add_uint (b, "store_revision", store.revision);
+  json_builder_end_object (b);
+  gg_fake_loop_reply_json (connection, 200, b);
+  g_list_free (keys);
+  g_free (after);
+  g_free (prefix);
+}
+
+static void
+watch_keys (GgServerConnection *connection, const char *target)
+{
+  char *after = gg_fake_loop_get_argument (target, "after");
+  char *wait = gg_fake_loop_get_argument (target, "wait_ms");
+  Watch *watch = g_new0 (Watch, 1);
+  watch->connection = connection;
+  watch->prefix = gg_fake_loop_get_argument (target, "path_prefix");
+  watch->after = after != NULL ? g_ascii_strtoull (after, NULL, 10) : 0;
+  watch->end_ms = gg_clock_now_ms () + (wait != NULL ? g_ascii_strtoull (wait, NULL, 10) : 0);
+  g_free (after);
+  g_free (wait);
+  if (watch->after < store.first_revision)
+    gg_fake_loop_reply (connection, 410, "");
+  else if (!answer_watch (watch, FALSE))
+    {
+      g_ptr_array_add (store.watches, watch);
+      return;
+    }
+  free_watch (watch);
+}
+
+/* Returns whether every condition holds; else lists the present items. */
+static gboolean
+check_conditions (JsonObject *body, JsonBuilder *items)
+{
+  JsonArray *expected = NULL;
+  gboolean holds = TRUE;
+  if (!gg_json_read_array (body, "expected", &expected))
+    return TRUE;
+  for (guint i = 0; i < json_array_get_length (expected); i++)
+    {
+      JsonObject *row = gg_json_get_object_element (expected, i);
+      const char *key = "";
+      uint64_t revision = 0;
+      gg_json_read_string (row, "key", &key);
+      gg_json_read_uint (row, "revision", &revision);
+      const Item *item = g_hash_table_lookup (store.items, key);
+      holds = holds && (item != NULL ? item->revision : 0) == revision;
+      if (item != NULL)
+        add_item (items, item);
+    }
+  return holds;
+}
+
+static void
+apply_puts (JsonObject *body)
+{
+  JsonArray *puts = NULL;
+  JsonArray *deletes = NULL;
+  gg_json_read_array (body, "puts", &puts);
+  gg_json_read_array (body, "deletes", &deletes);
+  guint n_puts = puts != NULL ? json_array_get_length (puts) : 0;
+  guint n_deletes = deletes != NULL ? json_array_get_length (deletes) : 0;
+  if (n_puts + n_deletes > 0)
+    store.revision++;
+  for (guint i = 0; i < n_puts; i++)
+    {
+      JsonObject *row = gg_json_get_object_element (puts, i);
+      const char *key = "";
+      const char *value = "";
+      uint64_t lease = 0;
+      gg_json_read_string (row, "key", &key);
+      gg_json_read_string (row, "value", &value);
+      gg_json_read_uint (row, "lease", &lease);
+      put (key, value, lease);
+    }
+  for (guint i = 0; i < n_deletes; i++)
+    remove_key (json_array_get_string_element (deletes, i));
+}
+
+static void
+write_keys (GgServerConnection *connection, JsonObject *body)
+{
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "items");
+  json_builder_begin_array (b);
+  gboolean holds = check_conditions (body, b);
+  json_builder_end_array (b);
+  if (holds)
+    apply_puts (body);
+  gg_json_add_uint (b, "revision", store.revision);
+  json_builder_end_object (b);
+  gg_fake_loop_reply_json (connection, holds ? 200 : 412, b);
+  answer_watches ();
+}
+
+static void
+open_lease (GgServerConnection *connection, JsonObject *body)
+{
+  Lease *lease = g_new0 (Lease, 1);
+  gg_json_read_uint (body, "ttl_ms", &lease->ttl_ms);
+  lease->id = store.next_lease++;
+  lease->end_ms = gg_clock_now_ms () + lease->ttl_ms;
+  g_hash_table_insert (store.leases, GUINT_TO_POINTER ((guint) lease->id), lease);
+  JsonBuilder *b = json_builder_new ();
+  json_builder_begin_object (b);
+  gg_json_add_uint (b, "lease", lease->id);
+  gg_json_add_uint (b, "ttl_ms", lease->ttl_ms);
+  json_builder_end_object (b);
+  gg_fake_loop_reply_json (connection, 200, b);
+}
+
+static void
+use_lease (GgServerConnection *connection, const char *id, gboolean is_end)
+{
+  Lease *lease = g_hash_table_lookup (store.leases, GUINT_TO_POINTER ((guint) atoi (id)));
+  if (lease == NULL)
+    {
+      gg_fake_loop_reply (connection, 404, "");
+      return;
+    }
+  char *answer = g_strdup_printf ("{\"ttl_ms\":%" G_GUINT64_FORMAT "}", lease->ttl_ms);
+  lease->end_ms = gg_clock_now_ms () + lease->ttl_ms;
+  if (is_end)
+    end_lease (lease->id);
+  gg_fake_loop_reply (connection, 200, answer);
+  g_free (answer);
+  answer_watches ();
+}
+
+static void
+on_request (GgServerConnection *connection,
+            const char *method,
+            const char *target,
+            JsonObject *body)
+{
+  if (store.is_away)
+    gg_fake_loop_reply (connection, 503, "");
+  else if (g_str_has_prefix (target, "/api/kv-key?"))
+    read_key (connection, target);
+  else if (g_str_has_prefix (target, "/api/kv-range?"))
+    list_keys (connection, target);
+  else if (g_str_has_prefix (target, "/api/kv-watch?"))
+    watch_keys (connection, target);
+  else if (strcmp (target, "/api/kv-txn") == 0 && body != NULL)
+    write_keys (connection, body);
+  else if (strcmp (target, "/test/put") == 0 && body != NULL)
+    write_keys (connection, body);
+  else if (strcmp (target, "/api/kv-lease") == 0 && body != NULL)
+    open_lease (connection, body);
+  else if (g_str_has_prefix (target, "/api/kv-keep/"))
+    use_lease (connection, strrchr (target, '/') + 1, FALSE);
+  else if (g_str_has_prefix (target, "/api/kv-lease-end/"))
+    use_lease (connection, strrchr (target, '/') + 1, TRUE);
+  else
+    gg_fake_loop_reply (connection, 404, "");
+}
+
+static void
+on_gone (GgServerConnection *connection)
+{
+  for (guint i = store.watches->len; i-- > 0;)
+    if (((const Watch *) g_ptr_array_index (store.watches, i))->connection == connection)
+      g_ptr_array_remove_index (store.watches, i);
+}
+
+static void
+forget_history (void *data)
+{
+  store.first_revision = store.revision;
+  g_ptr_array_set_size (store.history, 0);
+}
+
+static void
+change_outage (void *data)
+{
+  store.is_away = !store.is_away;
+  for (guint i = store.watches->len; store.is_away && i-- > 0;)
+    {
+      GgServerConnection *connection
+          = ((const Watch *) g_ptr_array_index (store.watches, i))->connection;
+      g_ptr_array_remove_index (store.watches, i);
+      gg_server_connection_abort (connection);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  store.items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
+  store.history = g_ptr_array_new_with_free_func (free_item);
+  store.leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  store.watches = g_ptr_array_new_with_free_func (free_watch);
+  store.fake = gg_fake_loop_create (argc, argv, on_request, on_gone);
+  GgLoop *loop = gg_fake_loop_get_loop (store.fake);
+  store.timer = gg_loop_timer_create (loop, on_tick, NULL);
+  gg_loop_timer_start (store.timer, LEASE_CHECK_MS);
+  gg_loop_watch_signal (loop, SIGUSR1, forget_history, NULL);
+  gg_loop_watch_signal (loop, SIGUSR2, change_outage, NULL);
+  return gg_fake_loop_run (store.fake);
+}
--- /dev/null
+++ b/tests/process/test_platform.c
@@ -0,0 +1,222 @@
+/* Sessions over the whole path on the users' platform, with processes: what callers and runners see
+ * for each kind of request, that what can't be repeated runs once, that a stream goes on, that a
+ * stop cuts nothing, that a key that was taken away is refused, that everything comes back from the
+ * store alone. */
+#include "golden.h"
+#include "http_client.h"
+#include "prove.h"
+#include "site.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define STREAM "X-Token-Count: 100,20\r\nX-Deadline-Ms: 5000\r\n"
+#define PLAIN "X-Deadline-Ms: 1500\r\n"
+#define TIMEOUT_MS 10000
+
+/* One site serves all cases; the one that kills everything comes last. */
+static Site *site;
+
+/* Appends a call with its answer to the golden session. Attempt ids grow from case to case. */
+static void
+record (GgGolden *golden, const char *method, const char *target, const char *fields)
+{
+  char *answer = site_call (site, 0, method, target, fields, "b=1");
+  GString *text = g_string_new (answer != NULL ? answer : "(no answer)");
+  g_string_replace (text, "\r\n", "\n", 0);
+  char *attempt = strstr (text->str, "attempt-");
+  if (attempt != NULL)
+    {
+      gsize at = (gsize) (attempt - text->str) + strlen ("attempt-");
+      g_string_erase (text, (gssize) at, (gssize) strspn (text->str + at, "0123456789"));
+      g_string_insert (text, (gssize) at, "N");
+    }
+  gg_golden_append (golden, "> %s %s\n%s\n", method, target, text->str);
+  g_string_free (text, TRUE);
+  g_free (answer);
+}
+
+static void
+run_streaming (GgProof *proof)
+{
+  GgGolden *golden = gg_golden_create ("platform-streaming");
+  record (golden, "POST", "/drafts/1", STREAM);
+  record (golden, "POST", "/drafts/cut", STREAM);
+  record (golden, "POST", "/drafts/unsigned", STREAM);
+  gg_golden_finish (golden, proof);
+}
+
+static void
+run_bookings (GgProof *proof)
+{
+  GgGolden *golden = gg_golden_create ("platform-bookings");
+  guint before = site_count_runs (site, "desk");
+  record (golden, "POST", "/bookings/1", PLAIN);
+  gg_proof_check (proof, site_count_runs (site, "desk") == before + 1);
+  record (golden, "POST", "/bookings/refuse", PLAIN);
+  gg_proof_check (proof, site_count_runs (site, "desk") == before + 1);
+  record (golden, "POST", "/bookings/lose", PLAIN);
+  record (golden, "POST", "/bookings/fail", PLAIN);
+  gg_proof_check (proof, site_count_runs (site, "desk") == before + 3);
+  gg_golden_finish (golden, proof);
+}
+
+static void
+run_lookups (GgProof *proof)
+{
+  GgGolden *golden = gg_golden_create ("platform-lookups");
+  guint before = site_count_runs (site, "desk");
+  record (golden, "GET", "/lookups/1?q=2", PLAIN);
+  record (golden, "GET", "/lookups/lose", PLAIN);
+  record (golden, "GET", "/lookups/fail", PLAIN);
+  gg_proof_check (proof, site_count_runs (site, "desk") == before + 5);
+  gg_golden_finish (golden, proof);
+}
+
+static void
+run_own_answers (GgProof *proof)
+{
+  GgGolden *golden = gg_golden_create ("platform-own-answers");
+  static const char *const texts[] = {
+    "GET /nothing/ HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n",
+    "GET /lookups/1 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\n"
+    "Authorization: Bearer nobody\r\nConnection: close\r\n\r\n",
+    "GET /lookups/1 HTTP/1.1\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n",
+    "POST /lookups/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /lookups/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 99999999\r\n\r\n",
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      char *answer = site_send_raw (site, 0, texts[i]);
+      GString *text = g_string_new (answer != NULL ? answer : "(no answer)");
+      g_string_replace (text, "\r\n", "\n", 0);
+      gg_golden_append (golden, "> %.*s\n%s\n", (int) strcspn (texts[i], "\r"), texts[i],
+                        text->str);
+      g_string_free (text, TRUE);
+      g_free (answer);
+    }
+  gg_golden_finish (golden, proof);
+}
+
+/* A key that was taken away is refused by every router within the time that the users give. */
+static gboolean
+is_refused_everywhere (void *data)
+{
+  for (guint i = 0; i < site->n_routers; i++)
+    {
+      char *answer = site_call (site, i, "GET", "/lookups/1", PLAIN, "");
+      gboolean is_refused = answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 401");
+      g_free (answer);
+      if (!is_refused)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+is_served (void *data)
+{
+  for (guint i = 0; i < site->n_routers; i++)
+    {
+      char *answer = site_call (site, i, "POST", "/drafts/1", STREAM, "");
+      gboolean ok = answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 200");
+      g_free (answer);
+      if (!ok)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+run_key_taken_away (GgProof *proof)
+{
+  site_write_config (site, 2, FALSE);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, 2000));
+  site_write_config (site, 3, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 2000));
+}
+
+/* The store is away: keys can't be proven any more, so keyed requests are refused as not run and
+ * the router is not ready; both end with the outage. */
+static gboolean
+is_unready (void *data)
+{
+  return !site_is_ready (site, 0);
+}
+
+static void
+run_store_away (GgProof *proof)
+{
+  gg_process_signal (site->store, SIGUSR2);
+  gg_proof_check (proof, gg_wait_until (is_unready, NULL, 6000));
+  char *answer = site_call (site, 0, "GET", "/lookups/1", PLAIN, "");
+  gg_proof_check (proof, answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 503")
+                             && strstr (answer, "keys_not_fresh") != NULL);
+  g_free (answer);
+  gg_process_signal (site->store, SIGUSR2);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 5000));
+}
+
+static void
+run_history_forgotten (GgProof *proof)
+{
+  gg_process_signal (site->store, SIGUSR1);
+  site_write_config (site, 4, FALSE);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, 4000));
+  site_write_config (site, 5, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
+}
+
+/* A stop in the middle of a stream: it is served to its end, the process exits by itself. */
+static void
+run_stop (GgProof *proof)
+{
+  const SiteRouter *router = &site->routers[1];
+  gg_process_signal (router->process, SIGTERM);
+  char *answer = site_call (site, 1, "POST", "/drafts/1", STREAM, "");
+  gg_proof_check (proof, answer != NULL && strstr (answer, "id: 6\n") != NULL);
+  gg_proof_check (proof, answer != NULL && strstr (answer, "(cut)") == NULL);
+  g_free (answer);
+  gg_proof_check (proof, !site_is_ready (site, 1));
+  gg_proof_check (proof, gg_process_wait_exit (router->process, 5000));
+  gg_proof_check (proof, gg_process_get_status (router->process) == 0);
+  site_start_router (site, 1);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, TIMEOUT_MS));
+}
+
+static void
+run_everything_killed (GgProof *proof)
+{
+  for (guint i = 0; i < site->n_routers; i++)
+    gg_process_signal (site->routers[i].process, SIGKILL);
+  for (guint i = 0; i < site->n_routers; i++)
+    {
+      gg_process_wait_exit (site->routers[i].process, TIMEOUT_MS);
+      site_start_router (site, i);
+    }
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, TIMEOUT_MS));
+}
+
+int
+main (int argc, char **argv)
+{
+  static const GgProofCase cases[] = {
+    { "own-answer", "platform-streaming", run_streaming },
+    { "at-most-once", "platform-bookings", run_bookings },
+    { "own-answer", "platform-lookups", run_lookups },
+    { "not-run", "platform-own-answers", run_own_answers },
+    { "config", "platform-key-taken-away", run_key_taken_away },
+    { "config", "platform-store-away", run_store_away },
+    { "config", "platform-history-forgotten", run_history_forgotten },
+    { "graceful-stop", "platform-stop", run_stop },
+    { "graceful-stop", "platform-everything-killed", run_everything_killed },
+  };
+  site = site_create (2);
+  if (site == NULL)
+    return 1;
+  int status = gg_prove_main ("platform", cases, G_N_ELEMENTS (cases), argc, argv);
+  site_destroy (site);
+  return status;
+}
--- /dev/null
+++ b/tests/support/site.c
@@ -0,0 +1,329 @@
+#include "site.h"
+
+#include "base/clock.h"
+#include "http_client.h"
+
+#include <arpa/inet.h>
+#include <glib/gstdio.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define START_TIMEOUT_MS 15000
+#define CALL_TIMEOUT_MS 8000
+#define LISTEN_TIMEOUT_MS 5000
+
+/* Ten cards in two data centres: each holds a whole copy with room for requests. */
+static const struct
+{
+  const char *data_centre;
+  const char *kind;
+} cards[] = {
+  { "north", "large" }, { "north", "large" }, { "north", "small" }, { "north", "small" },
+  { "north", "small" }, { "south", "large" }, { "south", "large" }, { "south", "small" },
+  { "south", "small" }, { "south", "small" },
+};
+
+static void
+put (const Site *self, const char *key, const char *value)
+{
+  char *encoded = g_base64_encode ((const guchar *) value, strlen (value));
+  char *body = g_strdup_printf ("{\"puts\":[{\"key\":\"%s\",\"value\":\"%s\"}]}", key, encoded);
+  if (!gg_test_send ("POST", self->store_address, "/test/put", body))
+    fprintf (stderr, "site: the store did not take %s\n", key);
+  g_free (body);
+  g_free (encoded);
+}
+
+void
+site_write_config (Site *self, guint version, gboolean has_key)
+{
+  char *config = g_strdup_printf (
+      "{\"version\":%u,\"routes\":["
+      "{\"name\":\"drafts\",\"host\":\"%s\",\"path_prefix\":\"/drafts/\",\"kind\":\"streaming\","
+      "\"timeout_ms\":6000,\"goal_ms\":500,\"priority\":1,\"service\":\"reader\","
+      "\"max_attempts\":2,\"stream_resume\":true,\"gap_target_ms\":200},"
+      "{\"name\":\"bookings\",\"host\":\"%s\",\"path_prefix\":\"/bookings/\","
+      "\"kind\":\"non_idempotent\",\"timeout_ms\":2000,\"goal_ms\":100,\"priority\":2,"
+      "\"service\":\"desk\",\"max_attempts\":1},"
+      "{\"name\":\"lookups\",\"host\":\"%s\",\"path_prefix\":\"/lookups/\","
+      "\"kind\":\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":100,\"priority\":2,"
+      "\"service\":\"desk\",\"max_attempts\":2}],"
+      "\"services\":[{\"name\":\"reader\",\"health_path\":\"/health\",\"max_conns\":100,"
+      "\"engine\":{\"slots\":16,\"kv_token_bytes\":80000,\"step_ms\":1.0,\"layers\":%u,"
+      "\"layer_mb\":100.0,\"load_s\":1.0,\"models\":[{\"name\":\"m\",\"load_s\":0.1}],"
+      "\"usual\":{\"prompt\":100,\"answer\":20},\"kinds\":["
+      "{\"name\":\"large\",\"size_mb\":600.0,\"pace\":1.0,\"read_factor\":1.0},"
+      "{\"name\":\"small\",\"size_mb\":300.0,\"pace\":4.0,\"read_factor\":2.0}]}},"
+      "{\"name\":\"desk\",\"health_path\":\"/health\",\"max_conns\":100}],"
+      "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
+      "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
+      "\"tenants\":[{\"name\":\"school\",\"api_keys\":[\"%s\"]}]}",
+      version, SITE_HOST, SITE_HOST, SITE_HOST, SITE_LAYERS, has_key ? SITE_KEY : "another-key");
+  put (self, "op/config", config);
+  g_free (config);
+}
+
+static void
+start_runner (Site *self, const char *service, const char *data_centre, const char *kind)
+{
+  SiteRunner *runner = &self->runners[self->n_runners];
+  char layers[8];
+  g_snprintf (layers, sizeof layers, "%d", SITE_LAYERS);
+  runner->id = g_strdup_printf ("%s-%s-%u", service, data_centre, self->n_runners);
+  runner->address = gg_process_reserve_address ();
+  const char *args[] = { "--listen",
+                         runner->address,
+                         "--id",
+                         runner->id,
+                         "--service",
+                         service,
+                         "--zone",
+                         data_centre,
+                         "--store",
+                         self->store_address,
+                         "--layers",
+                         layers,
+                         kind != NULL ? "--kind" : NULL,
+                         kind,
+                         NULL };
+  runner->process = gg_process_start ("gg-fake-runner", args);
+  gg_process_wait_listening (runner->process, LISTEN_TIMEOUT_MS);
+  self->n_runners++;
+}
+
+void
+site_start_router (Site *self, guint i)
+{
+  SiteRouter *router = &self->routers[i];
+  const char *args[] = { "--settings", router->settings_path, NULL };
+  gg_process_destroy (router->process);
+  router->process = gg_process_start ("greengage-routerd", args);
+}
+
+static void
+add_router (Site *self)
+{
+  SiteRouter *router = &self->routers[self->n_routers];
+  char *peers = gg_process_reserve_address ();
+  router->name = g_strdup_printf ("router-%u", self->n_routers);
+  router->callers_address = gg_process_reserve_address ();
+  router->ready_address = gg_process_reserve_address ();
+  router->metrics_address = gg_process_reserve_address ();
+  router->settings_path = g_strdup_printf ("%s/%s.ini", self->folder, router->name);
+  char *text = g_strdup_printf ("[instance]\nname = %s\ndata_centre = %s\n"
+                                "[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n"
+                                "[store]\naddress = %s\n[stop]\ngrace_s = 5\n",
+                                router->name, self->n_routers % 2 == 0 ? "north" : "south",
+                                router->callers_address, router->ready_address, peers,
+                                router->metrics_address, self->store_address);
+  g_file_set_contents (router->settings_path, text, -1, NULL);
+  g_free (text);
+  g_free (peers);
+  site_start_router (self, self->n_routers++);
+}
+
+gboolean
+site_is_ready (const Site *self, guint router)
+{
+  return gg_test_send ("GET", self->routers[router].ready_address, "/api/ready", NULL);
+}
+
+/* Whether every router serves a stream, which needs configuration, runners and a placed model. */
+static gboolean
+is_serving (void *data)
+{
+  const Site *self = data;
+  for (guint i = 0; i < self->n_routers; i++)
+    {
+      if (!site_is_ready (self, i))
+        return FALSE;
+      char *answer = site_call (self, i, "POST", "/drafts/start", "X-Token-Count: 10,10\r\n", "x");
+      gboolean is_served = answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 200");
+      g_free (answer);
+      if (!is_served)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+Site *
+site_create (guint n_routers)
+{
+  Site *self = g_new0 (Site, 1);
+  self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
+  self->store_address = gg_process_reserve_address ();
+  const char *args[] = { "--listen", self->store_address, NULL };
+  self->store = gg_process_start ("gg-fake-store", args);
+  gg_process_wait_listening (self->store, LISTEN_TIMEOUT_MS);
+  site_write_config (self, 1, TRUE);
+  for (guint i = 0; i < G_N_ELEMENTS (cards); i++)
+    start_runner (self, "reader", cards[i].data_centre, cards[i].kind);
+  start_runner (self, "desk", "north", NULL);
+  start_runner (self, "desk", "south", NULL);
+  for (guint i = 0; i < n_routers; i++)
+    add_router (self);
+  if (gg_wait_until (is_serving, self, START_TIMEOUT_MS))
+    return self;
+  for (guint i = 0; i < n_routers; i++)
+    {
+      char *output = gg_process_read_output (self->routers[i].process);
+      fprintf (stderr, "site: %s did not serve in time:\n%s", self->routers[i].name, output);
+      g_free (output);
+    }
+  site_destroy (self);
+  return NULL;
+}
+
+void
+site_destroy (Site *self)
+{
+  for (guint i = 0; i < self->n_routers; i++)
+    {
+      SiteRouter *router = &self->routers[i];
+      gg_process_destroy (router->process);
+      g_unlink (router->settings_path);
+      g_free (router->settings_path);
+      g_free (router->name);
+      g_free (router->callers_address);
+      g_free (router->ready_address);
+      g_free (router->metrics_address);
+    }
+  for (guint i = 0; i < self->n_runners; i++)
+    {
+      gg_process_destroy (self->runners[i].process);
+      g_free (self->runners[i].id);
+      g_free (self->runners[i].address);
+    }
+  gg_process_destroy (self->store);
+  g_rmdir (self->folder);
+  g_free (self->folder);
+  g_free (self->store_address);
+  g_free (self);
+}
+
+static int
+connect_to (const char *address)
+{
+  struct sockaddr_in target = { .sin_family = AF_INET };
+  target.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
+  inet_pton (AF_INET, "127.0.0.1", &target.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (fd, (struct sockaddr *) &target, sizeof target) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Reads until the other side ends the connection.
+ * @return FALSE after the time limit or a reset. */
+static gboolean
+read_all (int fd, GString *text)
+{
+  uint64_t end_ms = gg_clock_now_ms () + CALL_TIMEOUT_MS;
+  for (;;)
+    {
+      uint64_t now_ms = gg_clock_now_ms ();
+      struct pollfd entry = { .fd = fd, .events = POLLIN };
+      char bytes[4096];
+      if (now_ms >= end_ms || poll (&entry, 1, (int) (end_ms - now_ms)) <= 0)
+        return FALSE;
+      ssize_t n = read (fd, bytes, sizeof bytes);
+      if (n <= 0)
+        return n == 0;
+      g_string_append_len (text, bytes, n);
+    }
+}
+
+/* Joins the chunks of a body, since their borders depend on when its parts came.
+ * @return FALSE if the last chunk is missing. */
+static gboolean
+join_chunks (const char *body, GString *out)
+{
+  for (;;)
+    {
+      char *end = NULL;
+      gulong size = strtoul (body, &end, 16);
+      if (end == body || !g_str_has_prefix (end, "\r\n"))
+        return FALSE;
+      if (size == 0)
+        return TRUE;
+      body = end + 2;
+      if (strlen (body) < size + 2)
+        return FALSE;
+      g_string_append_len (out, body, (gssize) size);
+      body += size + 2;
+    }
+}
+
+static char *
+join_answer (const char *raw, gboolean is_ended)
+{
+  const char *body = strstr (raw, "\r\n\r\n");
+  if (body == NULL)
+    return NULL;
+  body += strlen ("\r\n\r\n");
+  GString *out = g_string_new_len (raw, body - raw);
+  if (strstr (out->str, "chunked") == NULL)
+    g_string_append (out, body);
+  else
+    is_ended = join_chunks (body, out) && is_ended;
+  if (!is_ended)
+    g_string_append (out, "(cut)");
+  return g_string_free (out, FALSE);
+}
+
+char *
+site_send_raw (const Site *self, guint router, const char *text)
+{
+  int fd = connect_to (self->routers[router].callers_address);
+  if (fd < 0)
+    return NULL;
+  GString *raw = g_string_new (NULL);
+  char *answer = NULL;
+  if (send (fd, text, strlen (text), MSG_NOSIGNAL) == (ssize_t) strlen (text))
+    {
+      gboolean is_ended = read_all (fd, raw);
+      answer = join_answer (raw->str, is_ended);
+    }
+  g_string_free (raw, TRUE);
+  close (fd);
+  return answer;
+}
+
+char *
+site_call (const Site *self,
+           guint router,
+           const char *method,
+           const char *target,
+           const char *fields,
+           const char *body)
+{
+  static guint n_attempts;
+  char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
+                                "Authorization: Bearer %s\r\nX-Attempt-Id: attempt-%u\r\n%s"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                method, target, SITE_HOST, SITE_KEY, ++n_attempts, fields,
+                                strlen (body), body);
+  char *answer = site_send_raw (self, router, text);
+  g_free (text);
+  return answer;
+}
+
+guint
+site_count_runs (const Site *self, const char *prefix)
+{
+  guint n = 0;
+  for (guint i = 0; i < self->n_runners; i++)
+    {
+      if (!g_str_has_prefix (self->runners[i].id, prefix))
+        continue;
+      char *text = gg_test_get (self->runners[i].address, "/test/runs");
+      n += text != NULL ? (guint) atoi (text) : 0;
+      g_free (text);
+    }
+  return n;
+}
