Prove the configuration every 1.1 s; let one part ask a store that is away

Ruled out: counting the age from the end of an empty watch: a store that drops its history may show nothing for a second. Change: watch of 1.1 s, keys refused 150 ms before the bound; while the configuration can't be asked for, nobody else asks; entries of shares take 16 instead of 28 bytes, other data centres hear every third one.

--- a/src/adapters/rpc/work_share.c
+++ b/src/adapters/rpc/work_share.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 /* Tells this datagram and its version from anything else that may reach the port. */
-#define MAGIC 0x67675732U
+#define MAGIC 0x67675733U
 #define MAX_NAME_BYTES 128
+/* Request memory travels in units: a request holds some thousands of tokens x layers. */
+#define TOKEN_LAYERS_PER_UNIT 64
 
 uint32_t
 gg_work_share_hash (const char *runner_id, uint64_t born_ms)
@@ -28,14 +30,29 @@
   *self = (GgWorkShare){ 0 };
 }
 
+/* Two numbers below 65,536 share one word. */
+static gboolean
+code_pair (XDR *xdr, uint32_t *high, uint32_t *low)
+{
+  uint32_t word = (MIN (*high, G_MAXUINT16) << 16) | MIN (*low, G_MAXUINT16);
+  if (!xdr_uint32_t (xdr, &word))
+    return FALSE;
+  *high = word >> 16;
+  *low = word & G_MAXUINT16;
+  return TRUE;
+}
+
 static gboolean
 code_entry (XDR *xdr, GgWorkShareEntry *entry)
 {
-  return xdr_uint32_t (xdr, &entry->runner_hash) && xdr_uint32_t (xdr, &entry->work.n_requests)
-         && xdr_uint32_t (xdr, &entry->work.n_first)
-         && xdr_uint64_t (xdr, &entry->work.token_layers)
-         && xdr_uint32_t (xdr, &entry->pledged.first_layer)
-         && xdr_uint32_t (xdr, &entry->pledged.end_layer);
+  uint32_t units = (uint32_t) MIN (entry->work.token_layers / TOKEN_LAYERS_PER_UNIT, G_MAXUINT32);
+  if (!xdr_uint32_t (xdr, &entry->runner_hash)
+      || !code_pair (xdr, &entry->work.n_requests, &entry->work.n_first)
+      || !xdr_uint32_t (xdr, &units)
+      || !code_pair (xdr, &entry->pledged.first_layer, &entry->pledged.end_layer))
+    return FALSE;
+  entry->work.token_layers = (uint64_t) units * TOKEN_LAYERS_PER_UNIT;
+  return TRUE;
 }
 
 /* Encodes or decodes, as the stream says. */
--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -6,11 +6,11 @@
 
 #include <string.h>
 
-/* Each reply proves that the configuration was the newest when the call was sent; with this wait
- * the proof is at most twice as old, well under the bound for keys. Longer than the second for
- * which a store that drops its history may show nothing: what was written before the call was
- * sent is then told. */
-#define WATCH_MS 1600
+/* Each reply proves that the configuration was the newest when the call was sent, so that the proof
+ * is up to twice this old when the store is lost. It leaves most of the bound for keys for the
+ * outage, and is longer than the second for which a store that drops its history may show nothing:
+ * what was written before the call was sent is then told. */
+#define WATCH_MS 1100
 /* Pauses after failed calls: the first one is short, since a waiting watch may be cut while the
  * store is well; they stay under the time in which keys must be proven again. */
 #define RETRY_MS 60
@@ -63,6 +63,7 @@
     gg_event_log_add (GG_EVENT_NOTABLE, is_lost ? "store_lost" : "store_regained",
                       "watch=config revision=%" G_GUINT64_FORMAT, (guint64) self->revision);
   self->is_lost = is_lost;
+  self->router->is_store_away = is_lost;
 }
 
 static void
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -28,7 +28,7 @@
 struct _GgMembership
 {
   GgRouter *router;
-  char *peer_address;
+  char *own_value; /* "IP:PORT DATA_CENTRE" */
   char *own_key;
   uint64_t lease; /* 0 for none */
   uint64_t lease_ms;
@@ -38,8 +38,8 @@
   uint64_t fence;      /* revision of the leader key as this process wrote it; 0: does not lead */
   uint64_t last_fence; /* the highest that this process has led with */
 
-  GHashTable *instances; /* key -> peer address */
-  GPtrArray *peers;
+  GHashTable *instances;    /* key -> GgPeer */
+  GPtrArray *peers;         /* GgPeer of the others, borrowed */
   uint64_t leader_revision; /* 0: nobody leads */
   uint64_t watch_revision;
   gboolean is_listed;
@@ -57,6 +57,35 @@
 static void renew (void *data);
 static void watch (void *data);
 
+static void
+free_peer (void *data)
+{
+  GgPeer *peer = data;
+  g_free (peer->address);
+  g_free (peer->data_centre);
+  g_free (peer);
+}
+
+/* Decodes the value of an instance's key.
+ * @return NULL if it is of another form. */
+static GgPeer *
+decode_peer (GBytes *value)
+{
+  gsize size = 0;
+  const char *bytes = g_bytes_get_data (value, &size);
+  char *text = g_strndup (bytes, size);
+  char *space = strchr (text, ' ');
+  GgPeer *peer = NULL;
+  if (space != NULL)
+    {
+      peer = g_new0 (GgPeer, 1);
+      peer->address = g_strndup (text, (gsize) (space - text));
+      peer->data_centre = g_strdup (space + 1);
+    }
+  g_free (text);
+  return peer;
+}
+
 static void
 drop_lease (GgMembership *self, const char *reason)
 {
@@ -95,8 +124,8 @@
       /* An earlier incarnation of this instance left its key: write over that revision. */
       const GgStoreItem *item = g_ptr_array_index (reply->items, 0);
       self->lease_call = gg_store_write (self->router->store, self->own_key,
-                                         item->value != NULL ? item->revision : 0,
-                                         self->peer_address, self->lease, on_joined, self);
+                                         item->value != NULL ? item->revision : 0, self->own_value,
+                                         self->lease, on_joined, self);
       return;
     }
   if (reply->result == GG_STORE_ABSENT)
@@ -107,7 +136,7 @@
 static void
 join (GgMembership *self)
 {
-  self->lease_call = gg_store_write (self->router->store, self->own_key, 0, self->peer_address,
+  self->lease_call = gg_store_write (self->router->store, self->own_key, 0, self->own_value,
                                      self->lease, on_joined, self);
 }
 
@@ -160,6 +189,11 @@
   GgMembership *self = data;
   if (self->is_leaving)
     return;
+  if (self->router->is_store_away)
+    {
+      gg_loop_timer_start (self->lease_timer, GG_STORE_AWAY_CHECK_MS);
+      return;
+    }
   if (self->lease == 0)
     {
       uint64_t floor_ms = gg_settings_get_uint (self->router->settings, "store", "lease_floor_ms");
@@ -249,11 +283,11 @@
   g_ptr_array_set_size (self->peers, 0);
   GHashTableIter iter;
   void *key;
-  void *address;
+  void *peer;
   g_hash_table_iter_init (&iter, self->instances);
-  while (g_hash_table_iter_next (&iter, &key, &address))
+  while (g_hash_table_iter_next (&iter, &key, &peer))
     if (strcmp (key, self->own_key) != 0)
-      g_ptr_array_add (self->peers, address);
+      g_ptr_array_add (self->peers, peer);
   gg_router_set_instances (self->router, self->peers->len + 1);
 }
 
@@ -285,9 +319,9 @@
     g_hash_table_remove (self->instances, item->key);
   else
     {
-      gsize size = 0;
-      const char *text = g_bytes_get_data (item->value, &size);
-      g_hash_table_insert (self->instances, g_strdup (item->key), g_strndup (text, size));
+      GgPeer *peer = decode_peer (item->value);
+      if (peer != NULL)
+        g_hash_table_insert (self->instances, g_strdup (item->key), peer);
     }
 }
 
@@ -329,7 +363,9 @@
 watch (void *data)
 {
   GgMembership *self = data;
-  if (self->is_listed)
+  if (self->router->is_store_away)
+    gg_loop_timer_start (self->watch_timer, GG_STORE_AWAY_CHECK_MS);
+  else if (self->is_listed)
     self->watch_call = gg_store_watch (self->router->store, PREFIX, self->watch_revision, WATCH_MS,
                                        on_watched, self);
   else
@@ -347,9 +383,9 @@
 {
   GgMembership *self = g_new0 (GgMembership, 1);
   self->router = router;
-  self->peer_address = g_strdup (peer_address);
+  self->own_value = g_strdup_printf ("%s %s", peer_address, router->data_centre);
   self->own_key = g_strconcat (INSTANCE_PREFIX, router->instance, NULL);
-  self->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
   self->peers = g_ptr_array_new ();
   self->lease_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->watch_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
@@ -385,6 +421,6 @@
   g_hash_table_unref (self->instances);
   g_ptr_array_unref (self->peers);
   g_free (self->own_key);
-  g_free (self->peer_address);
+  g_free (self->own_value);
   g_free (self);
 }
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -24,5 +24,12 @@
 /** Gives up leading because a runner has seen a higher fence. */
 void gg_membership_resign (GgMembership *self);
 
-/** Peer addresses of the other live instances. */
+/** Another live instance. */
+typedef struct
+{
+  char *address; /**< Where it hears its peers. */
+  char *data_centre;
+} GgPeer;
+
+/** The other live instances: GgPeer, valid until the next change. */
 const GPtrArray *gg_membership_get_peers (const GgMembership *self);
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -12,6 +12,9 @@
 #include "loop/server.h"
 #include "ports/store.h"
 
+/** How often the parts that wait for the store look whether it is back. */
+#define GG_STORE_AWAY_CHECK_MS 100
+
 typedef struct _GgWaitingRoom GgWaitingRoom;
 typedef struct _GgStallWatch GgStallWatch;
 
@@ -27,9 +30,11 @@
   GgRoutingConfig *config;       /**< NULL until the first one is known. */
   uint64_t config_fresh_boot_ms; /**< The configuration was the newest one at this time at least
                                   * (CLOCK_BOOTTIME). */
-  uint64_t key_age_limit_ms;     /**< Requests with a key are refused above this age; 0: never. */
-  GHashTable *budgets;           /**< Service -> GgSendBudget. */
-  uint32_t n_instances;          /**< Live instances, this one included. */
+  gboolean is_store_away;    /**< The store refuses or does not answer. The configuration's follower
+                              * goes on asking; everybody else waits for it. */
+  uint64_t key_age_limit_ms; /**< Requests with a key are refused above this age; 0: never. */
+  GHashTable *budgets;       /**< Service -> GgSendBudget. */
+  uint32_t n_instances;      /**< Live instances, this one included. */
   GgWaitingRoom *waiting_room;
   GgStallWatch *stall_watch;
   GgLoopServer *caller_server;
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -27,9 +27,9 @@
 #define STOP_CHECK_MS 100
 /* The process ends by itself this long before it would be killed. */
 #define KILL_MARGIN_MS 300
-/* The configuration counts as stale for keys this long before the bound, for the time that a
- * request takes to its runner. */
-#define KEY_MARGIN_MS 300
+/* The configuration counts as stale for keys this long before the bound, which is counted from when
+ * a request was sent. */
+#define KEY_MARGIN_MS 150
 /* Limits until the configuration is known. */
 #define FIRST_HEAD_BYTES 16384
 #define FIRST_BODY_BYTES 65536
--- a/src/daemons/routerd/runner_follower.c
+++ b/src/daemons/routerd/runner_follower.c
@@ -160,7 +160,11 @@
 static void
 on_timer (void *data)
 {
-  send_call (data);
+  GgRunnerFollower *self = data;
+  if (self->router->is_store_away)
+    gg_loop_timer_start (self->timer, GG_STORE_AWAY_CHECK_MS);
+  else
+    send_call (self);
 }
 
 GgRunnerFollower *
--- a/src/daemons/routerd/work_exchange.c
+++ b/src/daemons/routerd/work_exchange.c
@@ -11,6 +11,9 @@
 /* A data centre takes some 30 requests a second, of which its runners hold about 100: what is not
  * heard yet is a few hundredths of their room. */
 #define SEND_MS 150
+/* Peers in other data centres are told in each third round only: bytes between data centres cost,
+ * and requests mostly stay where they come in. */
+#define FAR_ROUNDS 3
 /* A peer that has been silent for this long no longer counts; its requests have ended or will
  * be seen in what the runners refuse. */
 #define HOLD_MS 2000
@@ -24,7 +27,9 @@
   GgPeerWork *peer_work;
   uint64_t incarnation;
   uint64_t number;
-  GHashTable *told; /* set of hashes of runners that peers were told to have work */
+  uint64_t n_rounds;
+  GHashTable *told; /* hash of a runner that peers believe to have work -> rounds in which they
+                     * are still to hear that it has none */
 };
 
 static void
@@ -80,7 +85,7 @@
 }
 
 static void
-send_part (GgWorkExchange *self, GgWorkShare *share)
+send_part (GgWorkExchange *self, GgWorkShare *share, gboolean is_far_due)
 {
   char bytes[GG_WORK_SHARE_MAX_BYTES];
   if (share->entries->len == 0)
@@ -90,17 +95,22 @@
   g_assert (size_bytes > 0);
   const GPtrArray *peers = gg_membership_get_peers (self->membership);
   for (guint i = 0; i < peers->len; i++)
-    gg_datagram_socket_send (self->socket, g_ptr_array_index (peers, i), bytes, size_bytes);
+    {
+      const GgPeer *peer = g_ptr_array_index (peers, i);
+      if (is_far_due || strcmp (peer->data_centre, self->router->data_centre) == 0)
+        gg_datagram_socket_send (self->socket, peer->address, bytes, size_bytes);
+    }
   g_array_set_size (share->entries, 0);
 }
 
-/* Tells each runner that has work, and once more that it has none. */
+/* Tells each runner that has work, and for a while that it has none any more. */
 static void
 send_share (GgWorkExchange *self)
 {
   const GgFleet *fleet = self->router->fleet;
   uint64_t now_ms = gg_clock_now_ms ();
   gboolean is_leader = gg_membership_is_leader (self->membership);
+  gboolean is_far_due = self->n_rounds++ % FAR_ROUNDS == 0;
   GgWorkShare share;
   gg_work_share_init (&share);
   share.instance = strdup (self->router->instance);
@@ -111,21 +121,22 @@
       uint32_t hash = gg_work_share_hash (runner->record.id, runner->record.born_ms);
       gboolean has_work = runner->own.n_requests > 0;
       gboolean is_pledged = is_leader && has_open_pledge (runner, now_ms);
-      gboolean was_told = g_hash_table_contains (self->told, GUINT_TO_POINTER (hash));
-      if (!has_work && !was_told && !is_pledged)
+      guint n_left = GPOINTER_TO_UINT (g_hash_table_lookup (self->told, GUINT_TO_POINTER (hash)));
+      if (!has_work && n_left == 0 && !is_pledged)
         continue;
       GgWorkShareEntry entry = { .runner_hash = hash, .work = runner->own };
       if (is_pledged)
         entry.pledged = runner->pledged;
       g_array_append_val (share.entries, entry);
-      if (has_work)
-        g_hash_table_add (self->told, GUINT_TO_POINTER (hash));
+      n_left = has_work ? FAR_ROUNDS : n_left - MIN (n_left, 1);
+      if (n_left > 0)
+        g_hash_table_insert (self->told, GUINT_TO_POINTER (hash), GUINT_TO_POINTER (n_left));
       else
         g_hash_table_remove (self->told, GUINT_TO_POINTER (hash));
       if (share.entries->len == GG_WORK_SHARE_MAX_ENTRIES)
-        send_part (self, &share);
+        send_part (self, &share, is_far_due);
     }
-  send_part (self, &share);
+  send_part (self, &share, is_far_due);
   gg_work_share_clear (&share);
 }
 
