Weigh a card's pace less in the placement

Memory binds first; the pace of one range only adds its part to the whole path. Change: the pace counts with the power 0.25.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -10,6 +10,8 @@
 #define FURTHER_COPY_ROOM 1.12
 /* A runner that is moved keeps this part of its memory for requests. */
 #define GAP_ROOM 0.12
+/* Weight of a card's pace: memory binds first, but a slow card keeps every request for longer. */
+#define SLOW_WEIGHT 0.25
 /* Memory without which a data centre is left as it is. */
 #define SMALLEST_ROOM 1.05
 /* Gain, as a part of the zone's resistance, that is worth the loads: for a runner that holds
@@ -155,7 +157,8 @@
   const GgEngineModel *model = self->model;
   double tokens = MAX (model->usual_prompt_tokens + model->usual_answer_tokens, 1);
   double capacity = gg_engine_model_get_capacity (model, runner->accelerator, n_layers);
-  return n_layers > 0 ? capacity / n_layers / tokens / sqrt (runner->accelerator->pace) : 0;
+  return n_layers > 0 ? capacity / n_layers / tokens / pow (runner->accelerator->pace, SLOW_WEIGHT)
+                      : 0;
 }
 
 static void
