--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -242,6 +242,35 @@
   return TRUE;
 }
 
+/* Ends the parts in the reverse order of their start. */
+static void
+stop (Daemon *self)
+{
+  GgRouter *router = &self->router;
+  gg_loop_server_destroy (router->caller_server);
+  gg_loop_server_destroy (self->ready_server);
+  gg_loop_server_destroy (self->metrics_server);
+  gg_placer_destroy (self->placer);
+  gg_work_exchange_destroy (self->work_exchange);
+  gg_membership_destroy (self->membership);
+  gg_runner_follower_destroy (self->runner_follower);
+  gg_config_follower_destroy (self->config_follower);
+  gg_loop_timer_destroy (self->log_timer);
+  gg_loop_timer_destroy (self->stop_timer);
+  /* What was deferred still needs what follows. */
+  gg_loop_run_deferred (router->loop);
+  gg_stall_watch_destroy (router->stall_watch);
+  gg_waiting_room_destroy (router->waiting_room);
+  gg_loop_client_destroy (router->client);
+  gg_loop_run_deferred (router->loop);
+  gg_store_destroy (router->store);
+  gg_fleet_destroy (router->fleet);
+  gg_routing_config_unref (router->config);
+  g_hash_table_unref (router->budgets);
+  gg_loop_destroy (router->loop);
+  gg_settings_destroy (self->settings);
+}
+
 static int
 run (const GgDaemonOptions *options)
 {
@@ -270,6 +299,7 @@
       return EXIT_FAILURE;
     }
   gg_loop_run (self.router.loop);
+  stop (&self);
   gg_event_log_flush ();
   return EXIT_SUCCESS;
 }
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -52,8 +52,8 @@
   return self;
 }
 
-static void
-run_deferred (GgLoop *self)
+void
+gg_loop_run_deferred (GgLoop *self)
 {
   /* A deferred function may defer more. */
   for (guint i = 0; i < self->deferred->len; i++)
@@ -67,7 +67,7 @@
 void
 gg_loop_destroy (GgLoop *self)
 {
-  run_deferred (self);
+  gg_loop_run_deferred (self);
   g_ptr_array_unref (self->signal_watches);
   g_array_unref (self->deferred);
   event_base_free (self->base);
@@ -79,7 +79,7 @@
 {
   while (!self->is_stopped)
     {
-      run_deferred (self);
+      gg_loop_run_deferred (self);
       event_base_loop (self->base, EVLOOP_ONCE);
     }
 }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -26,6 +26,9 @@
  * that is destroyed inside one of its own callbacks is freed this way. */
 void gg_loop_defer (GgLoop *self, GgLoopFunc func, void *data);
 
+/** Calls what was deferred now; for the end of a process, after the loop has stopped. */
+void gg_loop_run_deferred (GgLoop *self);
+
 /** Calls @p func on each arrival of a signal. */
 void gg_loop_watch_signal (GgLoop *self, int signal_number, GgLoopFunc func, void *data);
 
--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -360,15 +360,14 @@
   return self->state == STATE_IDLE && gg_loop_socket_get_pending (self->socket) == 0;
 }
 
-/* Closes the quiet connections, or every one. */
 static void
-close_all (GgLoopServer *self, gboolean is_idle_only)
+close_quiet (GgLoopServer *self)
 {
   GList *connections = g_hash_table_get_keys (self->connections);
   for (GList *l = connections; l != NULL; l = l->next)
     {
       GgServerConnection *connection = l->data;
-      if (!is_idle_only || is_quiet (connection))
+      if (is_quiet (connection))
         close_connection (connection, FALSE);
     }
   g_list_free (connections);
@@ -397,7 +396,10 @@
 {
   if (self == NULL)
     return;
-  close_all (self, FALSE);
+  GList *connections = g_hash_table_get_keys (self->connections);
+  for (GList *l = connections; l != NULL; l = l->next)
+    on_gone (l->data);
+  g_list_free (connections);
   gg_loop_server_stop_listening (self);
   gg_loop_defer (self->loop, free_server, self);
 }
@@ -417,7 +419,7 @@
 void
 gg_loop_server_close_idle (GgLoopServer *self)
 {
-  close_all (self, TRUE);
+  close_quiet (self);
 }
 
 guint
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -56,7 +56,7 @@
                                      void *data,
                                      GError **error);
 
-/** Closes the listener and all connections. */
+/** Closes the listener and all connections, with GG_SERVER_GONE for each open request. */
 void gg_loop_server_destroy (GgLoopServer *self);
 
 /** The limits hold for requests that begin later. */
