Keep a part of the budget for cut streams; let stalled requests wait a little

Change: refused requests may use 0.6 of the own part; a stalled request waits for up to 1.2 s of silence. New test: refusals leave some for losses.

--- a/src/core/send_budget.c
+++ b/src/core/send_budget.c
@@ -8,6 +8,8 @@
  * may restart at once. */
 #define USED_PART 0.75
 #define FRESH_PART 0.25
+/* Of the own part, what requests may use that were only refused. */
+#define REFUSED_PART 0.6
 /* Instances that share, until they are known. */
 #define UNKNOWN_SHARERS 16
 
@@ -95,7 +97,7 @@
 }
 
 gboolean
-gg_send_budget_take (GgSendBudget *self, uint64_t now_ms)
+gg_send_budget_take (GgSendBudget *self, GgRepeatReason reason, uint64_t now_ms)
 {
   guint index = advance (self, now_ms);
   double n_requests = 0;
@@ -108,6 +110,8 @@
   gboolean is_fresh = now_ms - self->begun_ms < self->slot_ms * N_SLOTS;
   double share = self->ratio * n_requests + (double) self->extra / get_sharers (self, now_ms);
   double allowed = share * (is_fresh ? FRESH_PART : USED_PART);
+  if (reason == GG_REPEAT_REFUSED)
+    allowed *= REFUSED_PART;
   if (n_repeats + 1 > allowed)
     return FALSE;
   self->repeats[index]++;
--- a/src/core/send_budget.h
+++ b/src/core/send_budget.h
@@ -21,6 +21,13 @@
 /** Records a caller's request. */
 void gg_send_budget_note_request (GgSendBudget *self, uint64_t now_ms);
 
-/** Takes one repeat.
+/** Why a request is sent once more. */
+typedef enum
+{
+  GG_REPEAT_REFUSED, /**< It has not run: its caller could also be told to come back. */
+  GG_REPEAT_LOST,    /**< Its answer was lost, or its stream was cut: there is no other way. */
+} GgRepeatReason;
+
+/** Takes one repeat. A part of the budget is kept for what was lost.
  * @return FALSE if this instance's part of the window is spent. */
-gboolean gg_send_budget_take (GgSendBudget *self, uint64_t now_ms);
+gboolean gg_send_budget_take (GgSendBudget *self, GgRepeatReason reason, uint64_t now_ms);
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -38,6 +38,9 @@
 #define MAX_HELD_BYTES (256 * 1024)
 /* Reading from a runner stops while the caller has this much to take. */
 #define MAX_PENDING_BYTES (128 * 1024)
+/* A stalled request for which there is no other path now is left where it is for this long: room
+ * may come, or its runner may answer again. Callers leave after two seconds without an event. */
+#define STALL_PATIENCE_MS 1200
 /* Runners that refuse one after another show that this process knows less than it should, as while
  * layers move: after so many it waits for news before the next try. */
 #define MISSES_AT_ONCE 2
@@ -323,7 +326,8 @@
   if (end == GG_SEND_UNSENT)
     return TRUE;
   GgSendBudget *budget = gg_router_get_budget (self->router, self->service->name);
-  return gg_send_budget_take (budget, gg_clock_now_ms ());
+  GgRepeatReason reason = end == GG_SEND_REFUSED ? GG_REPEAT_REFUSED : GG_REPEAT_LOST;
+  return gg_send_budget_take (budget, reason, gg_clock_now_ms ());
 }
 
 static void
@@ -763,7 +767,8 @@
   if (result != GG_PATH_FOUND)
     {
       gg_layer_path_reserve (&self->path);
-      gg_relay_give_up_send (self);
+      if (now_ms - self->heard_ms >= STALL_PATIENCE_MS)
+        gg_relay_give_up_send (self);
       return;
     }
   gg_layer_path_clear (&self->path);
--- a/src/daemons/routerd/relay.h
+++ b/src/daemons/routerd/relay.h
@@ -32,8 +32,8 @@
 const char *gg_relay_get_attempt_id (const GgRelay *self);
 
 /** Moves the request to a path behind the same first runner, without the runners that are
- * suspended now. If there is none, the present send is given up and the request goes on
- * elsewhere, as far as it may. */
+ * suspended now. If there is none for some time, the present send is given up and the request goes
+ * on elsewhere, as far as it may. */
 void gg_relay_move (GgRelay *self);
 
 /** Gives the present send up as if its connection had been lost. */
--- a/tests/core/test_send_budget.c
+++ b/tests/core/test_send_budget.c
@@ -13,11 +13,11 @@
   GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
   guint n = 0;
   gg_send_budget_set_sharers (b, 1, 0);
-  while (gg_send_budget_take (b, 1000))
+  while (gg_send_budget_take (b, GG_REPEAT_LOST, 1000))
     n++;
   CU_ASSERT_TRUE (n > 0 && n <= EXTRA);
-  CU_ASSERT_FALSE (gg_send_budget_take (b, 1000 + WINDOW_MS - 1000));
-  CU_ASSERT_TRUE (gg_send_budget_take (b, 1000 + 2 * WINDOW_MS));
+  CU_ASSERT_FALSE (gg_send_budget_take (b, GG_REPEAT_LOST, 1000 + WINDOW_MS - 1000));
+  CU_ASSERT_TRUE (gg_send_budget_take (b, GG_REPEAT_LOST, 1000 + 2 * WINDOW_MS));
   gg_send_budget_destroy (b);
 }
 
@@ -28,11 +28,11 @@
   gg_send_budget_set_sharers (b, 10, 0);
   gg_send_budget_set_sharers (b, 1, 100);
   guint n = 0;
-  while (gg_send_budget_take (b, 200))
+  while (gg_send_budget_take (b, GG_REPEAT_LOST, 200))
     n++;
   CU_ASSERT_TRUE (n <= EXTRA / 10);
   gg_send_budget_set_sharers (b, 1, 100 + WINDOW_MS);
-  while (gg_send_budget_take (b, 200 + WINDOW_MS))
+  while (gg_send_budget_take (b, GG_REPEAT_LOST, 200 + WINDOW_MS))
     n++;
   CU_ASSERT_TRUE (n > EXTRA / 10);
   gg_send_budget_destroy (b);
@@ -67,7 +67,7 @@
           }
         for (guint r = 0; r < REQUESTS_PER_S; r++)
           gg_send_budget_note_request (budgets[i], now_ms);
-        while (gg_send_budget_take (budgets[i], now_ms))
+        while (gg_send_budget_take (budgets[i], GG_REPEAT_LOST, now_ms))
           repeats[s]++;
       }
   for (guint s = 0; s + 10 <= SECONDS; s++)
@@ -127,6 +127,23 @@
   CU_ASSERT_TRUE (play (never) >= 0.7);
 }
 
+/* While layers move many requests are refused; a stream that is cut then must still go on. */
+static void
+test_refusals_leave_some_for_losses (void)
+{
+  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+  guint n_refused = 0;
+  guint n_lost = 0;
+  gg_send_budget_set_sharers (b, 1, 0);
+  while (gg_send_budget_take (b, GG_REPEAT_REFUSED, 1000))
+    n_refused++;
+  while (gg_send_budget_take (b, GG_REPEAT_LOST, 1000))
+    n_lost++;
+  CU_ASSERT_TRUE (n_refused > 0);
+  CU_ASSERT_TRUE (n_lost >= n_refused / 2);
+  gg_send_budget_destroy (b);
+}
+
 int
 main (void)
 {
@@ -134,6 +151,7 @@
     { "window slides", test_window_slides },
     { "fewer sharers count after a window", test_fewer_sharers_count_after_a_window },
     { "restarting instances stay within", test_restarting_instances_stay_within },
+    { "refusals leave some for losses", test_refusals_leave_some_for_losses },
     { "all restart at once", test_all_restart_at_once },
     { "most of it can be used", test_most_of_it_can_be_used },
   };
