Split the request of a caller into arrival, sends and answer

Change: relay.c (arrival to end), relay_send.c (runners), relay_answer.c (what the caller gets), one private header; one function for all own refusals.

--- /dev/null
+++ b/src/daemons/routerd/relay_answer.c
@@ -0,0 +1,199 @@
+#include "daemons/routerd/relay_private.h"
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/event_log.h"
+#include "daemons/routerd/problem.h"
+
+#include <string.h>
+
+#define STATUS_MULTIPLE_CHOICES 300
+
+/* Answers up to this size are held until they are whole, so that a cut one can be repeated. */
+#define MAX_HELD_BYTES (256 * 1024)
+/* Reading from a runner stops while the caller has this much to take. */
+#define MAX_PENDING_BYTES (128 * 1024)
+
+static GgCounter rejected_total
+    = GG_COUNTER ("greengage_router_rejected_total", "Requests answered as not run");
+static GgCounter failed_total
+    = GG_COUNTER ("greengage_router_failed_total", "Requests that failed and may have run");
+
+void
+gg_relay_clear_answer (GgRelay *self)
+{
+  gg_message_head_destroy (self->answer);
+  self->answer = NULL;
+  self->answer_words = (GgRunnerWords){ 0 };
+  if (self->answer_body != NULL)
+    g_byte_array_unref (self->answer_body);
+  self->answer_body = NULL;
+  gg_event_buffer_destroy (self->events);
+  self->events = NULL;
+  self->is_streaming = FALSE;
+}
+
+void
+gg_relay_refuse (GgRelay *self, uint32_t status, const char *detail, uint64_t retry_after_ms)
+{
+  if (status == GG_STATUS_UNAVAILABLE)
+    gg_counter_add (&rejected_total, 1);
+  gg_problem_reply (self->connection, status, detail, retry_after_ms);
+  gg_relay_finish (self, detail, status);
+}
+
+void
+gg_relay_fail (GgRelay *self, uint32_t status, const char *detail)
+{
+  gg_counter_add (&failed_total, 1);
+  gg_problem_reply (self->connection, status, detail, 0);
+  gg_relay_finish (self, detail, status);
+}
+
+void
+gg_relay_break_off (GgRelay *self, const char *reason)
+{
+  gg_counter_add (&failed_total, 1);
+  gg_server_connection_abort (self->connection);
+  gg_relay_finish (self, reason, 0);
+}
+
+void
+gg_relay_deliver (GgRelay *self)
+{
+  GgMessageHead *head = gg_relay_copy_answer (self->answer);
+  uint32_t status = gg_message_head_get_status (head);
+  gg_server_connection_reply (self->connection, head,
+                              self->answer_body != NULL ? self->answer_body->data : NULL,
+                              self->answer_body != NULL ? self->answer_body->len : 0);
+  gg_message_head_destroy (head);
+  gg_relay_finish (self, "delivered", status);
+}
+
+static void
+begin_stream (GgRelay *self)
+{
+  GgMessageHead *head = gg_relay_copy_answer (self->answer);
+  gg_server_connection_begin (self->connection, head);
+  gg_message_head_destroy (head);
+  self->has_begun = TRUE;
+  self->attempt.has_begun = TRUE;
+  self->first_event_ms = gg_clock_now_ms ();
+}
+
+static void
+pass_on (GgRelay *self, const char *bytes, size_t size_bytes)
+{
+  if (!self->has_begun)
+    begin_stream (self);
+  gg_server_connection_write (self->connection, bytes, size_bytes);
+  if (gg_server_connection_get_pending (self->connection) > MAX_PENDING_BYTES)
+    gg_loop_call_set_reading (self->call, FALSE);
+}
+
+static void
+pass_events (GgRelay *self)
+{
+  GgStreamEvent event;
+  while (gg_event_buffer_next (self->events, &event))
+    {
+      /* A second run may repeat what the first one has sent. */
+      if (event.has_id && self->has_last_id && event.id <= self->last_id)
+        continue;
+      pass_on (self, event.bytes, event.size_bytes);
+      self->n_events++;
+      if (event.has_id)
+        {
+          self->has_last_id = TRUE;
+          self->last_id = event.id;
+        }
+    }
+}
+
+void
+gg_relay_end_stream (GgRelay *self)
+{
+  if (!self->has_begun)
+    begin_stream (self);
+  gg_server_connection_end (self->connection);
+  gg_relay_finish (self, "delivered", GG_STATUS_OK);
+}
+
+GgSendEnd
+gg_relay_judge_answer (const GgRelay *self)
+{
+  const GgRunnerWords *words = &self->answer_words;
+  if (words->is_refused)
+    return GG_SEND_REFUSED;
+  if (words->status >= GG_STATUS_SERVER_ERROR)
+    return GG_SEND_FAILED;
+  if (words->status < STATUS_MULTIPLE_CHOICES && !words->is_signed)
+    return GG_SEND_LOST;
+  if (self->is_streaming && gg_event_buffer_get_partial (self->events) > 0)
+    return GG_SEND_LOST;
+  return GG_SEND_COMPLETE;
+}
+
+static gboolean
+is_event_stream (const GgMessageHead *head)
+{
+  const char *type = gg_message_head_get (head, "Content-Type");
+  return type != NULL && g_str_has_prefix (type, "text/event-stream");
+}
+
+gboolean
+gg_relay_take_head (GgRelay *self, GgMessageHead *head)
+{
+  GgRunnerWords words;
+  gg_relay_read_runner (head, &words);
+  if (words.attempt_id != NULL && g_strcmp0 (words.attempt_id, self->words.attempt_id) != 0)
+    {
+      gg_event_log_add (GG_EVENT_NOTABLE, "foreign_answer_skipped",
+                        "request=%s answers=%s runner=%s", self->words.attempt_id, words.attempt_id,
+                        self->runner->record.id);
+      gg_message_head_destroy (head);
+      return FALSE;
+    }
+  gboolean is_stream = words.status == GG_STATUS_OK && words.is_signed && is_event_stream (head)
+                       && self->route->kind == GG_REQUEST_STREAMING;
+  if (self->has_begun && is_stream)
+    {
+      /* A later run of the same stream: the caller has the head of the first one. */
+      gg_message_head_destroy (head);
+      self->answer_words = (GgRunnerWords){ .status = words.status, .is_signed = TRUE };
+    }
+  else
+    {
+      gg_message_head_destroy (self->answer);
+      self->answer = head;
+      self->answer_words = words;
+    }
+  self->is_streaming = is_stream || self->has_begun;
+  if (is_stream)
+    self->events = gg_event_buffer_create ();
+  return TRUE;
+}
+
+void
+gg_relay_take_body (GgRelay *self, const char *bytes, size_t size_bytes)
+{
+  if (self->events != NULL)
+    {
+      if (gg_event_buffer_feed (self->events, bytes, size_bytes))
+        {
+          pass_events (self);
+          return;
+        }
+      gg_loop_call_cancel (self->call);
+      gg_relay_end_send (self, GG_SEND_LOST);
+      return;
+    }
+  if (self->answer_body == NULL)
+    self->answer_body = g_byte_array_new ();
+  g_byte_array_append (self->answer_body, (const guint8 *) bytes, (guint) size_bytes);
+  if (self->answer_body->len > MAX_HELD_BYTES)
+    {
+      gg_loop_call_cancel (self->call);
+      gg_relay_end_send (self, GG_SEND_LOST);
+    }
+}
