Never take a later answer that is no stream for the rest of one

Cause, found by reading the code: a stream that had begun was sent to a second runner, which answered with something else than a stream (404, say); judging that answer used an event buffer that did not exist, and the process crashed. Besides, what a refused send had said stayed and could make a later broken send of the same stream pass for refused. Change: such an answer counts as lost; each send begins without words. Measured: test_platform, platform-stream-forgotten, failed before (the router was gone) and passes.

--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -129,6 +129,9 @@
     return GG_SEND_FAILED;
   if (words->status < STATUS_MULTIPLE_CHOICES && !words->is_signed)
     return GG_SEND_LOST;
+  /* A later run that is no stream can't go on with one that the caller has a part of. */
+  if (self->has_begun && self->events == NULL)
+    return GG_SEND_LOST;
   if (self->is_streaming && gg_event_buffer_get_partial (self->events) > 0)
     return GG_SEND_LOST;
   return GG_SEND_COMPLETE;
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -322,6 +322,8 @@
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
   self->heard_ms = now_ms;
+  /* What an earlier send said must not pass for this one's answer. */
+  self->answer_words = (GgRunnerWords){ 0 };
   self->call = gg_loop_client_call (self->router->client, &request, on_call, self);
   gg_message_head_destroy (head);
   gg_counter_add (&sends_total, 1);
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -2,7 +2,8 @@
  * it is ordered; without, a plain service. It registers itself in the store (--store) under --id.
  * What a request's target contains decides the fault that it plays: "refuse" (not run), "lose"
  * (run, connection closed), "cut" (a stream ends in the middle of an event unless it is resumed),
- * "unsigned", "fail" (its own 500). GET /test/runs tells how many requests it has run. */
+ * "unsigned", "fail" (its own 500), "forget" (404 to a stream that is to go on). GET /test/runs
+ * tells how many requests it has run. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -285,6 +286,11 @@
       refuse (connection, 503);
       return;
     }
+  if (strstr (target, "forget") != NULL && gg_message_head_get (request, "Last-Event-Id") != NULL)
+    {
+      gg_fake_loop_reply (connection, 404, "");
+      return;
+    }
   runner.n_runs++;
   if (strstr (target, "lose") != NULL)
     gg_server_connection_abort (connection);
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -47,6 +47,20 @@
   gg_golden_finish (golden, proof);
 }
 
+/* The runner that is to go on with a stream does not know it: the caller must not take what it has
+ * for the whole, and the router must live on. */
+static void
+run_stream_forgotten (GgProof *proof)
+{
+  char *answer = site_call (site, 0, "POST", "/drafts/cut-forget", STREAM, "");
+  gg_proof_check (proof, answer != NULL && strstr (answer, "id: 2\n") != NULL);
+  gg_proof_check (proof, answer != NULL && g_str_has_suffix (answer, "(cut)"));
+  g_free (answer);
+  answer = site_call (site, 0, "POST", "/drafts/1", STREAM, "");
+  gg_proof_check (proof, answer != NULL && strstr (answer, "id: 6\n") != NULL);
+  g_free (answer);
+}
+
 static void
 run_bookings (GgProof *proof)
 {
@@ -204,6 +218,7 @@
 {
   static const GgProofCase cases[] = {
     { "own-answer", "platform-streaming", run_streaming },
+    { "own-answer", "platform-stream-forgotten", run_stream_forgotten },
     { "at-most-once", "platform-bookings", run_bookings },
     { "own-answer", "platform-lookups", run_lookups },
     { "not-run", "platform-own-answers", run_own_answers },
