Keep known runners while a new control process has read no list

Cause: the version of the members counts from 0 in each control process.

Ruled out: load of the machine as a cause. Change: the entry process forgets the version with the connection. Version 0 on a new connection means that nothing was read, so the runners stay.

--- a/src/daemons/entryd/snapshot_client.c
+++ b/src/daemons/entryd/snapshot_client.c
@@ -282,8 +282,13 @@
 poll_once (GgSnapshotClient *self)
 {
   if (self->client == NULL)
-    self->client = gg_rpc_client_create (self->control_address, GG_CONTROL_PROGRAM, GG_CONTROL_V1,
-                                         GG_RPC_TCP, RPC_TIMEOUT_MS);
+    {
+      self->client = gg_rpc_client_create (self->control_address, GG_CONTROL_PROGRAM, GG_CONTROL_V1,
+                                           GG_RPC_TCP, RPC_TIMEOUT_MS);
+      /* The versions of members are counted by one control process. A new one starts at 0, which
+       * means that it has read no list yet: its empty table must not replace the known members. */
+      self->members_version = 0;
+    }
   gboolean answered = self->client != NULL && send_report (self) && poll_snapshot (self);
   if (!answered)
     {
--- a/tests/process/test_prove_config.c
+++ b/tests/process/test_prove_config.c
@@ -399,6 +399,28 @@
 }
 
 /* The instance comes back to a platform that is down, and learns of the document from peers. */
+/* Guards against an entry process that drops its runners because a control process that has just
+ * started, and has read no list yet, names none. */
+static void
+control_killed_and_list_silent (GgProof *proof)
+{
+  const GgClusterOptions options = { .n_instances = 1 };
+  Watch watch = { .trial = gg_trial_begin (proof, &options) };
+  if (watch.trial == NULL)
+    return;
+  kill_control (&watch, 0);
+  gg_process_signal (watch.trial->cluster->list_process, SIGSTOP);
+  restart_control (&watch, 0);
+  for (uint64_t end = gg_clock_now_ms () + MEMBER_HOLD_MS; gg_clock_now_ms () < end;)
+    {
+      gg_booking_expect (gg_trial_chat (watch.trial, 0), "complete");
+      g_usleep (BOOKING_PERIOD_US);
+    }
+  gg_process_signal (watch.trial->cluster->list_process, SIGCONT);
+  gg_trial_repeat_until (watch.trial, 0, "last", "last", "complete");
+  gg_trial_end (watch.trial);
+}
+
 static void
 control_paused_and_platform_down (GgProof *proof)
 {
@@ -657,6 +679,7 @@
     { "config", "entry-paused", entry_paused },
     { "config", "control-killed", control_killed },
     { "config", "control-killed-twice", control_killed_twice },
+    { "config", "control-killed-and-list-silent", control_killed_and_list_silent },
     { "config", "watchers-paused", watchers_paused },
     { "config", "control-paused-and-platform-down", control_paused_and_platform_down },
     { "config", "fresh-instance-and-platform-down", fresh_instance_and_platform_down },
