Choose alike among runners of a plain service that are equal

Cause: the choice began at a random place in the list of all runners and took the first best one. Runners of one service lie unevenly among those of others, so one of two equals was taken nearly always, and a repeat met the same pair. Change: the random number picks among those with the least load.

--- /dev/null
+++ b/src/adapters/rpc/feed_message.c
@@ -0,0 +1,155 @@
+#include "adapters/rpc/feed_message.h"
+
+#include <rpc/rpc.h>
+#include <stdlib.h>
+
+/* Tells this datagram and its version from anything else that may reach the port. */
+#define MAGIC 0x67676631U
+#define MAX_TEXT_BYTES 256
+
+static void
+clear_change (void *data)
+{
+  gg_runner_change_clear (data);
+}
+
+void
+gg_feed_message_init (GgFeedMessage *self, GgFeedMessageKind kind)
+{
+  *self = (GgFeedMessage){ .kind = kind };
+  if (kind != GG_FEED_WORD)
+    return;
+  self->news.changes = g_array_new (FALSE, TRUE, sizeof (GgRunnerChange));
+  g_array_set_clear_func (self->news.changes, clear_change);
+}
+
+void
+gg_feed_message_clear (GgFeedMessage *self)
+{
+  switch (self->kind)
+    {
+    case GG_FEED_QUESTION:
+      g_free (self->question.reply_address);
+      break;
+    case GG_FEED_WORD:
+      g_array_unref (self->news.changes);
+      break;
+    }
+  *self = (GgFeedMessage){ 0 };
+}
+
+/* A text; NULL travels as an empty one and an empty one is decoded to NULL. */
+static gboolean
+code_text (XDR *xdr, char **text)
+{
+  char *empty = (char *) "";
+  if (xdr->x_op == XDR_ENCODE)
+    return xdr_string (xdr, *text != NULL ? text : &empty, MAX_TEXT_BYTES);
+  char *decoded = NULL;
+  if (!xdr_string (xdr, &decoded, MAX_TEXT_BYTES))
+    {
+      free (decoded);
+      return FALSE;
+    }
+  *text = *decoded != '\0' ? g_strdup (decoded) : NULL;
+  free (decoded);
+  return TRUE;
+}
+
+static gboolean
+code_flag (XDR *xdr, gboolean *flag)
+{
+  uint32_t word = *flag ? 1 : 0;
+  if (!xdr_uint32_t (xdr, &word))
+    return FALSE;
+  *flag = word != 0;
+  return TRUE;
+}
+
+static gboolean
+code_change (XDR *xdr, GgRunnerChange *change)
+{
+  GgRunnerRecord *record = &change->record;
+  if (!xdr_uint64_t (xdr, &change->revision) || !code_flag (xdr, &change->is_gone)
+      || !code_text (xdr, &record->id) || record->id == NULL)
+    return FALSE;
+  if (change->is_gone)
+    return TRUE;
+  return code_text (xdr, &record->address) && code_text (xdr, &record->service)
+         && code_text (xdr, &record->data_centre) && code_text (xdr, &record->accelerator)
+         && xdr_uint64_t (xdr, &record->born_ms) && xdr_uint32_t (xdr, &record->slots)
+         && code_flag (xdr, &record->is_leaving) && xdr_uint32_t (xdr, &record->range.first_layer)
+         && xdr_uint32_t (xdr, &record->range.end_layer) && record->address != NULL
+         && record->service != NULL && record->data_centre != NULL;
+}
+
+static gboolean
+code_question (XDR *xdr, GgFeedQuestion *question)
+{
+  return xdr_uint64_t (xdr, &question->number) && code_text (xdr, &question->reply_address)
+         && question->reply_address != NULL && xdr_uint64_t (xdr, &question->runners_revision);
+}
+
+static gboolean
+code_news (XDR *xdr, GgFeedNews *news)
+{
+  uint32_t n_changes = news->changes->len;
+  if (!xdr_uint64_t (xdr, &news->number) || !code_flag (xdr, &news->word.is_source)
+      || !xdr_uint64_t (xdr, &news->word.age_ms) || !xdr_uint64_t (xdr, &news->config_revision)
+      || !xdr_uint64_t (xdr, &news->changes_after) || !xdr_uint64_t (xdr, &news->runners_revision)
+      || !code_flag (xdr, &news->is_listing_needed) || !xdr_uint32_t (xdr, &n_changes)
+      || n_changes > GG_FEED_MESSAGE_MAX_CHANGES)
+    return FALSE;
+  g_array_set_size (news->changes, n_changes);
+  for (guint i = 0; i < n_changes; i++)
+    if (!code_change (xdr, &g_array_index (news->changes, GgRunnerChange, i)))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+code_body (XDR *xdr, GgFeedMessage *self)
+{
+  switch (self->kind)
+    {
+    case GG_FEED_QUESTION:
+      return code_question (xdr, &self->question);
+    case GG_FEED_WORD:
+      return code_news (xdr, &self->news);
+    }
+  return FALSE;
+}
+
+size_t
+gg_feed_message_encode (GgFeedMessage *self, char *buffer, size_t size_bytes)
+{
+  XDR xdr;
+  uint32_t magic = MAGIC;
+  uint32_t kind = self->kind;
+  xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_ENCODE);
+  gboolean fits
+      = xdr_uint32_t (&xdr, &magic) && xdr_uint32_t (&xdr, &kind) && code_body (&xdr, self);
+  size_t used = fits ? xdr_getpos (&xdr) : 0;
+  xdr_destroy (&xdr);
+  return used;
+}
+
+gboolean
+gg_feed_message_decode (char *buffer, size_t size_bytes, GgFeedMessage *self_out)
+{
+  XDR xdr;
+  uint32_t magic = 0;
+  uint32_t kind = 0;
+  xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_DECODE);
+  gboolean is_valid = xdr_uint32_t (&xdr, &magic) && magic == MAGIC && xdr_uint32_t (&xdr, &kind)
+                      && (kind == GG_FEED_QUESTION || kind == GG_FEED_WORD);
+  if (is_valid)
+    {
+      gg_feed_message_init (self_out, (GgFeedMessageKind) kind);
+      is_valid = code_body (&xdr, self_out);
+      if (!is_valid)
+        gg_feed_message_clear (self_out);
+    }
+  xdr_destroy (&xdr);
+  return is_valid;
+}
--- /dev/null
+++ b/src/core/feed_choice.c
@@ -0,0 +1,41 @@
+#include "core/feed_choice.h"
+
+/* Good words in a row before an instance stops watching by itself. */
+#define MIN_GOOD 3
+/* Two questions in a row and the answers to them may be lost; a change of the configuration must
+ * still be in force in time, and keys must stay proven. */
+#define SILENCE_MS 800
+/* An older view than this means that the source's calls fail or hang. */
+#define MAX_AGE_MS 2200
+
+void
+gg_feed_choice_take_word (GgFeedChoice *self, const GgFeedWord *word, uint64_t asked_ms)
+{
+  if (!word->is_source || word->age_ms > MAX_AGE_MS)
+    {
+      gg_feed_choice_reset (self);
+      return;
+    }
+  if (asked_ms > self->heard_ms + SILENCE_MS)
+    self->n_good = 0;
+  self->n_good++;
+  self->heard_ms = MAX (self->heard_ms, asked_ms);
+}
+
+void
+gg_feed_choice_reset (GgFeedChoice *self)
+{
+  *self = (GgFeedChoice){ 0 };
+}
+
+gboolean
+gg_feed_choice_is_fed (const GgFeedChoice *self, uint64_t now_ms)
+{
+  return self->n_good >= MIN_GOOD && now_ms - self->heard_ms <= SILENCE_MS;
+}
+
+uint64_t
+gg_feed_word_get_proven_ms (const GgFeedWord *self, uint64_t asked_ms)
+{
+  return self->is_source && asked_ms > self->age_ms ? asked_ms - self->age_ms : 0;
+}
--- /dev/null
+++ b/src/core/feed_choice.h
@@ -0,0 +1,33 @@
+/** @file
+ * Whether an instance may rely on another one that watches the store for its data centre, instead
+ * of watching by itself. Times are CLOCK_BOOTTIME, so that a suspension counts as silence. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct
+{
+  uint32_t n_good;   /**< Good words in a row. */
+  uint64_t heard_ms; /**< When the call for the latest good word was sent. */
+} GgFeedChoice;
+
+/** What an instance says of its own view of the store. */
+typedef struct
+{
+  gboolean is_source; /**< It believes that it is the one to watch, and it reaches the store. */
+  uint64_t age_ms;    /**< Its configuration was the newest one so long ago at most. */
+} GgFeedWord;
+
+/** Takes a word that was asked for at @p asked_ms. A bad one ends the reliance at once. */
+void gg_feed_choice_take_word (GgFeedChoice *self, const GgFeedWord *word, uint64_t asked_ms);
+
+/** Forgets the source, since there is another one or none. */
+void gg_feed_choice_reset (GgFeedChoice *self);
+
+/** Whether the source is to be relied on now. */
+gboolean gg_feed_choice_is_fed (const GgFeedChoice *self, uint64_t now_ms);
+
+/** Returns the time for which a word proves the configuration, 0 if for none: the source counted
+ * the age at some time after it was asked. */
+uint64_t gg_feed_word_get_proven_ms (const GgFeedWord *self, uint64_t asked_ms);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -18,6 +18,17 @@
   uint64_t revision;
 };
 
+void
+gg_runner_record_copy (GgRunnerRecord *dest, const GgRunnerRecord *source)
+{
+  *dest = *source;
+  dest->id = g_strdup (source->id);
+  dest->address = g_strdup (source->address);
+  dest->service = g_strdup (source->service);
+  dest->data_centre = g_strdup (source->data_centre);
+  dest->accelerator = g_strdup (source->accelerator);
+}
+
 void
 gg_runner_record_clear (GgRunnerRecord *self)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -26,6 +26,7 @@
   GgLayerRange range; /**< Layers that it holds; empty for none. */
 } GgRunnerRecord;
 
+void gg_runner_record_copy (GgRunnerRecord *dest, const GgRunnerRecord *source);
 void gg_runner_record_clear (GgRunnerRecord *self);
 
 /** Work in progress at a runner. */
--- a/src/core/plain_choice.c
+++ b/src/core/plain_choice.c
@@ -16,33 +16,58 @@
                                                                       : load + REMOTE_PENALTY;
 }
 
-GgFleetRunner *
-gg_plain_choose (const GgPlainQuery *query, gboolean *is_full_out)
+static gboolean
+may_serve (const GgPlainQuery *query, const GgFleetRunner *runner)
 {
-  guint size = gg_fleet_get_size (query->fleet);
-  GgFleetRunner *best = NULL;
-  GgFleetRunner *fallback = NULL;
-  double best_load = 0;
+  return strcmp (runner->record.service, query->service) == 0
+         && gg_fleet_runner_is_usable (runner, query->now_ms);
+}
+
+/* Returns the load of the best runner, or a negative number if there is none.
+ * @param n_best_out number of runners with that load. */
+static double
+find_least_load (const GgPlainQuery *query, guint *n_best_out, gboolean *is_full_out)
+{
+  double least = -1;
   *is_full_out = FALSE;
-  for (guint i = 0; i < size; i++)
+  *n_best_out = 0;
+  for (guint i = 0; i < gg_fleet_get_size (query->fleet); i++)
     {
-      GgFleetRunner *runner = gg_fleet_get (query->fleet, (i + query->random) % size);
-      if (strcmp (runner->record.service, query->service) != 0
-          || !gg_fleet_runner_is_usable (runner, query->now_ms))
+      const GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
+      if (!may_serve (query, runner) || runner == query->excluded)
         continue;
-      if (runner == query->excluded)
-        {
-          fallback = runner;
-          continue;
-        }
       double load = get_load (query, runner);
       if (load > MAX_QUEUE_FACTOR)
-        *is_full_out = TRUE;
-      else if (best == NULL || load < best_load)
         {
-          best = runner;
-          best_load = load;
+          *is_full_out = TRUE;
+          continue;
         }
+      if (least < 0 || load < least)
+        *n_best_out = 0;
+      if (*n_best_out == 0)
+        least = load;
+      if (load <= least)
+        ++*n_best_out;
+    }
+  return least;
+}
+
+GgFleetRunner *
+gg_plain_choose (const GgPlainQuery *query, gboolean *is_full_out)
+{
+  guint n_best = 0;
+  double least = find_least_load (query, &n_best, is_full_out);
+  guint n_skipped = n_best > 0 ? query->random % n_best : 0;
+  GgFleetRunner *fallback = NULL;
+  for (guint i = 0; i < gg_fleet_get_size (query->fleet); i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
+      if (!may_serve (query, runner))
+        continue;
+      if (runner == query->excluded)
+        fallback = runner;
+      else if (n_best > 0 && get_load (query, runner) <= least && n_skipped-- == 0)
+        return runner;
     }
-  return best != NULL ? best : fallback;
+  return fallback;
 }
--- /dev/null
+++ b/src/core/runner_changes.c
@@ -0,0 +1,126 @@
+#include "core/runner_changes.h"
+
+/* Who has heard nothing for longer than this has long begun to watch by itself. */
+#define KEEP_MS 10000
+/* Bounds the memory in a storm of changes; who is further behind lists anew. */
+#define MAX_CHANGES 200
+
+typedef struct
+{
+  GgRunnerChange change;
+  uint64_t noted_ms;
+} Entry;
+
+struct _GgRunnerChanges
+{
+  GArray *entries;         /* Entry, in order of revision */
+  GHashTable *gone;        /* ids whose entries went and are not back -> that change's revision */
+  uint64_t complete_after; /* every change after this revision is here */
+};
+
+void
+gg_runner_change_clear (GgRunnerChange *self)
+{
+  gg_runner_record_clear (&self->record);
+  *self = (GgRunnerChange){ 0 };
+}
+
+static void
+clear_entry (void *data)
+{
+  gg_runner_change_clear (&((Entry *) data)->change);
+}
+
+GgRunnerChanges *
+gg_runner_changes_create (void)
+{
+  GgRunnerChanges *self = g_new0 (GgRunnerChanges, 1);
+  self->entries = g_array_new (FALSE, TRUE, sizeof (Entry));
+  g_array_set_clear_func (self->entries, clear_entry);
+  self->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return self;
+}
+
+void
+gg_runner_changes_destroy (GgRunnerChanges *self)
+{
+  if (self == NULL)
+    return;
+  g_array_unref (self->entries);
+  g_hash_table_unref (self->gone);
+  g_free (self);
+}
+
+void
+gg_runner_changes_reset (GgRunnerChanges *self, uint64_t revision)
+{
+  g_array_set_size (self->entries, 0);
+  g_hash_table_remove_all (self->gone);
+  self->complete_after = revision;
+}
+
+static void
+forget_old (GgRunnerChanges *self, uint64_t now_ms)
+{
+  guint n = 0;
+  for (; n < self->entries->len; n++)
+    {
+      const Entry *entry = &g_array_index (self->entries, Entry, n);
+      if (self->entries->len - n <= MAX_CHANGES && now_ms - entry->noted_ms <= KEEP_MS)
+        break;
+      self->complete_after = entry->change.revision;
+      const uint64_t *gone = g_hash_table_lookup (self->gone, entry->change.record.id);
+      if (gone != NULL && *gone == entry->change.revision)
+        g_hash_table_remove (self->gone, entry->change.record.id);
+    }
+  if (n > 0)
+    g_array_remove_range (self->entries, 0, n);
+}
+
+static void
+add (GgRunnerChanges *self, const GgRunnerChange *change, uint64_t now_ms)
+{
+  Entry entry = { .change = *change, .noted_ms = now_ms };
+  g_array_append_val (self->entries, entry);
+  forget_old (self, now_ms);
+}
+
+void
+gg_runner_changes_put (GgRunnerChanges *self,
+                       uint64_t revision,
+                       const GgRunnerRecord *record,
+                       gboolean is_changed,
+                       uint64_t now_ms)
+{
+  gboolean was_gone = g_hash_table_remove (self->gone, record->id);
+  if (!is_changed && !was_gone)
+    return;
+  GgRunnerChange change = { .revision = revision };
+  gg_runner_record_copy (&change.record, record);
+  add (self, &change, now_ms);
+}
+
+void
+gg_runner_changes_remove (GgRunnerChanges *self, uint64_t revision, const char *id, uint64_t now_ms)
+{
+  g_hash_table_replace (self->gone, g_strdup (id), g_memdup2 (&revision, sizeof revision));
+  GgRunnerChange change = { .revision = revision, .is_gone = TRUE };
+  change.record.id = g_strdup (id);
+  add (self, &change, now_ms);
+}
+
+int
+gg_runner_changes_find (const GgRunnerChanges *self, uint64_t revision, guint *first_out)
+{
+  guint first = self->entries->len;
+  while (first > 0 && g_array_index (self->entries, Entry, first - 1).change.revision > revision)
+    first--;
+  *first_out = first;
+  return revision < self->complete_after ? -1 : (int) (self->entries->len - first);
+}
+
+const GgRunnerChange *
+gg_runner_changes_get (const GgRunnerChanges *self, guint i)
+{
+  return &g_array_index (self->entries, Entry, i).change;
+}
--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "core/backoff.h"
+#include "daemons/routerd/store_feed.h"
 #include "ports/directory.h"
 
 #include <string.h>
@@ -32,6 +33,7 @@
   uint64_t revision;      /* of the store, up to which changes are known */
   uint64_t item_revision; /* of the key; 0: it does not exist */
   gboolean is_lost;       /* the store does not answer */
+  gboolean is_fed;        /* another instance watches */
   GgBackoff backoff;
 };
 
@@ -54,6 +56,7 @@
       return;
     }
   gg_router_apply_config (self->router, config);
+  gg_store_feed_tell (self->router->store_feed);
 }
 
 static void
@@ -75,10 +78,12 @@
   if (self->step != STEP_CHECK)
     self->revision = reply->revision;
   self->step = STEP_WATCH;
-  self->router->config_fresh_boot_ms = reply->sent_boot_ms;
+  self->router->config_fresh_boot_ms
+      = MAX (self->router->config_fresh_boot_ms, reply->sent_boot_ms);
   gg_backoff_reset (&self->backoff);
   set_lost (self, FALSE);
-  send_call (self);
+  if (!self->is_fed)
+    send_call (self);
 }
 
 static void
@@ -143,6 +148,49 @@
   return self;
 }
 
+/* Reads the configuration at once, in place of what was waited for. */
+static void
+read_now (GgConfigFollower *self)
+{
+  gg_store_call_cancel (self->call);
+  gg_loop_timer_stop (self->retry_timer);
+  self->step = STEP_READ;
+  send_call (self);
+}
+
+void
+gg_config_follower_set_fed (GgConfigFollower *self, gboolean is_fed)
+{
+  self->is_fed = is_fed;
+  if (!is_fed)
+    read_now (self);
+  else if (self->step == STEP_WATCH && !self->is_lost)
+    {
+      gg_store_call_cancel (self->call);
+      self->call = NULL;
+    }
+}
+
+uint64_t
+gg_config_follower_get_revision (const GgConfigFollower *self)
+{
+  return self->item_revision;
+}
+
+void
+gg_config_follower_take_proof (GgConfigFollower *self, uint64_t revision, uint64_t proven_boot_ms)
+{
+  if (revision == self->item_revision)
+    self->router->config_fresh_boot_ms = MAX (self->router->config_fresh_boot_ms, proven_boot_ms);
+}
+
+void
+gg_config_follower_take_revision (GgConfigFollower *self, uint64_t revision)
+{
+  if (self->is_fed && self->call == NULL && !self->is_lost && revision > self->item_revision)
+    read_now (self);
+}
+
 void
 gg_config_follower_destroy (GgConfigFollower *self)
 {
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -28,6 +28,7 @@
 struct _GgMembership
 {
   GgRouter *router;
+  char *address;
   char *own_value; /* "IP:PORT DATA_CENTRE" */
   char *own_key;
   uint64_t lease; /* 0 for none */
@@ -40,6 +41,7 @@
 
   GHashTable *instances;    /* key -> GgPeer */
   GPtrArray *peers;         /* GgPeer of the others, borrowed */
+  const GgPeer *source;     /* the first instance of the own data centre, borrowed; or NULL */
   uint64_t leader_revision; /* 0: nobody leads */
   uint64_t watch_revision;
   gboolean is_listed;
@@ -281,13 +283,24 @@
 rebuild_peers (GgMembership *self)
 {
   g_ptr_array_set_size (self->peers, 0);
+  self->source = NULL;
   GHashTableIter iter;
   void *key;
-  void *peer;
+  void *value;
+  const char *first = NULL;
   g_hash_table_iter_init (&iter, self->instances);
-  while (g_hash_table_iter_next (&iter, &key, &peer))
-    if (strcmp (key, self->own_key) != 0)
-      g_ptr_array_add (self->peers, peer);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const GgPeer *peer = value;
+      if (strcmp (key, self->own_key) != 0)
+        g_ptr_array_add (self->peers, value);
+      if (strcmp (peer->data_centre, self->router->data_centre) == 0
+          && (first == NULL || strcmp (key, first) < 0))
+        {
+          first = key;
+          self->source = peer;
+        }
+    }
   gg_router_set_instances (self->router, self->peers->len + 1);
 }
 
@@ -372,6 +385,18 @@
     self->watch_call = gg_store_list (self->router->store, PREFIX, "", on_watched, self);
 }
 
+const char *
+gg_membership_get_address (const GgMembership *self)
+{
+  return self->address;
+}
+
+const char *
+gg_membership_find_source (const GgMembership *self)
+{
+  return self->source != NULL ? self->source->address : NULL;
+}
+
 const GPtrArray *
 gg_membership_get_peers (const GgMembership *self)
 {
@@ -383,6 +408,7 @@
 {
   GgMembership *self = g_new0 (GgMembership, 1);
   self->router = router;
+  self->address = g_strdup (peer_address);
   self->own_value = g_strdup_printf ("%s %s", peer_address, router->data_centre);
   self->own_key = g_strconcat (INSTANCE_PREFIX, router->instance, NULL);
   self->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
@@ -420,6 +446,7 @@
   gg_loop_timer_destroy (self->candidate_timer);
   g_hash_table_unref (self->instances);
   g_ptr_array_unref (self->peers);
+  g_free (self->address);
   g_free (self->own_key);
   g_free (self->own_value);
   g_free (self);
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -31,5 +31,12 @@
   char *data_centre;
 } GgPeer;
 
+/** Returns where this instance hears its peers. */
+const char *gg_membership_get_address (const GgMembership *self);
+
+/** Returns the address of the instance that is to watch the store for this one's data centre, its
+ * own included; NULL while no instance is known. Instances that know the same peers agree. */
+const char *gg_membership_find_source (const GgMembership *self);
+
 /** The other live instances: GgPeer, valid until the next change. */
 const GPtrArray *gg_membership_get_peers (const GgMembership *self);
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -8,6 +8,7 @@
 #include "core/routing_config.h"
 #include "core/send_budget.h"
 #include "loop/client.h"
+#include "loop/datagram.h"
 #include "loop/loop.h"
 #include "loop/server.h"
 #include "ports/store.h"
@@ -17,6 +18,7 @@
 
 typedef struct _GgWaitingRoom GgWaitingRoom;
 typedef struct _GgStallWatch GgStallWatch;
+typedef struct _GgStoreFeed GgStoreFeed;
 
 typedef struct
 {
@@ -37,6 +39,8 @@
   uint32_t n_instances;      /**< Live instances, this one included; 0 until they are known. */
   GgWaitingRoom *waiting_room;
   GgStallWatch *stall_watch;
+  GgStoreFeed *store_feed;       /**< NULL until its parts are there. */
+  GgDatagramSocket *peer_socket; /**< To and from the other instances. */
   GgLoopServer *caller_server;
   gboolean has_runners; /**< The runners were listed once. */
   gboolean is_stopping; /**< Not ready any more; requests that still come are served. */
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -10,6 +10,7 @@
 #include "daemons/routerd/router_settings.h"
 #include "daemons/routerd/runner_follower.h"
 #include "daemons/routerd/stall_watch.h"
+#include "daemons/routerd/store_feed.h"
 #include "daemons/routerd/waiting_room.h"
 #include "daemons/routerd/work_exchange.h"
 #include "ports/relay_wire.h"
@@ -99,6 +100,14 @@
     g_byte_array_unref (event->request.body);
 }
 
+static void
+on_peer_datagram (void *data, char *bytes, size_t size_bytes)
+{
+  Daemon *self = data;
+  if (!gg_store_feed_take (self->router.store_feed, bytes, size_bytes))
+    gg_work_exchange_take (self->work_exchange, bytes, size_bytes);
+}
+
 static void
 on_log_timer (void *data)
 {
@@ -226,12 +235,19 @@
   init_router (self);
   if (!open_servers (self, error))
     return FALSE;
+  router->peer_socket
+      = gg_datagram_socket_create (router->loop, peer_address, on_peer_datagram, self, error);
+  if (router->peer_socket == NULL)
+    return FALSE;
   self->config_follower = gg_config_follower_create (router);
   self->runner_follower = gg_runner_follower_create (router);
   self->membership = gg_membership_create (router, peer_address);
-  self->work_exchange = gg_work_exchange_create (router, self->membership, peer_address, error);
-  if (self->work_exchange == NULL)
-    return FALSE;
+  self->work_exchange = gg_work_exchange_create (router, self->membership);
+  const GgStoreFeedParams feed = { .router = router,
+                                   .membership = self->membership,
+                                   .config_follower = self->config_follower,
+                                   .runner_follower = self->runner_follower };
+  router->store_feed = gg_store_feed_create (&feed);
   self->placer = gg_placer_create (router, self->membership);
   self->log_timer = gg_loop_timer_create (router->loop, on_log_timer, self);
   self->stop_timer = gg_loop_timer_create (router->loop, on_stop_timer, self);
@@ -250,7 +266,9 @@
   gg_loop_server_destroy (router->caller_server);
   gg_loop_server_destroy (self->ready_server);
   gg_loop_server_destroy (self->metrics_server);
+  gg_datagram_socket_destroy (router->peer_socket);
   gg_placer_destroy (self->placer);
+  gg_store_feed_destroy (router->store_feed);
   gg_work_exchange_destroy (self->work_exchange);
   gg_membership_destroy (self->membership);
   gg_runner_follower_destroy (self->runner_follower);
--- a/src/daemons/routerd/runner_follower.c
+++ b/src/daemons/routerd/runner_follower.c
@@ -4,6 +4,7 @@
 #include "base/event_log.h"
 #include "core/backoff.h"
 #include "core/lapse_hold.h"
+#include "daemons/routerd/store_feed.h"
 #include "ports/directory.h"
 
 #include <string.h>
@@ -27,6 +28,8 @@
   char *last_key;          /* of the last page */
   uint64_t first_revision; /* of the first page: later changes come by the watch */
   gboolean is_lost;
+  gboolean is_fed;          /* another instance watches */
+  GgRunnerChanges *changes; /* since the last listing */
   GgBackoff backoff;
   GgLapseHold lapse_hold;
   GHashTable *held;        /* ids of runners whose entries are missing, but still believed */
@@ -35,32 +38,40 @@
 
 static void send_call (GgRunnerFollower *self);
 
+/* Takes what a runner says of itself; takes the contents of @p record. */
 static void
-take_runner (GgRunnerFollower *self, const GgStoreItem *item)
+put_runner (GgRunnerFollower *self, GgRunnerRecord *record, uint64_t revision)
+{
+  char *id = g_strdup (record->id);
+  g_hash_table_remove (self->held, id);
+  gboolean is_changed = gg_fleet_put (self->router->fleet, record);
+  const GgRunnerRecord *known = &gg_fleet_find (self->router->fleet, id)->record;
+  if (is_changed)
+    gg_event_log_add (
+        GG_EVENT_ORDINARY, "runner_changed",
+        "runner=%s service=%s address=%s data_centre=%s accelerator=%s leaving=%d layers=%u-%u "
+        "revision=%" G_GUINT64_FORMAT,
+        id, known->service, known->address, known->data_centre,
+        known->accelerator != NULL ? known->accelerator : "-", known->is_leaving,
+        known->range.first_layer, known->range.end_layer, (guint64) revision);
+  if (self->is_listed)
+    gg_runner_changes_put (self->changes, revision, known, is_changed, gg_clock_now_ms ());
+  g_free (id);
+}
+
+static void
+take_entry (GgRunnerFollower *self, const GgStoreItem *item)
 {
   GgRunnerRecord record;
   GError *error = NULL;
-  if (!gg_directory_decode_runner (item->key, item->value, &record, &error))
+  if (gg_directory_decode_runner (item->key, item->value, &record, &error))
     {
-      gg_event_log_add (GG_EVENT_ORDINARY, "runner_entry_unreadable", "key=%s reason=\"%s\"",
-                        item->key, error->message);
-      g_error_free (error);
+      put_runner (self, &record, item->revision);
       return;
     }
-  char *id = g_strdup (record.id);
-  g_hash_table_remove (self->held, id);
-  if (gg_fleet_put (self->router->fleet, &record))
-    {
-      const GgRunnerRecord *known = &gg_fleet_find (self->router->fleet, id)->record;
-      gg_event_log_add (
-          GG_EVENT_ORDINARY, "runner_changed",
-          "runner=%s service=%s address=%s data_centre=%s accelerator=%s leaving=%d layers=%u-%u "
-          "revision=%" G_GUINT64_FORMAT,
-          id, known->service, known->address, known->data_centre,
-          known->accelerator != NULL ? known->accelerator : "-", known->is_leaving,
-          known->range.first_layer, known->range.end_layer, (guint64) item->revision);
-    }
-  g_free (id);
+  gg_event_log_add (GG_EVENT_ORDINARY, "runner_entry_unreadable", "key=%s reason=\"%s\"", item->key,
+                    error->message);
+  g_error_free (error);
 }
 
 static void
@@ -96,6 +107,14 @@
   gg_loop_timer_start (self->held_timer, self->lapse_hold.hold_until_ms - now_ms);
 }
 
+static void
+note_gone (GgRunnerFollower *self, const char *id, uint64_t revision)
+{
+  lose_runner (self, id, revision);
+  if (self->is_listed)
+    gg_runner_changes_remove (self->changes, revision, id, gg_clock_now_ms ());
+}
+
 static void
 take_item (GgRunnerFollower *self, const GgStoreItem *item)
 {
@@ -103,9 +122,9 @@
   if (!self->is_listed)
     g_hash_table_add (self->listed, g_strdup (id));
   if (item->value != NULL)
-    take_runner (self, item);
+    take_entry (self, item);
   else
-    lose_runner (self, id, item->revision);
+    note_gone (self, id, item->revision);
 }
 
 static void
@@ -136,6 +155,7 @@
   lose_unlisted (self);
   g_hash_table_remove_all (self->listed);
   self->revision = self->first_revision;
+  gg_runner_changes_reset (self->changes, self->revision);
   self->is_listed = TRUE;
   self->router->has_runners = TRUE;
   gg_event_log_add (GG_EVENT_NOTABLE, "runners_listed", "count=%u revision=%" G_GUINT64_FORMAT,
@@ -178,11 +198,13 @@
       if (self->is_listed)
         {
           self->revision = reply->revision;
+          gg_store_feed_tell (self->router->store_feed);
           gg_loop_timer_start (self->timer, reply->items->len > 0 ? PAUSE_MS : 0);
           return;
         }
       end_page (self, reply);
-      send_call (self);
+      if (!self->is_listed || !self->is_fed)
+        send_call (self);
       return;
     case GG_STORE_EXPIRED:
       start_listing (self);
@@ -219,6 +241,66 @@
     send_call (self);
 }
 
+void
+gg_runner_follower_list (GgRunnerFollower *self)
+{
+  if (!self->is_fed || !self->is_listed)
+    return;
+  start_listing (self);
+  send_call (self);
+}
+
+void
+gg_runner_follower_set_fed (GgRunnerFollower *self, gboolean is_fed)
+{
+  self->is_fed = is_fed;
+  if (!self->is_listed)
+    return; /* the listing goes on to its end in any case */
+  if (!is_fed)
+    gg_loop_timer_start (self->timer, 0);
+  else
+    {
+      gg_store_call_cancel (self->call);
+      self->call = NULL;
+      gg_loop_timer_stop (self->timer);
+    }
+}
+
+uint64_t
+gg_runner_follower_get_revision (const GgRunnerFollower *self)
+{
+  return self->revision;
+}
+
+const GgRunnerChanges *
+gg_runner_follower_get_changes (const GgRunnerFollower *self)
+{
+  return self->is_listed ? self->changes : NULL;
+}
+
+void
+gg_runner_follower_take_changes (GgRunnerFollower *self, const GArray *changes, uint64_t revision)
+{
+  if (!self->is_fed || !self->is_listed)
+    return;
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const GgRunnerChange *change = &g_array_index (changes, GgRunnerChange, i);
+      if (change->revision <= self->revision)
+        continue;
+      GgRunnerRecord record;
+      gg_runner_record_copy (&record, &change->record);
+      if (change->is_gone)
+        {
+          note_gone (self, record.id, change->revision);
+          gg_runner_record_clear (&record);
+        }
+      else
+        put_runner (self, &record, change->revision);
+    }
+  self->revision = MAX (self->revision, revision);
+}
+
 GgRunnerFollower *
 gg_runner_follower_create (GgRouter *router)
 {
@@ -228,6 +310,7 @@
   self->timer = gg_loop_timer_create (router->loop, on_timer, self);
   self->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->held = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->changes = gg_runner_changes_create ();
   self->held_timer = gg_loop_timer_create (router->loop, on_hold_ended, self);
   start_listing (self);
   send_call (self);
@@ -240,6 +323,7 @@
   gg_store_call_cancel (self->call);
   gg_loop_timer_destroy (self->timer);
   gg_loop_timer_destroy (self->held_timer);
+  gg_runner_changes_destroy (self->changes);
   g_hash_table_unref (self->held);
   g_hash_table_unref (self->listed);
   g_free (self->last_key);
--- a/src/daemons/routerd/work_exchange.c
+++ b/src/daemons/routerd/work_exchange.c
@@ -3,7 +3,6 @@
 #include "adapters/rpc/work_share.h"
 #include "base/clock.h"
 #include "core/peer_work.h"
-#include "loop/datagram.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -22,7 +21,6 @@
 {
   GgRouter *router;
   const GgMembership *membership;
-  GgDatagramSocket *socket;
   GgLoopTimer *timer;
   GgPeerWork *peer_work;
   uint64_t incarnation;
@@ -56,10 +54,9 @@
     }
 }
 
-static void
-on_datagram (void *data, char *bytes, size_t size_bytes)
+void
+gg_work_exchange_take (GgWorkExchange *self, char *bytes, size_t size_bytes)
 {
-  GgWorkExchange *self = data;
   uint64_t now_ms = gg_clock_now_ms ();
   GgWorkShare share;
   if (gg_work_share_decode (bytes, size_bytes, &share)
@@ -98,7 +95,7 @@
     {
       const GgPeer *peer = g_ptr_array_index (peers, i);
       if (is_far_due || strcmp (peer->data_centre, self->router->data_centre) == 0)
-        gg_datagram_socket_send (self->socket, peer->address, bytes, size_bytes);
+        gg_datagram_socket_send (self->router->peer_socket, peer->address, bytes, size_bytes);
     }
   g_array_set_size (share->entries, 0);
 }
@@ -151,20 +148,11 @@
 }
 
 GgWorkExchange *
-gg_work_exchange_create (GgRouter *router,
-                         const GgMembership *membership,
-                         const char *address,
-                         GError **error)
+gg_work_exchange_create (GgRouter *router, const GgMembership *membership)
 {
   GgWorkExchange *self = g_new0 (GgWorkExchange, 1);
   self->router = router;
   self->membership = membership;
-  self->socket = gg_datagram_socket_create (router->loop, address, on_datagram, self, error);
-  if (self->socket == NULL)
-    {
-      g_free (self);
-      return NULL;
-    }
   self->incarnation = gg_clock_wall_ms ();
   self->peer_work = gg_peer_work_create (HOLD_MS);
   self->told = g_hash_table_new (NULL, NULL);
@@ -176,7 +164,6 @@
 void
 gg_work_exchange_destroy (GgWorkExchange *self)
 {
-  gg_datagram_socket_destroy (self->socket);
   gg_loop_timer_destroy (self->timer);
   gg_peer_work_destroy (self->peer_work);
   g_hash_table_unref (self->told);
--- a/src/daemons/routerd/work_exchange.h
+++ b/src/daemons/routerd/work_exchange.h
@@ -6,9 +6,8 @@
 
 typedef struct _GgWorkExchange GgWorkExchange;
 
-/** @return NULL with @p error set if the address can't be used. */
-GgWorkExchange *gg_work_exchange_create (GgRouter *router,
-                                         const GgMembership *membership,
-                                         const char *address,
-                                         GError **error);
+GgWorkExchange *gg_work_exchange_create (GgRouter *router, const GgMembership *membership);
 void gg_work_exchange_destroy (GgWorkExchange *self);
+
+/** Takes a datagram of a peer; others are ignored. */
+void gg_work_exchange_take (GgWorkExchange *self, char *bytes, size_t size_bytes);
--- /dev/null
+++ b/tests/core/test_feed_choice.c
@@ -0,0 +1,86 @@
+/* Guards the reliance on another instance's view of the store: a key that was taken away must be
+ * refused in time, and a configuration must come into force in time, also when that instance dies,
+ * is frozen, loses the store or answers late. */
+#include "core/feed_choice.h"
+#include "test_main.h"
+
+/* Bounds on configurations in force (2 s) leave this much for noticing a silent source. */
+#define NOTICE_MS 1000
+#define PERIOD_MS 300
+
+static const GgFeedWord good = { .is_source = TRUE, .age_ms = 900 };
+
+static GgFeedChoice
+make_fed (uint64_t *now_ms)
+{
+  GgFeedChoice c = { 0 };
+  for (int i = 0; i < 5; i++)
+    gg_feed_choice_take_word (&c, &good, *now_ms += PERIOD_MS);
+  CU_ASSERT_TRUE (gg_feed_choice_is_fed (&c, *now_ms));
+  return c;
+}
+
+static void
+test_one_word_is_not_enough (void)
+{
+  GgFeedChoice c = { 0 };
+  gg_feed_choice_take_word (&c, &good, 1000);
+  CU_ASSERT_FALSE (gg_feed_choice_is_fed (&c, 1000));
+}
+
+static void
+test_silence (void)
+{
+  uint64_t now_ms = 1000;
+  GgFeedChoice c = make_fed (&now_ms);
+  CU_ASSERT_TRUE (gg_feed_choice_is_fed (&c, now_ms + 2 * PERIOD_MS));
+  CU_ASSERT_FALSE (gg_feed_choice_is_fed (&c, now_ms + NOTICE_MS));
+  gg_feed_choice_take_word (&c, &good, now_ms + NOTICE_MS);
+  CU_ASSERT_FALSE (gg_feed_choice_is_fed (&c, now_ms + NOTICE_MS));
+}
+
+static void
+test_bad_words (void)
+{
+  const GgFeedWord bad[]
+      = { { .is_source = FALSE, .age_ms = 0 }, { .is_source = TRUE, .age_ms = 3000 } };
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      uint64_t now_ms = 1000;
+      GgFeedChoice c = make_fed (&now_ms);
+      gg_feed_choice_take_word (&c, &bad[i], now_ms);
+      CU_ASSERT_FALSE (gg_feed_choice_is_fed (&c, now_ms));
+    }
+}
+
+/* Whatever delays and suspensions lie between, the time that is proven is not later than the one at
+ * which the source knew the configuration to be the newest. */
+static void
+test_proof_is_never_too_late (void)
+{
+  for (guint32 seed = 1; seed <= 5000; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      uint64_t known_ms = (uint64_t) g_rand_int_range (rand, 1, 10000);
+      uint64_t asked_ms = (uint64_t) g_rand_int_range (rand, 1, 12000);
+      /* True time at which the source counts the age; a question can't be answered before. */
+      uint64_t counted_ms = MAX (asked_ms, known_ms) + (uint64_t) g_rand_int_range (rand, 0, 4000);
+      GgFeedWord word = { .is_source = TRUE, .age_ms = counted_ms - known_ms };
+      CU_ASSERT_TRUE (gg_feed_word_get_proven_ms (&word, asked_ms) <= known_ms);
+      g_rand_free (rand);
+    }
+  const GgFeedWord other = { .is_source = FALSE, .age_ms = 0 };
+  CU_ASSERT_EQUAL (gg_feed_word_get_proven_ms (&other, 1000), 0);
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = {
+    { "one word is not enough", test_one_word_is_not_enough },
+    { "silence", test_silence },
+    { "bad words", test_bad_words },
+    { "proof is never too late", test_proof_is_never_too_late },
+  };
+  return gg_test_run ("feed choice", cases, G_N_ELEMENTS (cases));
+}
