Exchange sums of work between data centres where instances are many

Ruled out: telling less often (the reports of runners lag already). A sum bears the data centre's name, so that a new source replaces the old one.

--- a/src/adapters/rpc/work_share.c
+++ b/src/adapters/rpc/work_share.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Tells this datagram and its version from anything else that may reach the port. */
-#define MAGIC 0x67675733U
+#define MAGIC 0x67675734U
 #define MAX_NAME_BYTES 128
 /* Request memory travels in units: a request holds some thousands of tokens x layers. */
 #define TOKEN_LAYERS_PER_UNIT 64
@@ -24,8 +24,9 @@
 void
 gg_work_share_clear (GgWorkShare *self)
 {
-  /* The name was allocated by XDR or by the owner, both with malloc. */
+  /* The names were allocated by XDR or by the owner, both with malloc. */
   free (self->instance);
+  free (self->data_centre);
   g_array_unref (self->entries);
   *self = (GgWorkShare){ 0 };
 }
@@ -61,11 +62,14 @@
 {
   uint32_t magic = MAGIC;
   uint32_t n_entries = self->entries->len;
+  uint32_t is_sum = self->is_sum ? 1 : 0;
   if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC
       || !xdr_string (xdr, &self->instance, MAX_NAME_BYTES)
+      || !xdr_string (xdr, &self->data_centre, MAX_NAME_BYTES) || !xdr_uint32_t (xdr, &is_sum)
       || !xdr_uint64_t (xdr, &self->incarnation) || !xdr_uint64_t (xdr, &self->number)
       || !xdr_uint32_t (xdr, &n_entries) || n_entries > GG_WORK_SHARE_MAX_ENTRIES)
     return FALSE;
+  self->is_sum = is_sum != 0;
   g_array_set_size (self->entries, n_entries);
   for (guint i = 0; i < n_entries; i++)
     if (!code_entry (xdr, &g_array_index (self->entries, GgWorkShareEntry, i)))
--- a/src/adapters/rpc/work_share.h
+++ b/src/adapters/rpc/work_share.h
@@ -9,7 +9,7 @@
 
 /** Largest datagram, and the runners that fit into it. */
 #define GG_WORK_SHARE_MAX_BYTES 1400
-#define GG_WORK_SHARE_MAX_ENTRIES 70
+#define GG_WORK_SHARE_MAX_ENTRIES 64
 
 /** What one instance says of one runner. */
 typedef struct
@@ -22,7 +22,9 @@
 
 typedef struct
 {
-  char *instance; /**< Owned by the share. */
+  char *instance;    /**< Owned by the share, as the next one is. */
+  char *data_centre; /**< In which the work was taken in. */
+  gboolean is_sum;   /**< The work of all instances of the data centre. */
   uint64_t incarnation;
   uint64_t number; /**< Grows with each datagram of an incarnation. */
   GArray *entries; /**< GgWorkShareEntry. */
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -42,6 +42,7 @@
   GHashTable *instances;    /* key -> GgPeer */
   GPtrArray *peers;         /* GgPeer of the others, borrowed */
   const GgPeer *source;     /* the first instance of the own data centre, borrowed; or NULL */
+  GPtrArray *far_sources;   /* GgPeer: the first ones of the others, borrowed */
   uint64_t leader_revision; /* 0: nobody leads */
   uint64_t watch_revision;
   gboolean is_listed;
@@ -279,28 +280,47 @@
   return rank;
 }
 
+/* Finds the first instance of each data centre. */
 static void
-rebuild_peers (GgMembership *self)
+rebuild_sources (GgMembership *self)
 {
-  g_ptr_array_set_size (self->peers, 0);
-  self->source = NULL;
+  GHashTable *firsts = g_hash_table_new (g_str_hash, g_str_equal); /* data centre -> key */
   GHashTableIter iter;
   void *key;
   void *value;
-  const char *first = NULL;
   g_hash_table_iter_init (&iter, self->instances);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      const GgPeer *peer = value;
-      if (strcmp (key, self->own_key) != 0)
-        g_ptr_array_add (self->peers, value);
-      if (strcmp (peer->data_centre, self->router->data_centre) == 0
-          && (first == NULL || strcmp (key, first) < 0))
-        {
-          first = key;
-          self->source = peer;
-        }
+      const char *first = g_hash_table_lookup (firsts, ((const GgPeer *) value)->data_centre);
+      if (first == NULL || strcmp (key, first) < 0)
+        g_hash_table_insert (firsts, ((GgPeer *) value)->data_centre, key);
+    }
+  self->source = NULL;
+  g_ptr_array_set_size (self->far_sources, 0);
+  g_hash_table_iter_init (&iter, firsts);
+  while (g_hash_table_iter_next (&iter, NULL, &key))
+    {
+      GgPeer *peer = g_hash_table_lookup (self->instances, key);
+      if (strcmp (peer->data_centre, self->router->data_centre) == 0)
+        self->source = peer;
+      else
+        g_ptr_array_add (self->far_sources, peer);
     }
+  g_hash_table_unref (firsts);
+}
+
+static void
+rebuild_peers (GgMembership *self)
+{
+  g_ptr_array_set_size (self->peers, 0);
+  GHashTableIter iter;
+  void *key;
+  void *peer;
+  g_hash_table_iter_init (&iter, self->instances);
+  while (g_hash_table_iter_next (&iter, &key, &peer))
+    if (strcmp (key, self->own_key) != 0)
+      g_ptr_array_add (self->peers, peer);
+  rebuild_sources (self);
   gg_router_set_instances (self->router, self->peers->len + 1);
 }
 
@@ -397,6 +417,12 @@
   return self->source != NULL ? self->source->address : NULL;
 }
 
+const GPtrArray *
+gg_membership_get_far_sources (const GgMembership *self)
+{
+  return self->far_sources;
+}
+
 const GPtrArray *
 gg_membership_get_peers (const GgMembership *self)
 {
@@ -413,6 +439,7 @@
   self->own_key = g_strconcat (INSTANCE_PREFIX, router->instance, NULL);
   self->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
   self->peers = g_ptr_array_new ();
+  self->far_sources = g_ptr_array_new ();
   self->lease_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->watch_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->lease_timer = gg_loop_timer_create (router->loop, renew, self);
@@ -446,6 +473,7 @@
   gg_loop_timer_destroy (self->candidate_timer);
   g_hash_table_unref (self->instances);
   g_ptr_array_unref (self->peers);
+  g_ptr_array_unref (self->far_sources);
   g_free (self->address);
   g_free (self->own_key);
   g_free (self->own_value);
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -38,5 +38,9 @@
  * own included; NULL while no instance is known. Instances that know the same peers agree. */
 const char *gg_membership_find_source (const GgMembership *self);
 
+/** The instances that watch the store for the other data centres: GgPeer, valid until the next
+ * change. */
+const GPtrArray *gg_membership_get_far_sources (const GgMembership *self);
+
 /** The other live instances: GgPeer, valid until the next change. */
 const GPtrArray *gg_membership_get_peers (const GgMembership *self);
--- a/tests/adapters/test_feed_message.c
+++ b/tests/adapters/test_feed_message.c
@@ -103,6 +103,7 @@
   GgFeedMessage got;
   gg_work_share_init (&share);
   share.instance = strdup ("front-karongi-1");
+  share.data_centre = strdup ("karongi");
   size_t n = gg_work_share_encode (&share, bytes, sizeof bytes);
   CU_ASSERT_FALSE (gg_feed_message_decode (bytes, n, &got));
   gg_work_share_clear (&share);
--- a/tests/adapters/test_work_share.c
+++ b/tests/adapters/test_work_share.c
@@ -9,6 +9,8 @@
 {
   gg_work_share_init (share);
   share->instance = strdup ("front-karongi-1");
+  share->data_centre = strdup ("karongi");
+  share->is_sum = TRUE;
   share->incarnation = 17;
   share->number = 4;
   for (guint i = 0; i < n; i++)
@@ -32,6 +34,8 @@
   CU_ASSERT_TRUE_FATAL (n > 0);
   CU_ASSERT_TRUE_FATAL (gg_work_share_decode (bytes, n, &got));
   CU_ASSERT_STRING_EQUAL (got.instance, "front-karongi-1");
+  CU_ASSERT_STRING_EQUAL (got.data_centre, "karongi");
+  CU_ASSERT_TRUE (got.is_sum);
   CU_ASSERT_EQUAL (got.entries->len, GG_WORK_SHARE_MAX_ENTRIES);
   const GgWorkShareEntry *last
       = &g_array_index (got.entries, GgWorkShareEntry, got.entries->len - 1);
