Spare calls to the store at the start and in outages of many instances

Every instance looked for the store by itself up to 15 times in 7 s. Ruled out: heartbeats of runners as wake-ups of the watches (a follower's watches return for real changes only). Change: the first good word of a source is enough at the start; while the source looks for the store, others try twice and then every 2.5 s, and read at once when the source's word proves that the store is back; a source is judged by whether its call is overdue or refused for over 300 ms, not by one refusal; a listing after lost history is told as the differences that it shows.

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -1,7 +1,7 @@
 #include "core/feed_choice.h"
 
-/* Good words in a row before an instance stops watching by itself. */
-#define MIN_GOOD 3
+/* Good words in a row before an instance relies on a source that has failed it. */
+#define MIN_GOOD_AGAIN 3
 /* Two questions in a row and the answers to them may be lost; a change of the configuration must
  * still be in force in time, and keys must stay proven. */
 #define SILENCE_MS 800
@@ -9,16 +9,30 @@
  * the source's watch old, a second each. */
 #define MAX_AGE_MS 2300
 
+static gboolean
+is_trusted (const GgFeedChoice *self)
+{
+  return self->n_good >= (self->has_failed ? MIN_GOOD_AGAIN : 1);
+}
+
+static void
+note_failure (GgFeedChoice *self)
+{
+  self->has_failed |= self->n_good > 0;
+  self->n_good = 0;
+}
+
 void
 gg_feed_choice_take_word (GgFeedChoice *self, const GgFeedWord *word, uint64_t asked_ms)
 {
+  if (asked_ms > self->heard_ms + SILENCE_MS)
+    note_failure (self);
+  self->word_ms = MAX (self->word_ms, asked_ms);
   if (!word->is_source || word->age_ms > MAX_AGE_MS)
     {
-      gg_feed_choice_reset (self);
+      note_failure (self);
       return;
     }
-  if (asked_ms > self->heard_ms + SILENCE_MS)
-    self->n_good = 0;
   self->n_good++;
   self->heard_ms = MAX (self->heard_ms, asked_ms);
 }
@@ -32,7 +46,13 @@
 gboolean
 gg_feed_choice_is_fed (const GgFeedChoice *self, uint64_t now_ms)
 {
-  return self->n_good >= MIN_GOOD && now_ms - self->heard_ms <= SILENCE_MS;
+  return is_trusted (self) && now_ms - self->heard_ms <= SILENCE_MS;
+}
+
+gboolean
+gg_feed_choice_has_source (const GgFeedChoice *self, uint64_t now_ms)
+{
+  return self->word_ms != 0 && now_ms - self->word_ms <= SILENCE_MS;
 }
 
 uint64_t
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -8,8 +8,10 @@
 
 typedef struct
 {
-  uint32_t n_good;   /**< Good words in a row. */
-  uint64_t heard_ms; /**< When the call for the latest good word was sent. */
+  uint32_t n_good;     /**< Good words in a row. */
+  uint64_t heard_ms;   /**< When the question for the latest good word was sent. */
+  uint64_t word_ms;    /**< When the question for the latest word was sent, good or bad. */
+  gboolean has_failed; /**< The source was relied on, and then failed. */
 } GgFeedChoice;
 
 /** What an instance says of its own view of the store. */
@@ -22,7 +24,10 @@
 /** Takes a word that was asked for at @p asked_ms. A bad one ends the reliance at once. */
 void gg_feed_choice_take_word (GgFeedChoice *self, const GgFeedWord *word, uint64_t asked_ms);
 
-/** Forgets the source, since there is another one or none. */
+/** Whether the source still speaks, so that its word will tell when the store is back. */
+gboolean gg_feed_choice_has_source (const GgFeedChoice *self, uint64_t now_ms);
+
+/** Forgets everything, since there is no source but this instance. */
 void gg_feed_choice_reset (GgFeedChoice *self);
 
 /** Whether the source is to be relied on now. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -223,13 +223,12 @@
 }
 
 gboolean
-gg_fleet_remove (GgFleet *self, const char *id, uint64_t now_ms)
+gg_fleet_remove (GgFleet *self, const char *id)
 {
   GgFleetRunner *runner = gg_fleet_find (self, id);
   if (runner == NULL)
     return FALSE;
   runner->is_listed = FALSE;
-  runner->unlisted_ms = now_ms;
   g_ptr_array_remove (self->runners, runner);
   self->revision++;
   return TRUE;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -54,7 +54,6 @@
   uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
   uint32_t refusals;           /**< In a row. */
   uint64_t full_until_ms;      /**< Refused work; receives none before (monotonic). */
-  uint64_t unlisted_ms;        /**< When its entry went (monotonic). */
 };
 
 GgFleetRunner *gg_fleet_runner_ref (GgFleetRunner *self);
@@ -93,7 +92,7 @@
 
 /** Takes a runner out of use; work in progress goes on.
  * @return TRUE if it was known. */
-gboolean gg_fleet_remove (GgFleet *self, const char *id, uint64_t now_ms);
+gboolean gg_fleet_remove (GgFleet *self, const char *id);
 
 GgFleetRunner *gg_fleet_find (const GgFleet *self, const char *id);
 GgFleetRunner *gg_fleet_find_address (const GgFleet *self, const char *address);
--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -1,5 +1,6 @@
 #include "daemons/routerd/config_follower.h"
 
+#include "base/clock.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
 #include "daemons/routerd/store_feed.h"
@@ -16,6 +17,14 @@
  * store is well; they stay under the time in which keys must be proven again. */
 #define RETRY_MS 60
 #define RETRY_MAX_MS 1000
+/* Pause while another instance looks for the store on behalf of the data centre: its word tells
+ * when the store is back, unless the store refuses just that instance. */
+#define PATIENT_RETRY_MS 2500
+
+/* A call that takes this much longer than the watch waits is stuck. */
+#define OVERDUE_MS 250
+/* A refusal is mostly followed by an answer at the first retry. */
+#define REFUSED_MS 300
 
 typedef enum
 {
@@ -33,7 +42,11 @@
   uint64_t revision;      /* of the store, up to which changes are known */
   uint64_t item_revision; /* of the key; 0: it does not exist */
   gboolean is_lost;       /* the store does not answer */
-  gboolean is_fed;        /* another instance watches */
+  /* CLOCK_BOOTTIME */
+  uint64_t sent_boot_ms;       /* when the present call was sent */
+  uint64_t lost_boot_ms;       /* when the last call that failed ended */
+  uint64_t lost_since_boot_ms; /* when the first one in a row ended */
+  gboolean is_fed;             /* another instance watches */
   GgBackoff backoff;
 };
 
@@ -86,6 +99,15 @@
     send_call (self);
 }
 
+static void
+start_retry (GgConfigFollower *self)
+{
+  uint64_t pause_ms = gg_backoff_next_ms (&self->backoff, g_random_int ());
+  if (self->is_lost && gg_store_feed_has_source (self->router->store_feed))
+    pause_ms = PATIENT_RETRY_MS;
+  gg_loop_timer_start (self->retry_timer, pause_ms);
+}
+
 static void
 on_reply (void *data, const GgStoreReply *reply)
 {
@@ -106,7 +128,10 @@
     case GG_STORE_UNKNOWN:
       if (self->step == STEP_WATCH)
         self->step = STEP_CHECK;
-      gg_loop_timer_start (self->retry_timer, gg_backoff_next_ms (&self->backoff, g_random_int ()));
+      self->lost_boot_ms = gg_clock_boot_ms ();
+      if (!self->is_lost)
+        self->lost_since_boot_ms = self->lost_boot_ms;
+      start_retry (self);
       set_lost (self, TRUE);
       return;
     }
@@ -117,6 +142,7 @@
 {
   const char *key = gg_directory_get_config_key ();
   GgStore *store = self->router->store;
+  self->sent_boot_ms = gg_clock_boot_ms ();
   switch (self->step)
     {
     case STEP_READ:
@@ -171,6 +197,15 @@
     }
 }
 
+gboolean
+gg_config_follower_is_well (const GgConfigFollower *self)
+{
+  uint64_t now_ms = gg_clock_boot_ms ();
+  if (self->is_lost)
+    return now_ms - self->lost_since_boot_ms < REFUSED_MS;
+  return self->call == NULL || now_ms - self->sent_boot_ms < WATCH_MS + OVERDUE_MS;
+}
+
 uint64_t
 gg_config_follower_get_revision (const GgConfigFollower *self)
 {
@@ -182,6 +217,8 @@
 {
   if (revision == self->item_revision)
     self->router->config_fresh_boot_ms = MAX (self->router->config_fresh_boot_ms, proven_boot_ms);
+  if (self->is_lost && self->call == NULL && proven_boot_ms > self->lost_boot_ms)
+    read_now (self);
 }
 
 void
--- a/src/daemons/routerd/config_follower.h
+++ b/src/daemons/routerd/config_follower.h
@@ -13,6 +13,10 @@
 /** Tells whether another instance watches the configuration for this one. */
 void gg_config_follower_set_fed (GgConfigFollower *self, gboolean is_fed);
 
+/** Whether this instance hears of changes in time, so that others may rely on it: its call is not
+ * overdue, and the store has not refused it for more than a moment. */
+gboolean gg_config_follower_is_well (const GgConfigFollower *self);
+
 /** Returns the revision of the configuration's key as it is known here; 0 for none. */
 uint64_t gg_config_follower_get_revision (const GgConfigFollower *self);
 
--- a/src/daemons/routerd/placer.c
+++ b/src/daemons/routerd/placer.c
@@ -4,6 +4,7 @@
 #include "base/counters.h"
 #include "base/event_log.h"
 #include "core/placement.h"
+#include "loop/fetch.h"
 #include "ports/relay_wire.h"
 
 #include <string.h>
@@ -41,12 +42,10 @@
   GgLayerRange target;
   double load_ms;
   JobStep step;
-  GgLoopCall *call;
-  GgLoopTimer *timer;
-  uint32_t status;
-  GString *body;
-  uint64_t fence;    /* with which it was ordered */
-  uint64_t n_orders; /* that the runner was expected to have accepted before */
+  GgLoopFetch *fetch; /* NULL while nothing is asked */
+  GgLoopTimer *timer; /* of the wait between two steps */
+  uint64_t fence;     /* with which it was ordered */
+  uint64_t n_orders;  /* that the runner was expected to have accepted before */
 } Job;
 
 struct _GgPlacer
@@ -67,9 +66,8 @@
 free_job (void *data)
 {
   Job *job = data;
-  gg_loop_call_cancel (job->call);
+  gg_loop_fetch_cancel (job->fetch);
   gg_loop_timer_destroy (job->timer);
-  g_string_free (job->body, TRUE);
   g_free (job->id);
   g_free (job);
 }
@@ -90,10 +88,10 @@
 static void send_job (Job *job, JobStep step, uint64_t n_orders);
 
 static void
-on_report (Job *job)
+on_report (Job *job, const GgFetchResult *result)
 {
   GgRunnerReport report;
-  if (job->status != 200 || !gg_relay_read_report (job->body->str, job->body->len, &report))
+  if (result->status != 200 || !gg_relay_read_report (result->body, result->body_bytes, &report))
     {
       wait_job (job, JOB_SETTLE, RETRY_MS);
       return;
@@ -117,14 +115,12 @@
 }
 
 static void
-on_order (Job *job)
+on_order (Job *job, uint32_t status)
 {
-  GgOrderResult result = gg_relay_read_order_status (job->status);
   gg_event_log_add (GG_EVENT_NOTABLE, "layers_ordered",
                     "runner=%s layers=%u-%u status=%u fence=%" G_GUINT64_FORMAT, job->id,
-                    job->target.first_layer, job->target.end_layer, job->status,
-                    (guint64) job->fence);
-  switch (result)
+                    job->target.first_layer, job->target.end_layer, status, (guint64) job->fence);
+  switch (gg_relay_read_order_status (status))
     {
     case GG_ORDER_STARTED:
     case GG_ORDER_DONE:
@@ -151,32 +147,17 @@
   wait_job (job, JOB_SETTLE, job->step == JOB_ORDER ? UNANSWERED_MS : RETRY_MS);
 }
 
-static gboolean
-on_call (void *data, const GgCallEvent *event)
+static void
+on_fetched (void *data, const GgFetchResult *result)
 {
   Job *job = data;
-  switch (event->kind)
-    {
-    case GG_CALL_HEAD:
-      job->status = gg_message_head_get_status (event->head);
-      gg_message_head_destroy (event->head);
-      return TRUE;
-    case GG_CALL_BODY:
-      if (job->body->len + event->body.size_bytes <= MAX_BODY_BYTES)
-        g_string_append_len (job->body, event->body.bytes, (gssize) event->body.size_bytes);
-      return TRUE;
-    case GG_CALL_END:
-      job->call = NULL;
-      gg_loop_timer_stop (job->timer);
-      if (event->end != GG_CALL_COMPLETE)
-        on_unanswered (job);
-      else if (job->step == JOB_REPORT)
-        on_report (job);
-      else
-        on_order (job);
-      return TRUE;
-    }
-  return FALSE;
+  job->fetch = NULL;
+  if (result->end != GG_FETCH_ANSWERED)
+    on_unanswered (job);
+  else if (job->step == JOB_REPORT)
+    on_report (job, result);
+  else
+    on_order (job, result->status);
 }
 
 /* Sends the report request or the order of a job. */
@@ -204,17 +185,16 @@
                                          n_orders, &body);
       gg_counter_add (&orders_total, 1);
     }
-  GgCallRequest request = { .address = runner->record.address,
-                            .head = head,
-                            .body = body,
-                            .body_bytes = body != NULL ? strlen (body) : 0,
-                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                            .max_idle_ms = MAX_IDLE_MS };
+  const GgFetchRequest request = { .call = { .address = runner->record.address,
+                                             .head = head,
+                                             .body = body,
+                                             .body_bytes = body != NULL ? strlen (body) : 0,
+                                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                             .max_idle_ms = MAX_IDLE_MS },
+                                   .timeout_ms = ANSWER_TIMEOUT_MS,
+                                   .max_body_bytes = MAX_BODY_BYTES };
   job->step = step;
-  job->status = 0;
-  g_string_truncate (job->body, 0);
-  job->call = gg_loop_client_call (self->router->client, &request, on_call, job);
-  gg_loop_timer_start (job->timer, ANSWER_TIMEOUT_MS);
+  job->fetch = gg_loop_fetch (self->router->loop, self->router->client, &request, on_fetched, job);
   gg_message_head_destroy (head);
   g_free (body);
 }
@@ -222,15 +202,7 @@
 static void
 on_job_timer (void *data)
 {
-  Job *job = data;
-  if (job->step == JOB_SETTLE)
-    {
-      end_job (job); /* the next plan goes by what the runner says then */
-      return;
-    }
-  gg_loop_call_cancel (job->call);
-  job->call = NULL;
-  on_unanswered (job);
+  end_job (data); /* the next plan goes by what the runner says then */
 }
 
 static void
@@ -244,7 +216,6 @@
   job->target = planned->target;
   job->load_ms = model->load_s * MS_PER_S * n_layers / model->n_layers;
   job->timer = gg_loop_timer_create (self->router->loop, on_job_timer, job);
-  job->body = g_string_new (NULL);
   g_hash_table_insert (self->jobs, job->id, job);
   send_job (job, JOB_REPORT, 0);
 }
--- a/src/daemons/routerd/runner_follower.c
+++ b/src/daemons/routerd/runner_follower.c
@@ -38,6 +38,13 @@
 
 static void send_call (GgRunnerFollower *self);
 
+/* What a listing shows to have changed counts as changed at the listing's revision. */
+static uint64_t
+get_change_revision (const GgRunnerFollower *self, uint64_t revision)
+{
+  return self->is_listed ? revision : self->first_revision;
+}
+
 /* Takes what a runner says of itself; takes the contents of @p record. */
 static void
 put_runner (GgRunnerFollower *self, GgRunnerRecord *record, uint64_t revision)
@@ -54,8 +61,8 @@
         id, known->service, known->address, known->data_centre,
         known->accelerator != NULL ? known->accelerator : "-", known->is_leaving,
         known->range.first_layer, known->range.end_layer, (guint64) revision);
-  if (self->is_listed)
-    gg_runner_changes_put (self->changes, revision, known, is_changed, gg_clock_now_ms ());
+  gg_runner_changes_put (self->changes, get_change_revision (self, revision), known, is_changed,
+                         gg_clock_now_ms ());
   g_free (id);
 }
 
@@ -77,7 +84,7 @@
 static void
 remove_runner (GgRunnerFollower *self, const char *id, uint64_t revision)
 {
-  if (gg_fleet_remove (self->router->fleet, id, gg_clock_now_ms ()))
+  if (gg_fleet_remove (self->router->fleet, id))
     gg_event_log_add (GG_EVENT_NOTABLE, "runner_gone", "runner=%s revision=%" G_GUINT64_FORMAT, id,
                       (guint64) revision);
 }
@@ -111,8 +118,8 @@
 note_gone (GgRunnerFollower *self, const char *id, uint64_t revision)
 {
   lose_runner (self, id, revision);
-  if (self->is_listed)
-    gg_runner_changes_remove (self->changes, revision, id, gg_clock_now_ms ());
+  gg_runner_changes_remove (self->changes, get_change_revision (self, revision), id,
+                            gg_clock_now_ms ());
 }
 
 static void
@@ -135,7 +142,7 @@
     {
       char *id = g_strdup (gg_fleet_get (fleet, i)->record.id);
       if (!g_hash_table_contains (self->listed, id))
-        lose_runner (self, id, self->first_revision);
+        note_gone (self, id, self->first_revision);
       g_free (id);
     }
 }
@@ -143,8 +150,6 @@
 static void
 end_page (GgRunnerFollower *self, const GgStoreReply *reply)
 {
-  if (self->first_revision == 0)
-    self->first_revision = reply->revision;
   if (reply->has_more && reply->items->len > 0)
     {
       const GgStoreItem *last = g_ptr_array_index (reply->items, reply->items->len - 1);
@@ -154,8 +159,9 @@
     }
   lose_unlisted (self);
   g_hash_table_remove_all (self->listed);
+  if (self->revision == 0)
+    gg_runner_changes_reset (self->changes, self->first_revision);
   self->revision = self->first_revision;
-  gg_runner_changes_reset (self->changes, self->revision);
   self->is_listed = TRUE;
   self->router->has_runners = TRUE;
   gg_event_log_add (GG_EVENT_NOTABLE, "runners_listed", "count=%u revision=%" G_GUINT64_FORMAT,
@@ -193,6 +199,8 @@
       set_lost (self, FALSE);
       gg_lapse_hold_note_back (&self->lapse_hold, gg_clock_now_ms ());
       gg_backoff_reset (&self->backoff);
+      if (!self->is_listed && self->first_revision == 0)
+        self->first_revision = reply->revision;
       for (guint i = 0; i < reply->items->len; i++)
         take_item (self, g_ptr_array_index (reply->items, i));
       if (self->is_listed)
--- a/src/daemons/routerd/stall_watch.c
+++ b/src/daemons/routerd/stall_watch.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "loop/fetch.h"
 #include "ports/relay_wire.h"
 
 #include <string.h>
@@ -24,10 +25,7 @@
 {
   GgStallWatch *watch;
   GgFleetRunner *runner;
-  GgLoopCall *call; /* NULL between questions */
-  GgLoopTimer *timer;
-  GString *body;
-  uint32_t status;
+  GgLoopFetch *fetch; /* NULL between questions */
   uint64_t asked_ms;
 } Inquiry;
 
@@ -43,9 +41,7 @@
 free_inquiry (void *data)
 {
   Inquiry *self = data;
-  gg_loop_call_cancel (self->call);
-  gg_loop_timer_destroy (self->timer);
-  g_string_free (self->body, TRUE);
+  gg_loop_fetch_cancel (self->fetch);
   gg_fleet_runner_unref (self->runner);
   g_free (self);
 }
@@ -127,44 +123,20 @@
   g_list_free (silent);
 }
 
-static gboolean
-on_call (void *data, const GgCallEvent *event)
+static void
+on_fetched (void *data, const GgFetchResult *result)
 {
   Inquiry *self = data;
   GgRunnerReport report;
-  switch (event->kind)
+  self->fetch = NULL;
+  if (result->end != GG_FETCH_ANSWERED)
+    act_on_silence (self);
+  else if (result->status == 200
+           && gg_relay_read_report (result->body, result->body_bytes, &report))
     {
-    case GG_CALL_HEAD:
-      self->status = gg_message_head_get_status (event->head);
-      gg_message_head_destroy (event->head);
-      return TRUE;
-    case GG_CALL_BODY:
-      if (self->body->len + event->body.size_bytes <= MAX_BODY_BYTES)
-        g_string_append_len (self->body, event->body.bytes, (gssize) event->body.size_bytes);
-      return TRUE;
-    case GG_CALL_END:
-      self->call = NULL;
-      gg_loop_timer_stop (self->timer);
-      if (event->end != GG_CALL_COMPLETE)
-        act_on_silence (self);
-      else if (self->status == 200
-               && gg_relay_read_report (self->body->str, self->body->len, &report))
-        {
-          act_on_report (self, &report);
-          gg_runner_report_clear (&report);
-        }
-      return TRUE;
+      act_on_report (self, &report);
+      gg_runner_report_clear (&report);
     }
-  return FALSE;
-}
-
-static void
-on_answer_timeout (void *data)
-{
-  Inquiry *self = data;
-  gg_loop_call_cancel (self->call);
-  self->call = NULL;
-  act_on_silence (self);
 }
 
 static void
@@ -176,22 +148,20 @@
       inquiry = g_new0 (Inquiry, 1);
       inquiry->watch = self;
       inquiry->runner = gg_fleet_runner_ref (runner);
-      inquiry->timer = gg_loop_timer_create (self->router->loop, on_answer_timeout, inquiry);
-      inquiry->body = g_string_new (NULL);
       g_hash_table_insert (self->inquiries, runner, inquiry);
     }
-  if (inquiry->call != NULL || now_ms - inquiry->asked_ms < ASK_AGAIN_MS)
+  if (inquiry->fetch != NULL || now_ms - inquiry->asked_ms < ASK_AGAIN_MS)
     return;
   GgMessageHead *head = gg_relay_build_report_request (runner->record.id);
-  GgCallRequest request = { .address = runner->record.address,
-                            .head = head,
-                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                            .max_idle_ms = MAX_IDLE_MS };
+  const GgFetchRequest request = { .call = { .address = runner->record.address,
+                                             .head = head,
+                                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                                             .max_idle_ms = MAX_IDLE_MS },
+                                   .timeout_ms = ANSWER_TIMEOUT_MS,
+                                   .max_body_bytes = MAX_BODY_BYTES };
   inquiry->asked_ms = now_ms;
-  inquiry->status = 0;
-  g_string_truncate (inquiry->body, 0);
-  inquiry->call = gg_loop_client_call (self->router->client, &request, on_call, inquiry);
-  gg_loop_timer_start (inquiry->timer, ANSWER_TIMEOUT_MS);
+  inquiry->fetch
+      = gg_loop_fetch (self->router->loop, self->router->client, &request, on_fetched, inquiry);
   gg_message_head_destroy (head);
 }
 
@@ -201,7 +171,7 @@
 {
   const Inquiry *inquiry = value;
   const uint64_t *now_ms = data;
-  return inquiry->call == NULL && *now_ms - inquiry->asked_ms > 10 * ASK_AGAIN_MS;
+  return inquiry->fetch == NULL && *now_ms - inquiry->asked_ms > 10 * ASK_AGAIN_MS;
 }
 
 static void
--- a/src/daemons/routerd/store_feed.c
+++ b/src/daemons/routerd/store_feed.c
@@ -9,6 +9,9 @@
 
 /* A change that the source's own word of it did not reach is heard of this much later. */
 #define ASK_MS 300
+/* Pause between the first questions, when all instances start together. */
+#define FIRST_ASK_MS 60
+#define N_FIRST 10
 /* One who has not asked for this long relies on somebody else. */
 #define ASKER_MS 1000
 /* Questions whose words are still waited for; older ones are not believed. */
@@ -67,8 +70,8 @@
 {
   const char *source = gg_membership_find_source (self->membership);
   return source != NULL && is_own_address (self, source) && !self->router->is_stopping
-         && !self->router->is_store_away && self->router->config_fresh_boot_ms != 0
-         && gg_runner_follower_get_changes (self->runner_follower) != NULL;
+         && self->router->config_fresh_boot_ms != 0
+         && gg_config_follower_is_well (self->config_follower);
 }
 
 /* Takes the first changes after a revision, @p n_most at most. Changes of one revision stay
@@ -78,10 +81,13 @@
 fill_changes (const GgStoreFeed *self, GgFeedNews *news, guint n_most)
 {
   const GgRunnerChanges *changes = gg_runner_follower_get_changes (self->runner_follower);
+  g_array_set_size (news->changes, 0);
+  news->runners_revision = news->changes_after;
+  if (changes == NULL)
+    return TRUE; /* being listed anew: there is nothing to say until that has ended */
   guint first = 0;
   int n = gg_runner_changes_find (changes, news->changes_after, &first);
   guint n_taken = MIN ((guint) MAX (n, 0), n_most);
-  g_array_set_size (news->changes, 0);
   news->is_listing_needed = n < 0;
   news->runners_revision = gg_runner_follower_get_revision (self->runner_follower);
   if (n > (int) n_taken)
@@ -235,16 +241,25 @@
   const char *source = gg_membership_find_source (self->membership);
   if (g_strcmp0 (source, self->source) != 0)
     {
-      gg_feed_choice_reset (&self->choice);
+      /* Another source has to speak as soon as this one would have had to. */
       memset (self->questions, 0, sizeof self->questions);
       g_free (self->source);
       self->source = g_strdup (source);
     }
+  if (source == NULL || is_own_address (self, source))
+    gg_feed_choice_reset (&self->choice);
   update_fed (self);
   if (source != NULL && !is_own_address (self, source))
     ask (self);
   g_hash_table_foreach_remove (self->askers, is_old_asker, &now_ms);
-  gg_loop_timer_start (self->timer, ASK_MS);
+  gboolean is_starting = !self->is_fed && self->last_number < N_FIRST;
+  gg_loop_timer_start (self->timer, is_starting ? FIRST_ASK_MS : ASK_MS);
+}
+
+gboolean
+gg_store_feed_has_source (const GgStoreFeed *self)
+{
+  return self != NULL && gg_feed_choice_has_source (&self->choice, gg_clock_boot_ms ());
 }
 
 void
@@ -270,7 +285,7 @@
   self->runner_follower = params->runner_follower;
   self->askers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->timer = gg_loop_timer_create (self->router->loop, on_timer, self);
-  gg_loop_timer_start (self->timer, ASK_MS);
+  gg_loop_timer_start (self->timer, FIRST_ASK_MS);
   return self;
 }
 
--- a/src/daemons/routerd/store_feed.h
+++ b/src/daemons/routerd/store_feed.h
@@ -24,5 +24,9 @@
  * @return FALSE if it is not for the feed. */
 gboolean gg_store_feed_take (GgStoreFeed *self, char *bytes, size_t size_bytes);
 
+/** Whether another instance watches the store for this one's data centre and answers, whether or
+ * not it reaches the store; NULL is allowed. */
+gboolean gg_store_feed_has_source (const GgStoreFeed *self);
+
 /** Tells those that rely on this instance what changed; NULL is allowed. */
 void gg_store_feed_tell (GgStoreFeed *self);
--- a/src/loop/client.c
+++ b/src/loop/client.c
@@ -17,7 +17,6 @@
   GgLoop *loop;
   GHashTable *idle;  /* address -> GQueue of GgLoopCall, the latest used first */
   GHashTable *calls; /* set of all GgLoopCall, idle ones too */
-  uint64_t n_opened;
 };
 
 /* One connection with the call that it carries. */
@@ -317,7 +316,6 @@
       gg_loop_defer (self->loop, report_unreachable, call);
       return call;
     }
-  self->n_opened++;
   g_hash_table_add (self->calls, call);
   gg_loop_timer_start (call->timer, request->connect_timeout_ms);
   return call;
@@ -374,21 +372,9 @@
     close_call (call);
 }
 
-gboolean
-gg_loop_call_is_sent (const GgLoopCall *call)
-{
-  return call->is_connected;
-}
-
 void
 gg_loop_call_set_reading (GgLoopCall *call, gboolean is_reading)
 {
   if (call->socket != NULL)
     gg_loop_socket_set_reading (call->socket, is_reading);
 }
-
-uint64_t
-gg_loop_client_get_opened (const GgLoopClient *self)
-{
-  return self->n_opened;
-}
--- a/src/loop/client.h
+++ b/src/loop/client.h
@@ -69,11 +69,5 @@
 /** Gives the call up and closes its connection, which tells the peer; no event follows. */
 void gg_loop_call_cancel (GgLoopCall *call);
 
-/** Whether a byte may have reached the peer. */
-gboolean gg_loop_call_is_sent (const GgLoopCall *call);
-
 /** Stops or resumes reading the answer, for flow control. */
 void gg_loop_call_set_reading (GgLoopCall *call, gboolean is_reading);
-
-/** Number of connections that were opened so far. */
-uint64_t gg_loop_client_get_opened (const GgLoopClient *self);
--- /dev/null
+++ b/src/loop/fetch.c
@@ -0,0 +1,108 @@
+#include "loop/fetch.h"
+
+struct _GgLoopFetch
+{
+  GgLoop *loop;
+  GgLoopCall *call; /* NULL once it has ended */
+  GgLoopTimer *timer;
+  GgFetchFunc func;
+  void *data;
+  uint32_t status;
+  GString *body;
+  size_t max_body_bytes;
+  gboolean is_too_long;
+};
+
+static void
+free_fetch (void *data)
+{
+  GgLoopFetch *self = data;
+  gg_loop_timer_destroy (self->timer);
+  g_string_free (self->body, TRUE);
+  g_free (self);
+}
+
+static void
+finish (GgLoopFetch *self, GgFetchEnd end)
+{
+  const GgFetchResult result = {
+    .end = end, .status = self->status, .body = self->body->str, .body_bytes = self->body->len
+  };
+  self->call = NULL;
+  gg_loop_timer_stop (self->timer);
+  gg_loop_defer (self->loop, free_fetch, self);
+  self->func (self->data, &result);
+}
+
+static GgFetchEnd
+read_end (const GgLoopFetch *self, GgCallEnd end)
+{
+  switch (end)
+    {
+    case GG_CALL_COMPLETE:
+      return self->is_too_long ? GG_FETCH_LOST : GG_FETCH_ANSWERED;
+    case GG_CALL_UNREACHABLE:
+      return GG_FETCH_UNREACHABLE;
+    case GG_CALL_BROKEN:
+    case GG_CALL_MALFORMED:
+      break;
+    }
+  return GG_FETCH_LOST;
+}
+
+static gboolean
+on_call (void *data, const GgCallEvent *event)
+{
+  GgLoopFetch *self = data;
+  switch (event->kind)
+    {
+    case GG_CALL_HEAD:
+      self->status = gg_message_head_get_status (event->head);
+      gg_message_head_destroy (event->head);
+      break;
+    case GG_CALL_BODY:
+      if (self->body->len + event->body.size_bytes > self->max_body_bytes)
+        self->is_too_long = TRUE;
+      else
+        g_string_append_len (self->body, event->body.bytes, (gssize) event->body.size_bytes);
+      break;
+    case GG_CALL_END:
+      finish (self, read_end (self, event->end));
+      break;
+    }
+  return TRUE;
+}
+
+static void
+on_timeout (void *data)
+{
+  GgLoopFetch *self = data;
+  gg_loop_call_cancel (self->call);
+  finish (self, GG_FETCH_LOST);
+}
+
+GgLoopFetch *
+gg_loop_fetch (
+    GgLoop *loop, GgLoopClient *client, const GgFetchRequest *request, GgFetchFunc func, void *data)
+{
+  GgLoopFetch *self = g_new0 (GgLoopFetch, 1);
+  self->loop = loop;
+  self->func = func;
+  self->data = data;
+  self->max_body_bytes = request->max_body_bytes;
+  self->body = g_string_new (NULL);
+  self->timer = gg_loop_timer_create (loop, on_timeout, self);
+  self->call = gg_loop_client_call (client, &request->call, on_call, self);
+  gg_loop_timer_start (self->timer, request->timeout_ms);
+  return self;
+}
+
+void
+gg_loop_fetch_cancel (GgLoopFetch *self)
+{
+  if (self == NULL)
+    return;
+  gg_loop_call_cancel (self->call);
+  gg_loop_timer_stop (self->timer);
+  gg_loop_defer (self->loop, free_fetch, self);
+}
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -85,6 +85,3 @@
 
 /** Gives a call up without a reply; NULL is allowed. */
 void gg_store_call_cancel (GgStoreCall *call);
-
-/** Number of calls that were sent. */
-uint64_t gg_store_count_calls (const GgStore *self);
