--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -78,14 +78,14 @@
   gg_event_log_add (
       is_ordinary ? GG_EVENT_ORDINARY : GG_EVENT_NOTABLE, "request_ended",
       "request=%s outcome=%s status=%u route=%s team=%s runs=%u misses=%u ms=%" G_GUINT64_FORMAT
-      " events=%u first_event_ms=%" G_GUINT64_FORMAT " goal_ms=%u config=%" G_GUINT64_FORMAT
-      " config_age_ms=%" G_GUINT64_FORMAT,
+      " events=%u first_event_ms=%" G_GUINT64_FORMAT " goal_ms=%u longest_gap_ms=%" G_GUINT64_FORMAT
+      " config=%" G_GUINT64_FORMAT " config_age_ms=%" G_GUINT64_FORMAT,
       self->words.attempt_id != NULL ? self->words.attempt_id : "-", outcome, status,
       self->route != NULL ? self->route->name : "-", self->team != NULL ? self->team->name : "-",
       self->attempt.n_runs, self->attempt.n_misses, (guint64) (now_ms - self->begun_ms),
       self->n_events,
       (guint64) (self->first_event_ms != 0 ? self->first_event_ms - self->begun_ms : 0),
-      self->route != NULL ? self->route->goal_ms : 0,
+      self->route != NULL ? self->route->goal_ms : 0, (guint64) self->longest_gap_ms,
       (guint64) (self->config != NULL ? gg_routing_config_get_version (self->config) : 0),
       (guint64) (gg_clock_boot_ms () - self->router->config_fresh_boot_ms));
   if (self->is_waiting)
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -91,6 +91,24 @@
     gg_loop_call_set_reading (self->call, FALSE);
 }
 
+/* Notes the time since the event before, and logs a pause that makes the answer late. */
+static void
+note_event (GgRelay *self)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  uint64_t gap_ms = self->last_event_ms != 0 ? now_ms - self->last_event_ms : 0;
+  uint32_t target_ms = self->route->gap_target_ms;
+  self->last_event_ms = now_ms;
+  self->longest_gap_ms = MAX (self->longest_gap_ms, gap_ms);
+  if (target_ms > 0 && gap_ms > target_ms)
+    gg_event_log_add (GG_EVENT_NOTABLE, "stream_paused",
+                      "request=%s gap_ms=%" G_GUINT64_FORMAT
+                      " target_ms=%u events=%u runs=%u runner=%s pending_bytes=%u",
+                      self->words.attempt_id, (guint64) gap_ms, target_ms, self->n_events,
+                      self->attempt.n_runs, self->runner != NULL ? self->runner->record.id : "-",
+                      (unsigned) gg_server_connection_get_pending (self->connection));
+}
+
 static void
 pass_events (GgRelay *self)
 {
@@ -101,6 +119,7 @@
       if (event.has_id && self->has_last_id && event.id <= self->last_id)
         continue;
       pass_on (self, event.bytes, event.size_bytes);
+      note_event (self);
       self->n_events++;
       if (event.has_id)
         {
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -58,6 +58,8 @@
   uint64_t last_id; /* of the last event that was passed on whole */
   uint32_t n_events;
   uint64_t first_event_ms;
+  uint64_t last_event_ms;
+  uint64_t longest_gap_ms; /* between two events that were passed on */
 };
 
 /** Ends the request, whose caller already has its answer or is gone. @p outcome is logged and
--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -143,7 +143,8 @@
 {
   static const char *const events[]
       = { "store_lost",       "store_regained", "config_applied", "process_started",
-          "process_stopping", "settings_read",  "layers_ordered", "leader_elected" };
+          "process_stopping", "settings_read",  "layers_ordered", "leader_elected",
+          "feed_begun",       "feed_ended" };
   for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
     if (strcmp (line->event, events[i]) == 0)
       return TRUE;
@@ -197,11 +198,15 @@
   guint64 first_ms = get_number (ended->text, "first_event_ms");
   guint64 goal_ms = get_number (ended->text, "goal_ms");
   guint n_waits = count (story, "request_waits");
+  guint n_pauses = count (story, "stream_paused");
   guint n_failed = count (story, "send_ended");
   guint n_moves = count (story, "request_moved");
   if (first_ms > goal_ms && goal_ms > 0)
     g_string_append_printf (text, "; its first event came after %u ms, its objective is %u ms",
                             (guint) first_ms, (guint) goal_ms);
+  if (n_pauses > 0)
+    g_string_append_printf (text, "; its events paused too long %u times, %u ms at most", n_pauses,
+                            (guint) get_number (ended->text, "longest_gap_ms"));
   if (n_waits > 0)
     g_string_append_printf (text, "; it waited for room %u times", n_waits);
   if (n_failed > 0)
--- a/tests/support/slow_build.h
+++ b/tests/support/slow_build.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define GG_SLOW_BUILD_FACTOR 4
+#define GG_SLOW_BUILD_FACTOR 3
 #else
 #define GG_SLOW_BUILD_FACTOR 1
 #endif
