A leaving runner's last answers don't end its refusals

In each second nearly all refusals came from one runner that was dead or leaving, up to 217 in a second. Each good answer to a request that it had before cleared its refusals, so every instance tried it again. Ruled out: lack of memory (the refusals move from runner to runner with each loss); the budget alone (it is spent by these repeats). Change: a good answer clears only refusals that came before its request was sent. Test: a runner that refuses and completes old requests every 20 ms is tried at most 8 times in 2 s; it failed before.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -93,10 +93,12 @@
 }
 
 void
-gg_fleet_runner_succeed (GgFleetRunner *self)
+gg_fleet_runner_succeed (GgFleetRunner *self, uint64_t sent_ms)
 {
   self->failures = 0;
   self->suspended_until_ms = 0;
+  if (sent_ms <= self->refused_ms)
+    return;
   self->refusals = 0;
   self->full_until_ms = 0;
 }
@@ -104,6 +106,7 @@
 void
 gg_fleet_runner_refuse (GgFleetRunner *self, uint64_t now_ms)
 {
+  self->refused_ms = now_ms;
   /* Refusals of requests that were sent before the first of them was heard count once. */
   if (now_ms < self->full_until_ms)
     return;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -53,6 +53,7 @@
   uint32_t failures;           /**< In a row. */
   uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
   uint32_t refusals;           /**< In a row. */
+  uint64_t refused_ms;         /**< When the latest one came (monotonic). */
   uint64_t full_until_ms;      /**< Refused work; receives none before (monotonic). */
 };
 
@@ -75,7 +76,10 @@
 
 /** Counts a failure and suspends the runner for a time that doubles with each one in a row. */
 void gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms);
-void gg_fleet_runner_succeed (GgFleetRunner *self);
+
+/** Notes a good answer to a request that was sent at @p sent_ms. A refusal that came after that
+ * still counts: a runner that is leaving goes on answering what it has. */
+void gg_fleet_runner_succeed (GgFleetRunner *self, uint64_t sent_ms);
 
 /** Counts a refusal. The first ones mean that the runner is full for a moment; one that goes on
  * refusing is leaving, or lacks memory for longer, and is left alone for longer. */
--- a/src/core/layer_path.c
+++ b/src/core/layer_path.c
@@ -323,8 +323,8 @@
 }
 
 void
-gg_layer_path_succeed (const GgLayerPath *self)
+gg_layer_path_succeed (const GgLayerPath *self, uint64_t sent_ms)
 {
   for (guint i = 0; i < self->n_hops; i++)
-    gg_fleet_runner_succeed (self->hops[i].runner);
+    gg_fleet_runner_succeed (self->hops[i].runner, sent_ms);
 }
--- a/src/core/layer_path.h
+++ b/src/core/layer_path.h
@@ -52,8 +52,8 @@
 void gg_layer_path_reserve (const GgLayerPath *self);
 void gg_layer_path_release (const GgLayerPath *self);
 
-/** Tells all runners of the path that a request passed through them. */
-void gg_layer_path_succeed (const GgLayerPath *self);
+/** Tells all runners of the path that a request that was sent at @p sent_ms passed through them. */
+void gg_layer_path_succeed (const GgLayerPath *self, uint64_t sent_ms);
 
 /** Share of a runner's request memory that is taken, by this process and by its peers. */
 double gg_layer_path_get_use (const GgEngineModel *model, const GgFleetRunner *runner);
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -138,9 +138,9 @@
     {
     case GG_SEND_COMPLETE:
       if (self->has_path)
-        gg_layer_path_succeed (&self->path);
+        gg_layer_path_succeed (&self->path, self->sent_ms);
       else
-        gg_fleet_runner_succeed (runner);
+        gg_fleet_runner_succeed (runner, self->sent_ms);
       return;
     case GG_SEND_FAILED:
       break;
--- a/tests/core/test_fleet.c
+++ b/tests/core/test_fleet.c
@@ -78,7 +78,7 @@
   gg_fleet_runner_fail (&r, r.suspended_until_ms);
   CU_ASSERT_EQUAL (r.failures, 2);
   CU_ASSERT_TRUE (r.suspended_until_ms > 1000 + 2 * first_ms);
-  gg_fleet_runner_succeed (&r);
+  gg_fleet_runner_succeed (&r, 0);
   CU_ASSERT_EQUAL (r.failures, 0);
 }
 
@@ -96,10 +96,30 @@
         n_tried++;
       }
   CU_ASSERT_TRUE (n_tried <= 8);
-  gg_fleet_runner_succeed (&r);
+  gg_fleet_runner_succeed (&r, now);
   CU_ASSERT_TRUE (gg_fleet_runner_is_usable (&r, now));
 }
 
+/* A runner that is leaving refuses what is new and completes what it has; each of its last answers
+ * must not invite the next request, or every instance goes on sending to it. */
+static void
+test_last_answers_of_a_leaving_runner (void)
+{
+  GgFleetRunner r = { .refs = 1, .is_listed = TRUE };
+  guint n_tried = 0;
+  for (uint64_t now = 1000; now < 3000; now++)
+    {
+      if (gg_fleet_runner_is_usable (&r, now))
+        {
+          gg_fleet_runner_refuse (&r, now);
+          n_tried++;
+        }
+      if (now % 20 == 0)
+        gg_fleet_runner_succeed (&r, 500);
+    }
+  CU_ASSERT_TRUE (n_tried <= 8);
+}
+
 static GgFleetRunner *
 choose (const GgFleet *fleet, const GgFleetRunner *excluded, uint32_t random)
 {
@@ -137,6 +157,7 @@
 main (void)
 {
   static const GgTestCase cases[] = {
+    { "last answers of a leaving runner", test_last_answers_of_a_leaving_runner },
     { "new start is a new runner", test_new_start_is_a_new_runner },
     { "same record is no change", test_same_record_is_no_change },
     { "remove", test_remove },
