Tell other instances which runners refuse or lose requests

Cause: with 77 instances, each found out by itself that a card was lost or leaving, which took several requests of each instance within the seconds for which its entry stands: up to 289 refusals a second, whose repeats the budget does not allow. Change: what an instance tells its peers of a runner also holds its misses of the last second, refusals for want of memory left out. From two on, the others leave the runner alone for up to a second, longer with more misses. Test: 20 instances and a lost card for 3.6 s try it at most five times each; refusals of a full runner are not told.

--- a/src/adapters/rpc/work_share.c
+++ b/src/adapters/rpc/work_share.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Tells this datagram and its version from anything else that may reach the port. */
-#define MAGIC 0x67675734U
+#define MAGIC 0x67675735U
 #define MAX_NAME_BYTES 128
 /* Request memory travels in units: a request holds some thousands of tokens x layers. */
 #define TOKEN_LAYERS_PER_UNIT 64
@@ -49,7 +49,7 @@
   uint32_t units = (uint32_t) MIN (entry->work.token_layers / TOKEN_LAYERS_PER_UNIT, G_MAXUINT32);
   if (!xdr_uint32_t (xdr, &entry->runner_hash)
       || !code_pair (xdr, &entry->work.n_requests, &entry->work.n_first)
-      || !xdr_uint32_t (xdr, &units)
+      || !xdr_uint32_t (xdr, &entry->work.n_misses) || !xdr_uint32_t (xdr, &units)
       || !code_pair (xdr, &entry->pledged.first_layer, &entry->pledged.end_layer))
     return FALSE;
   entry->work.token_layers = (uint64_t) units * TOKEN_LAYERS_PER_UNIT;
--- a/src/adapters/rpc/work_share.h
+++ b/src/adapters/rpc/work_share.h
@@ -9,7 +9,7 @@
 
 /** Largest datagram, and the runners that fit into it. */
 #define GG_WORK_SHARE_MAX_BYTES 1400
-#define GG_WORK_SHARE_MAX_ENTRIES 64
+#define GG_WORK_SHARE_MAX_ENTRIES 52
 
 /** What one instance says of one runner. */
 typedef struct
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -8,6 +8,10 @@
 /* First pause after a refusal, and the longest one. */
 #define REFUSED_MS 30
 #define REFUSED_MAX_MS 1000
+/* Misses tell others something for this long; a lost runner's entry goes after some seconds. */
+#define MISS_MEMORY_MS 1000
+/* One miss at another instance may be chance. */
+#define MIN_HEARD_MISSES 2
 
 /* An order that its runner has not carried out after this long is asked about anew. */
 #define PLEDGE_MS 10000
@@ -18,6 +22,15 @@
   uint64_t revision;
 };
 
+void
+gg_runner_work_add (GgRunnerWork *self, const GgRunnerWork *more)
+{
+  self->n_requests += more->n_requests;
+  self->n_first += more->n_first;
+  self->token_layers += more->token_layers;
+  self->n_misses += more->n_misses;
+}
+
 void
 gg_runner_record_copy (GgRunnerRecord *dest, const GgRunnerRecord *source)
 {
@@ -60,7 +73,7 @@
 gg_fleet_runner_is_usable (const GgFleetRunner *self, uint64_t now_ms)
 {
   return self->is_listed && !self->record.is_leaving && now_ms >= self->suspended_until_ms
-         && now_ms >= self->full_until_ms;
+         && now_ms >= self->full_until_ms && now_ms >= self->doubted_until_ms;
 }
 
 void
@@ -81,13 +94,36 @@
   return range.end_layer > range.first_layer ? range : (GgLayerRange){ 0, 0 };
 }
 
+static void
+count_miss (GgFleetRunner *self, uint64_t now_ms)
+{
+  self->misses++;
+  self->missed_ms = now_ms;
+}
+
+uint32_t
+gg_fleet_runner_get_misses (const GgFleetRunner *self, uint64_t now_ms)
+{
+  return now_ms - self->missed_ms < MISS_MEMORY_MS ? self->misses : 0;
+}
+
+void
+gg_fleet_runner_hear_misses (GgFleetRunner *self, uint32_t n_misses, uint64_t now_ms)
+{
+  if (n_misses > self->heard_misses && n_misses >= MIN_HEARD_MISSES)
+    self->doubted_until_ms
+        = now_ms + MIN ((uint64_t) REFUSED_MS << MIN (n_misses, 8U), REFUSED_MAX_MS);
+  self->heard_misses = n_misses;
+}
+
 void
 gg_fleet_runner_fail (GgFleetRunner *self, uint64_t now_ms)
 {
   /* Failures of requests that were under way at the first one count once. */
   if (now_ms < self->suspended_until_ms)
     return;
-  uint32_t shift = MIN (self->failures, 8U);
+  uint32_t shift = MIN (self->failures + self->heard_misses, 8U);
+  count_miss (self, now_ms);
   self->failures++;
   self->suspended_until_ms = now_ms + MIN ((uint64_t) SUSPEND_MS << shift, SUSPEND_MAX_MS);
 }
@@ -101,16 +137,19 @@
     return;
   self->refusals = 0;
   self->full_until_ms = 0;
+  self->misses = 0;
 }
 
 void
-gg_fleet_runner_refuse (GgFleetRunner *self, uint64_t now_ms)
+gg_fleet_runner_refuse (GgFleetRunner *self, gboolean is_full, uint64_t now_ms)
 {
   self->refused_ms = now_ms;
   /* Refusals of requests that were sent before the first of them was heard count once. */
   if (now_ms < self->full_until_ms)
     return;
-  uint32_t shift = MIN (self->refusals, 8U);
+  uint32_t shift = MIN (self->refusals + self->heard_misses, 8U);
+  if (!is_full)
+    count_miss (self, now_ms);
   self->refusals++;
   self->full_until_ms = now_ms + MIN ((uint64_t) REFUSED_MS << shift, REFUSED_MAX_MS);
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -35,8 +35,13 @@
   uint32_t n_requests;   /**< Requests that pass through it. */
   uint32_t n_first;      /**< Of these, those that it takes as the first runner. */
   uint64_t token_layers; /**< Request memory, in tokens x layers. */
+  uint32_t n_misses; /**< Sends of late that it refused for another reason than want of memory, or
+                      * that brought no answer. */
 } GgRunnerWork;
 
+/** Adds @p more to a sum. */
+void gg_runner_work_add (GgRunnerWork *self, const GgRunnerWork *more);
+
 typedef struct _GgFleetRunner GgFleetRunner;
 
 /** One runner; reference counted, so that a request may outlast its entry. */
@@ -54,6 +59,10 @@
   uint64_t suspended_until_ms; /**< Receives no new work before (monotonic). */
   uint32_t refusals;           /**< In a row. */
   uint64_t refused_ms;         /**< When the latest one came (monotonic). */
+  uint32_t misses;             /**< In a row, other than for want of memory. */
+  uint64_t missed_ms;          /**< When the latest one came (monotonic). */
+  uint32_t heard_misses;       /**< Misses of late at other instances. */
+  uint64_t doubted_until_ms;   /**< Because of these it receives none before (monotonic). */
   uint64_t full_until_ms;      /**< Refused work; receives none before (monotonic). */
 };
 
@@ -82,8 +91,16 @@
 void gg_fleet_runner_succeed (GgFleetRunner *self, uint64_t sent_ms);
 
 /** Counts a refusal. The first ones mean that the runner is full for a moment; one that goes on
- * refusing is leaving, or lacks memory for longer, and is left alone for longer. */
-void gg_fleet_runner_refuse (GgFleetRunner *self, uint64_t now_ms);
+ * refusing is leaving, or lacks memory for longer, and is left alone for longer.
+ * @param is_full whether its memory is nearly taken, which explains the refusal. */
+void gg_fleet_runner_refuse (GgFleetRunner *self, gboolean is_full, uint64_t now_ms);
+
+/** Returns the misses of this process that others should know of. */
+uint32_t gg_fleet_runner_get_misses (const GgFleetRunner *self, uint64_t now_ms);
+
+/** Takes the number of misses of late at other instances. A runner that is lost or leaving fails
+ * each of them, so that each need not find out by itself. */
+void gg_fleet_runner_hear_misses (GgFleetRunner *self, uint32_t n_misses, uint64_t now_ms);
 
 typedef struct _GgFleet GgFleet;
 
--- a/src/core/peer_work.c
+++ b/src/core/peer_work.c
@@ -114,11 +114,8 @@
     {
       const Peer *peer = value;
       const Said *said = g_hash_table_lookup (peer->said, GUINT_TO_POINTER (runner_hash));
-      if (said == NULL)
-        continue;
-      sum.n_requests += said->work.n_requests;
-      sum.n_first += said->work.n_first;
-      sum.token_layers += said->work.token_layers;
+      if (said != NULL)
+        gg_runner_work_add (&sum, &said->work);
     }
   return sum;
 }
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -23,6 +23,9 @@
 /* Runners that refuse one after another show that this process knows less than it should, as while
  * layers move: after so many it waits for news before the next try. */
 #define MISSES_AT_ONCE 2
+/* Above this share of its memory a runner may lack room for a request, since what each instance
+ * knows of the others' requests is late. */
+#define NEARLY_FULL 0.8
 /* Answer tokens that are expected if the caller gives no estimate: part of its maximum. */
 #define UNHINTED_PART 0.6
 /* A request grows into its memory: over its life it holds its prompt and about half of its answer,
@@ -123,6 +126,15 @@
   return "?";
 }
 
+/* Whether a runner's refusal is explained by what it has to do. */
+static gboolean
+is_nearly_full (const GgRelay *self, const GgFleetRunner *runner)
+{
+  if (self->service->model != NULL)
+    return gg_layer_path_get_use (self->service->model, runner) > NEARLY_FULL;
+  return runner->own.n_requests + runner->peers.n_requests >= runner->record.slots;
+}
+
 /* Holds a failed send against the runner that is at fault. */
 static void
 blame (GgRelay *self, GgSendEnd end, uint64_t now_ms)
@@ -148,7 +160,7 @@
       if (self->answer_words.is_misdirected)
         gg_fleet_runner_fail (runner, now_ms);
       else
-        gg_fleet_runner_refuse (runner, now_ms);
+        gg_fleet_runner_refuse (runner, is_nearly_full (self, runner), now_ms);
       break;
     case GG_SEND_UNSENT:
     case GG_SEND_LOST:
--- a/src/daemons/routerd/work_exchange.c
+++ b/src/daemons/routerd/work_exchange.c
@@ -71,15 +71,7 @@
 }
 
 static void
-add_work (GgRunnerWork *work, const GgRunnerWork *more)
-{
-  work->n_requests += more->n_requests;
-  work->n_first += more->n_first;
-  work->token_layers += more->token_layers;
-}
-
-static void
-apply_peer_work (GgWorkExchange *self)
+apply_peer_work (GgWorkExchange *self, uint64_t now_ms)
 {
   GgFleet *fleet = self->router->fleet;
   for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
@@ -88,7 +80,8 @@
       uint32_t hash = gg_work_share_hash (runner->record.id, runner->record.born_ms);
       GgRunnerWork far = gg_peer_work_get (self->far_work, hash);
       runner->peers = gg_peer_work_get (self->near_work, hash);
-      add_work (&runner->peers, &far);
+      gg_runner_work_add (&runner->peers, &far);
+      gg_fleet_runner_hear_misses (runner, runner->peers.n_misses, now_ms);
     }
 }
 
@@ -207,14 +200,15 @@
   if (kind == SHARE_ORDERS)
     return is_pledged;
   entry_out->work = runner->own;
+  entry_out->work.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
   if (kind == SHARE_SUM)
     {
       GgRunnerWork near = gg_peer_work_get (self->near_work, hash);
-      add_work (&entry_out->work, &near);
+      gg_runner_work_add (&entry_out->work, &near);
     }
   GHashTable *told = self->told[kind];
   guint n_left = GPOINTER_TO_UINT (g_hash_table_lookup (told, GUINT_TO_POINTER (hash)));
-  gboolean has_work = entry_out->work.n_requests > 0;
+  gboolean has_work = entry_out->work.n_requests > 0 || entry_out->work.n_misses > 0;
   if (!has_work && n_left == 0)
     return is_pledged;
   n_left = has_work ? FAR_ROUNDS : n_left - 1;
@@ -263,7 +257,7 @@
   gboolean is_far_due = self->n_rounds++ % FAR_ROUNDS == 0;
   gg_peer_work_expire (self->near_work, now_ms);
   gg_peer_work_expire (self->far_work, now_ms);
-  apply_peer_work (self);
+  apply_peer_work (self, now_ms);
   send_share (self, SHARE_OWN, is_far_due);
   if (is_far_due && !is_far_direct (self))
     {
--- a/tests/core/test_fleet.c
+++ b/tests/core/test_fleet.c
@@ -92,7 +92,7 @@
   for (; now < 3000; now++)
     if (gg_fleet_runner_is_usable (&r, now))
       {
-        gg_fleet_runner_refuse (&r, now);
+        gg_fleet_runner_refuse (&r, TRUE, now);
         n_tried++;
       }
   CU_ASSERT_TRUE (n_tried <= 8);
@@ -111,7 +111,7 @@
     {
       if (gg_fleet_runner_is_usable (&r, now))
         {
-          gg_fleet_runner_refuse (&r, now);
+          gg_fleet_runner_refuse (&r, TRUE, now);
           n_tried++;
         }
       if (now % 20 == 0)
@@ -120,6 +120,55 @@
   CU_ASSERT_TRUE (n_tried <= 8);
 }
 
+/* A card is lost and its entry stands for some seconds more. Each of many instances would find out
+ * by itself, at the cost of a request each time; told by its peers, it asks rarely. */
+static void
+test_misses_are_heard (void)
+{
+  enum
+  {
+    N_INSTANCES = 20,
+    SHARE_MS = 150,
+    END_MS = 4600
+  };
+  GgFleetRunner at[N_INSTANCES] = { 0 };
+  guint n_tried = 0;
+  for (int i = 0; i < N_INSTANCES; i++)
+    at[i] = (GgFleetRunner){ .refs = 1, .is_listed = TRUE };
+  for (uint64_t now = 1000; now < END_MS; now += 10)
+    {
+      for (int i = 0; i < N_INSTANCES; i++)
+        if (gg_fleet_runner_is_usable (&at[i], now) && (now / 10 + (uint64_t) i * 7) % 10 == 0)
+          {
+            gg_fleet_runner_refuse (&at[i], FALSE, now);
+            n_tried++;
+          }
+      for (int i = 0; i < N_INSTANCES && now % SHARE_MS == 0; i++)
+        {
+          uint32_t n = 0;
+          for (int j = 0; j < N_INSTANCES; j++)
+            n += j != i ? gg_fleet_runner_get_misses (&at[j], now) : 0;
+          gg_fleet_runner_hear_misses (&at[i], n, now);
+        }
+    }
+  CU_ASSERT_TRUE (n_tried <= 5 * N_INSTANCES);
+}
+
+/* Many requests at once may find a runner short of memory; that is no reason for all to leave it
+ * alone. */
+static void
+test_refusals_of_a_full_runner_are_not_told (void)
+{
+  GgFleetRunner r = { .refs = 1, .is_listed = TRUE };
+  gg_fleet_runner_refuse (&r, TRUE, 1000);
+  CU_ASSERT_EQUAL (gg_fleet_runner_get_misses (&r, 1000), 0);
+  gg_fleet_runner_fail (&r, 1000);
+  CU_ASSERT_EQUAL (gg_fleet_runner_get_misses (&r, 1000), 1);
+  CU_ASSERT_EQUAL (gg_fleet_runner_get_misses (&r, 3000), 0);
+  gg_fleet_runner_hear_misses (&r, 1, 3000);
+  CU_ASSERT_TRUE (gg_fleet_runner_is_usable (&r, 3000));
+}
+
 static GgFleetRunner *
 choose (const GgFleet *fleet, const GgFleetRunner *excluded, uint32_t random)
 {
@@ -157,6 +206,8 @@
 main (void)
 {
   static const GgTestCase cases[] = {
+    { "misses are heard", test_misses_are_heard },
+    { "refusals of a full runner are not told", test_refusals_of_a_full_runner_are_not_told },
     { "last answers of a leaving runner", test_last_answers_of_a_leaving_runner },
     { "new start is a new runner", test_new_start_is_a_new_runner },
     { "same record is no change", test_same_record_is_no_change },
