Count the budget's first window from the start of the process

Cause: a process begins with a small part of the shared budget until a window has passed, since it does not know what it spent before a restart. Ruled out: sharing what other instances do not use (losses hit all alike: denied repeats are spread over all 77 instances). Change: the window begins with the process. Test: after an idle window the whole part is there, just before its end it is not. One older check began its window with the first repeat; its process now starts at that moment, and the check stands as it was.

--- a/src/core/send_budget.c
+++ b/src/core/send_budget.c
@@ -21,19 +21,20 @@
   uint32_t n_sharers;       /* 0: not known */
   uint32_t pending_sharers; /* a lower number that is not in force yet */
   uint64_t pending_since_ms;
-  uint64_t begun_ms; /* of the first request or repeat; 0: none yet */
-  uint64_t slot;     /* number of the latest slot */
+  uint64_t started_ms;
+  uint64_t slot; /* number of the latest slot */
   uint32_t requests[N_SLOTS];
   uint32_t repeats[N_SLOTS];
 };
 
 GgSendBudget *
-gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra)
+gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra, uint64_t started_ms)
 {
   GgSendBudget *self = g_new0 (GgSendBudget, 1);
   self->slot_ms = MAX (window_ms / N_SLOTS, 1);
   self->ratio = ratio;
   self->extra = extra;
+  self->started_ms = started_ms;
   return self;
 }
 
@@ -77,8 +78,6 @@
 advance (GgSendBudget *self, uint64_t now_ms)
 {
   uint64_t slot = now_ms / self->slot_ms;
-  if (self->begun_ms == 0)
-    self->begun_ms = now_ms;
   uint64_t n_passed = slot > self->slot ? MIN (slot - self->slot, N_SLOTS) : 0;
   for (uint64_t i = 0; i < n_passed; i++)
     {
@@ -107,7 +106,7 @@
       n_requests += self->requests[i];
       n_repeats += self->repeats[i];
     }
-  gboolean is_fresh = now_ms - self->begun_ms < self->slot_ms * N_SLOTS;
+  gboolean is_fresh = now_ms - self->started_ms < self->slot_ms * N_SLOTS;
   double share = self->ratio * n_requests + (double) self->extra / get_sharers (self, now_ms);
   double allowed = share * (is_fresh ? FRESH_PART : USED_PART);
   if (reason == GG_REPEAT_REFUSED)
--- a/src/core/send_budget.h
+++ b/src/core/send_budget.h
@@ -10,8 +10,11 @@
 
 /** @param window_ms length of the window.
  *  @param ratio repeats allowed for each request in the window.
- *  @param extra repeats allowed besides, for all instances together. */
-GgSendBudget *gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra);
+ *  @param extra repeats allowed besides, for all instances together.
+ *  @param started_ms when this process started (monotonic): what it may have spent before that is
+ *  not known here. */
+GgSendBudget *
+gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra, uint64_t started_ms);
 void gg_send_budget_destroy (GgSendBudget *self);
 
 /** Sets how many instances share the extra; until the first call many are assumed. A higher number
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -35,6 +35,7 @@
   gboolean is_store_away;    /**< The store refuses or does not answer. The configuration's follower
                               * goes on asking; everybody else waits for it. */
   uint64_t key_age_limit_ms; /**< Requests with a key are refused above this age; 0: never. */
+  uint64_t started_ms;       /**< When the process started (monotonic). */
   GHashTable *budgets;       /**< Service -> GgSendBudget. */
   uint32_t n_instances;      /**< Live instances, this one included; 0 until they are known. */
   GgWaitingRoom *waiting_room;
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -175,6 +175,7 @@
 {
   GgRouter *router = &self->router;
   router->settings = self->settings;
+  router->started_ms = gg_clock_now_ms ();
   router->loop = gg_loop_create ();
   router->client = gg_loop_client_create (router->loop);
   router->store = gg_store_create (router->loop, router->client,
--- a/tests/core/test_send_budget.c
+++ b/tests/core/test_send_budget.c
@@ -10,7 +10,7 @@
 static void
 test_window_slides (void)
 {
-  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 1000);
   guint n = 0;
   gg_send_budget_set_sharers (b, 1, 0);
   while (gg_send_budget_take (b, GG_REPEAT_LOST, 1000))
@@ -24,7 +24,7 @@
 static void
 test_fewer_sharers_count_after_a_window (void)
 {
-  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 0);
   gg_send_budget_set_sharers (b, 10, 0);
   gg_send_budget_set_sharers (b, 1, 100);
   guint n = 0;
@@ -52,7 +52,7 @@
   double most = 0;
   for (guint i = 0; i < N_INSTANCES; i++)
     {
-      budgets[i] = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+      budgets[i] = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 0);
       gg_send_budget_set_sharers (budgets[i], N_INSTANCES, 0);
     }
   for (guint s = 0; s < SECONDS; s++)
@@ -62,7 +62,7 @@
         if (restart_s[i] == s)
           {
             gg_send_budget_destroy (budgets[i]);
-            budgets[i] = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+            budgets[i] = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, now_ms);
             gg_send_budget_set_sharers (budgets[i], N_INSTANCES, now_ms);
           }
         for (guint r = 0; r < REQUESTS_PER_S; r++)
@@ -131,7 +131,7 @@
 static void
 test_refusals_leave_some_for_losses (void)
 {
-  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA);
+  GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 0);
   guint n_refused = 0;
   guint n_lost = 0;
   gg_send_budget_set_sharers (b, 1, 0);
@@ -144,6 +144,26 @@
   gg_send_budget_destroy (b);
 }
 
+/* What an earlier process of this instance has spent leaves the window with the time since the
+ * start, whether or not callers have come since. */
+static void
+test_whole_part_after_an_idle_window (void)
+{
+  guint n[2] = { 0 };
+  for (guint i = 0; i < 2; i++)
+    {
+      uint64_t first_ms = i == 0 ? WINDOW_MS - 1 : WINDOW_MS;
+      GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 0);
+      gg_send_budget_set_sharers (b, 1, first_ms);
+      gg_send_budget_note_request (b, first_ms);
+      while (gg_send_budget_take (b, GG_REPEAT_LOST, first_ms))
+        n[i]++;
+      gg_send_budget_destroy (b);
+    }
+  CU_ASSERT_TRUE (n[0] <= EXTRA / 2);
+  CU_ASSERT_TRUE (n[1] > EXTRA / 2);
+}
+
 int
 main (void)
 {
@@ -152,6 +172,7 @@
     { "fewer sharers count after a window", test_fewer_sharers_count_after_a_window },
     { "restarting instances stay within", test_restarting_instances_stay_within },
     { "refusals leave some for losses", test_refusals_leave_some_for_losses },
+    { "whole part after an idle window", test_whole_part_after_an_idle_window },
     { "all restart at once", test_all_restart_at_once },
     { "most of it can be used", test_most_of_it_can_be_used },
   };
