Wait for peers before the first watch and the first candidacy

Cause: processes that start together know each other only after their second look at the list of instances, 0.7 s after the first; until then each watched by itself and each wrote the leader's key. Change: the first watch begins 0.9 s after the first reading, if no source has spoken by then; the first candidacy 0.75 s after the first look.

--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -47,6 +47,7 @@
   uint64_t lost_boot_ms;       /* when the last call that failed ended */
   uint64_t lost_since_boot_ms; /* when the first one in a row ended */
   gboolean is_fed;             /* another instance watches */
+  gboolean has_started;        /* the configuration was read once */
   GgBackoff backoff;
 };
 
@@ -95,8 +96,13 @@
       = MAX (self->router->config_fresh_boot_ms, reply->sent_boot_ms);
   gg_backoff_reset (&self->backoff);
   set_lost (self, FALSE);
-  if (!self->is_fed)
+  if (self->is_fed)
+    return;
+  if (self->has_started)
     send_call (self);
+  else
+    gg_loop_timer_start (self->retry_timer, GG_STORE_FEED_FIRST_PAUSE_MS);
+  self->has_started = TRUE;
 }
 
 static void
@@ -194,6 +200,7 @@
     {
       gg_store_call_cancel (self->call);
       self->call = NULL;
+      gg_loop_timer_stop (self->retry_timer);
     }
 }
 
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -24,6 +24,9 @@
 /* Instances try to lead one after another, so that mostly one write is enough. */
 #define CANDIDATE_STEP_MS 60
 #define FIRST_TRY_MS 10
+/* A process that has just started does not know those that start with it before it has looked at
+ * the list twice. */
+#define START_TRY_MS (PAUSE_MS + 50)
 
 struct _GgMembership
 {
@@ -46,6 +49,7 @@
   uint64_t leader_revision; /* 0: nobody leads */
   uint64_t watch_revision;
   gboolean is_listed;
+  gboolean has_looked; /* the list was read once */
 
   GgStoreCall *lease_call; /* opening, renewing or writing */
   GgStoreCall *watch_call;
@@ -388,7 +392,9 @@
   rebuild_peers (self);
   if (self->leader_revision == 0)
     gg_loop_timer_start (self->candidate_timer,
-                         FIRST_TRY_MS + (uint64_t) get_rank (self) * CANDIDATE_STEP_MS);
+                         (self->has_looked ? FIRST_TRY_MS : START_TRY_MS)
+                             + (uint64_t) get_rank (self) * CANDIDATE_STEP_MS);
+  self->has_looked = TRUE;
   gg_loop_timer_start (self->watch_timer, reply->items->len > 0 ? PAUSE_MS : 0);
 }
 
--- a/src/daemons/routerd/runner_follower.c
+++ b/src/daemons/routerd/runner_follower.c
@@ -211,8 +211,10 @@
           return;
         }
       end_page (self, reply);
-      if (!self->is_listed || !self->is_fed)
+      if (!self->is_listed)
         send_call (self);
+      else if (!self->is_fed)
+        gg_loop_timer_start (self->timer, GG_STORE_FEED_FIRST_PAUSE_MS);
       return;
     case GG_STORE_EXPIRED:
       start_listing (self);
--- a/src/daemons/routerd/store_feed.h
+++ b/src/daemons/routerd/store_feed.h
@@ -17,6 +17,10 @@
   GgRunnerFollower *runner_follower;
 } GgStoreFeedParams;
 
+/** Pause before a process watches by itself for the first time: those that start together know each
+ * other after their second look at the list of instances, and then the source speaks. */
+#define GG_STORE_FEED_FIRST_PAUSE_MS 900
+
 GgStoreFeed *gg_store_feed_create (const GgStoreFeedParams *params);
 void gg_store_feed_destroy (GgStoreFeed *self);
 
