--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -14,6 +14,10 @@
 #define STREAM "X-Token-Count: 100,20\r\nX-Deadline-Ms: 5000\r\n"
 #define PLAIN "X-Deadline-Ms: 1500\r\n"
 #define TIMEOUT_MS 10000
+/* The third router is in the data centre of the first one. */
+#define FOLLOWER 2
+/* A router that watches by itself ends two watches or more in this time. */
+#define QUIET_WATCH_MS 2500
 
 /* One site serves all cases; the one that kills everything comes last. */
 static Site *site;
@@ -183,6 +187,49 @@
   gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
 }
 
+static guint64
+count_watches (guint router)
+{
+  char *text = gg_test_get (site->routers[router].metrics_address, "/metrics");
+  const char *name = "greengage_router_store_calls_total{call=\"watch\"} ";
+  const char *line = text != NULL ? strstr (text, name) : NULL;
+  guint64 n = line != NULL ? g_ascii_strtoull (line + strlen (name), NULL, 10) : 0;
+  g_free (text);
+  return n;
+}
+
+static gboolean
+spares_watches (void *data)
+{
+  guint64 before = count_watches (FOLLOWER);
+  g_usleep (QUIET_WATCH_MS * 1000);
+  return before > 0 && count_watches (FOLLOWER) - before <= 1;
+}
+
+static gboolean
+is_refused_by_follower (void *data)
+{
+  char *answer = site_call (site, FOLLOWER, "GET", "/lookups/1", PLAIN, "");
+  gboolean is_refused = answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 401");
+  g_free (answer);
+  return is_refused;
+}
+
+/* The third router relies on the first one of its data centre and spares its own watches. When that
+ * one freezes, a key that is taken away is still refused in time, and all is well after it. */
+static void
+run_source_frozen (GgProof *proof)
+{
+  gg_proof_check (proof, gg_wait_until (spares_watches, NULL, TIMEOUT_MS));
+  gg_process_signal (site->routers[0].process, SIGSTOP);
+  site_write_config (site, 6, FALSE);
+  gg_proof_check (proof, gg_wait_until (is_refused_by_follower, NULL, 2000));
+  gg_process_signal (site->routers[0].process, SIGCONT);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, 2000));
+  site_write_config (site, 7, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 2000));
+}
+
 /* A stop in the middle of a stream: it is served to its end, the process exits by itself. */
 static void
 run_stop (GgProof *proof)
@@ -225,10 +272,11 @@
     { "config", "platform-key-taken-away", run_key_taken_away },
     { "config", "platform-store-away", run_store_away },
     { "config", "platform-history-forgotten", run_history_forgotten },
+    { "config", "platform-source-frozen", run_source_frozen },
     { "graceful-stop", "platform-stop", run_stop },
     { "graceful-stop", "platform-everything-killed", run_everything_killed },
   };
-  site = site_create (2);
+  site = site_create (3);
   if (site == NULL)
     return 1;
   int status = gg_prove_main ("platform", cases, G_N_ELEMENTS (cases), argc, argv);
