--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -42,13 +42,13 @@
   uint64_t revision;      /* of the store, up to which changes are known */
   uint64_t item_revision; /* of the key; 0: it does not exist */
   gboolean is_lost;       /* the store does not answer */
-  /* CLOCK_BOOTTIME */
+  gboolean is_fed;        /* another instance watches */
+  gboolean has_started;   /* the configuration was read once */
+  GgBackoff backoff;
+  /* By CLOCK_BOOTTIME: */
   uint64_t sent_boot_ms;       /* when the present call was sent */
   uint64_t lost_boot_ms;       /* when the last call that failed ended */
   uint64_t lost_since_boot_ms; /* when the first one in a row ended */
-  gboolean is_fed;             /* another instance watches */
-  gboolean has_started;        /* the configuration was read once */
-  GgBackoff backoff;
 };
 
 static void send_call (GgConfigFollower *self);
--- a/tests/support/stream_proof.c
+++ b/tests/support/stream_proof.c
@@ -1,7 +1,6 @@
 #include "stream_proof.h"
 
 #include "base/clock.h"
-#include "slow_build.h"
 
 #include <string.h>
 
@@ -12,7 +11,6 @@
 {
   const GgClusterOptions options
       = { .n_instances = 2, .with_relays = TRUE, .step_us = GG_STREAM_PROOF_STEP_US };
-  n_tokens *= GG_SLOW_BUILD_FACTOR;
   *self = (GgStreamProof){ .proof = proof, .n_tokens = n_tokens };
   self->cluster = gg_cluster_create (&options);
   if (!gg_proof_check (proof, self->cluster))
