Act on a source's word while an own call hangs; end an outage with it

An instance that relied on its source did not read a newer configuration while a call of its own hung on a silent connection, and did not note the end of an outage for the runners' entries, so that it held a runner that left ten seconds later. Ruled out: late words of the source (feed_begun came 1.5 s before). Change: a call that is older than 250 ms does not hinder the reading; a source's good word ends the outage for the entries. Test: platform-change-after-outage with processes.

--- a/src/daemons/routerd/config_follower.c
+++ b/src/daemons/routerd/config_follower.c
@@ -190,6 +190,15 @@
   send_call (self);
 }
 
+/* Whether a call is under way that may still be answered soon. An older one may hang on a
+ * connection that went silent while the store was away, and must not keep this instance from
+ * reading what another one knows to be there. */
+static gboolean
+has_new_call (const GgConfigFollower *self)
+{
+  return self->call != NULL && gg_clock_boot_ms () - self->sent_boot_ms < OVERDUE_MS;
+}
+
 void
 gg_config_follower_set_fed (GgConfigFollower *self, gboolean is_fed)
 {
@@ -224,14 +233,14 @@
 {
   if (revision == self->item_revision)
     self->router->config_fresh_boot_ms = MAX (self->router->config_fresh_boot_ms, proven_boot_ms);
-  if (self->is_lost && self->call == NULL && proven_boot_ms > self->lost_boot_ms)
+  if (self->is_lost && proven_boot_ms > self->lost_boot_ms && !has_new_call (self))
     read_now (self);
 }
 
 void
 gg_config_follower_take_revision (GgConfigFollower *self, uint64_t revision)
 {
-  if (self->is_fed && self->call == NULL && !self->is_lost && revision > self->item_revision)
+  if (self->is_fed && revision > self->item_revision && !has_new_call (self))
     read_now (self);
 }
 
--- a/src/daemons/routerd/runner_follower.c
+++ b/src/daemons/routerd/runner_follower.c
@@ -273,6 +273,9 @@
       gg_store_call_cancel (self->call);
       self->call = NULL;
       gg_loop_timer_stop (self->timer);
+      /* The source reaches the store: entries that go from now on are no lapse of an outage. */
+      set_lost (self, FALSE);
+      gg_lapse_hold_note_back (&self->lapse_hold, gg_clock_now_ms ());
     }
 }
 
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -18,6 +18,7 @@
 #define FOLLOWER 2
 /* A router that watches by itself ends two watches or more in this time. */
 #define QUIET_WATCH_MS 2500
+#define OUTAGE_MS 3500
 
 /* One site serves all cases; the one that kills everything comes last. */
 static Site *site;
@@ -230,6 +231,22 @@
   gg_proof_check (proof, gg_wait_until (is_served, NULL, 2000));
 }
 
+/* Calls to the store hang while it is away. A configuration that is written just after its return
+ * is in force in time also at a router that relies on another one and has a call that still hangs.
+ */
+static void
+run_change_after_outage (GgProof *proof)
+{
+  gg_proof_check (proof, gg_wait_until (spares_watches, NULL, TIMEOUT_MS));
+  gg_process_signal (site->store, SIGUSR2);
+  g_usleep (OUTAGE_MS * 1000);
+  gg_process_signal (site->store, SIGUSR2);
+  site_write_config (site, 8, FALSE);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, 2000));
+  site_write_config (site, 9, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
+}
+
 /* A stop in the middle of a stream: it is served to its end, the process exits by itself. */
 static void
 run_stop (GgProof *proof)
@@ -273,6 +290,7 @@
     { "config", "platform-store-away", run_store_away },
     { "config", "platform-history-forgotten", run_history_forgotten },
     { "config", "platform-source-frozen", run_source_frozen },
+    { "config", "platform-change-after-outage", run_change_after_outage },
     { "graceful-stop", "platform-stop", run_stop },
     { "graceful-stop", "platform-everything-killed", run_everything_killed },
   };
