--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -36,7 +36,8 @@
   uint32_t n_first;      /**< Of these, those that it takes as the first runner. */
   uint64_t token_layers; /**< Request memory, in tokens x layers. */
   uint32_t n_misses; /**< Sends of late that it refused for another reason than want of memory, or
-                      * that brought no answer. */
+                      * that brought no answer. Set in what instances tell each other only; the
+                      * own ones are counted by GgFleetRunner. */
 } GgRunnerWork;
 
 /** Adds @p more to a sum. */
@@ -95,7 +96,8 @@
  * @param is_full whether its memory is nearly taken, which explains the refusal. */
 void gg_fleet_runner_refuse (GgFleetRunner *self, gboolean is_full, uint64_t now_ms);
 
-/** Returns the misses of this process that others should know of. */
+/** Returns the misses of this process that others should know of: those in a row, for about a
+ * second after the latest. */
 uint32_t gg_fleet_runner_get_misses (const GgFleetRunner *self, uint64_t now_ms);
 
 /** Takes the number of misses of late at other instances. A runner that is lost or leaving fails
