Accept quantities with fractions in settings and configurations

A time limit with a fraction in the configuration would likewise have dropped the whole configuration.

Limits, times and shares are read as any number that is not negative; versions, revisions and layer numbers stay whole. test_directory fails without the change (the configuration is rejected).

--- a/src/base/json.c
+++ b/src/base/json.c
@@ -1,5 +1,8 @@
 #include "base/json.h"
 
+/* Largest number up to which a double holds each whole number. */
+#define MAX_QUANTITY 9007199254740992.0
+
 void
 gg_json_add_string (JsonBuilder *builder, const char *name, const char *value)
 {
@@ -104,6 +107,28 @@
   return TRUE;
 }
 
+gboolean
+gg_json_read_quantity (JsonObject *object, const char *name, uint64_t *value_out)
+{
+  double number;
+  if (gg_json_read_uint (object, name, value_out))
+    return TRUE;
+  if (!gg_json_read_number (object, name, &number) || !(number >= 0 && number <= MAX_QUANTITY))
+    return FALSE;
+  *value_out = number > 0 ? MAX ((uint64_t) number, 1) : 0;
+  return TRUE;
+}
+
+gboolean
+gg_json_read_quantity32 (JsonObject *object, const char *name, uint32_t *value_out)
+{
+  uint64_t value;
+  if (!gg_json_read_quantity (object, name, &value) || value > G_MAXUINT32)
+    return FALSE;
+  *value_out = (uint32_t) value;
+  return TRUE;
+}
+
 gboolean
 gg_json_read_boolean (JsonObject *object, const char *name, gboolean *value_out)
 {
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -24,6 +24,11 @@
 gboolean gg_json_read_string (JsonObject *object, const char *name, const char **value_out);
 gboolean gg_json_read_uint (JsonObject *object, const char *name, uint64_t *value_out);
 gboolean gg_json_read_uint32 (JsonObject *object, const char *name, uint32_t *value_out);
+/** These read a quantity, which may be written with a fraction, and round it down; one above zero
+ * is at least 1, since 0 often has a meaning of its own.
+ * @return FALSE as the others do, also for a quantity that is out of range. */
+gboolean gg_json_read_quantity (JsonObject *object, const char *name, uint64_t *value_out);
+gboolean gg_json_read_quantity32 (JsonObject *object, const char *name, uint32_t *value_out);
 gboolean gg_json_read_number (JsonObject *object, const char *name, double *value_out);
 gboolean gg_json_read_boolean (JsonObject *object, const char *name, gboolean *value_out);
 gboolean gg_json_read_array (JsonObject *object, const char *name, JsonArray **value_out);
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -77,11 +77,23 @@
 }
 
 static gboolean
-decimal_is_valid (const char *value)
+decimal_is_valid (const GgSetting *spec, const char *value)
 {
   char *end = NULL;
   double number = g_ascii_strtod (value, &end);
-  return end != value && *end == '\0' && isfinite (number) && number >= 0;
+  return end != value && *end == '\0' && isfinite (number) && number >= (double) spec->min
+         && (spec->max == 0 || number <= (double) spec->max);
+}
+
+/* Returns the valid values of a GG_SETTING_DECIMAL, owned by the caller. */
+static char *
+describe_decimals (const GgSetting *spec)
+{
+  if (spec->max == 0)
+    return g_strdup_printf ("a number of at least %" G_GUINT64_FORMAT, (guint64) spec->min);
+  return g_strdup_printf ("a number from %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT "%s%s",
+                          (guint64) spec->min, (guint64) spec->max, *spec->unit ? " " : "",
+                          spec->unit);
 }
 
 /* Returns a description of the valid values, owned by the caller, or NULL if @p value is valid. */
@@ -99,7 +111,7 @@
           "a whole number from %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT "%s%s",
           (guint64) spec->min, (guint64) spec->max, *spec->unit ? " " : "", spec->unit);
     case GG_SETTING_DECIMAL:
-      return decimal_is_valid (value) ? NULL : g_strdup ("a non-negative number");
+      return decimal_is_valid (spec, value) ? NULL : describe_decimals (spec);
     case GG_SETTING_BOOLEAN:
       if (strcmp (value, "true") == 0 || strcmp (value, "false") == 0)
         return NULL;
@@ -286,7 +298,10 @@
       return g_strdup_printf ("%" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT, (guint64) spec->min,
                               (guint64) spec->max);
     case GG_SETTING_DECIMAL:
-      return g_strdup ("0 or more");
+      if (spec->max == 0)
+        return g_strdup_printf ("%" G_GUINT64_FORMAT " or more", (guint64) spec->min);
+      return g_strdup_printf ("%" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT ", fractions allowed",
+                              (guint64) spec->min, (guint64) spec->max);
     case GG_SETTING_BOOLEAN:
       return g_strdup ("true, false");
     case GG_SETTING_ADDRESS:
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -13,7 +13,8 @@
 {
   GG_SETTING_STRING,
   GG_SETTING_UINT,
-  GG_SETTING_DECIMAL, /**< Not negative; may have a fraction. */
+  GG_SETTING_DECIMAL, /**< Not negative; may have a fraction. For limits that may be a share of
+                       * something. */
   GG_SETTING_BOOLEAN,
   GG_SETTING_ADDRESS,      /**< "IP:PORT"; an IPv6 address is enclosed in brackets. */
   GG_SETTING_ADDRESS_LIST, /**< Addresses separated by ';'. */
@@ -26,10 +27,10 @@
   const char *key;
   GgSettingType type;
   const char *default_text; /**< Default value; NULL if the key is required. */
-  uint64_t min;             /**< Inclusive bounds of GG_SETTING_UINT. */
-  uint64_t max;
-  const char *unit;   /**< "ms", "bytes", "1/s" or "". */
-  const char *effect; /**< One sentence for operators. */
+  uint64_t min;             /**< Inclusive bounds of GG_SETTING_UINT and GG_SETTING_DECIMAL. */
+  uint64_t max;             /**< For GG_SETTING_DECIMAL, 0 if there is no upper bound. */
+  const char *unit;         /**< "ms", "bytes", "1/s" or "". */
+  const char *effect;       /**< One sentence for operators. */
 } GgSetting;
 
 #define GG_SETTINGS_ERROR (gg_settings_error_quark ())
--- a/src/core/send_budget.c
+++ b/src/core/send_budget.c
@@ -17,7 +17,7 @@
 {
   uint64_t slot_ms;
   double ratio;
-  uint32_t extra;
+  double extra;
   uint32_t n_instances;       /* 0: not known */
   uint32_t pending_instances; /* a lower number that is not in force yet */
   uint64_t pending_since_ms;
@@ -28,7 +28,7 @@
 };
 
 GgSendBudget *
-gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra, uint64_t started_ms)
+gg_send_budget_create (uint64_t window_ms, double ratio, double extra, uint64_t started_ms)
 {
   GgSendBudget *self = g_new0 (GgSendBudget, 1);
   self->slot_ms = MAX (window_ms / N_SLOTS, 1);
@@ -108,7 +108,7 @@
       n_retries += self->retries[i];
     }
   gboolean is_fresh = now_ms - self->started_ms < self->slot_ms * N_SLOTS;
-  double share = self->ratio * n_requests + (double) self->extra / get_instances (self, now_ms);
+  double share = self->ratio * n_requests + self->extra / get_instances (self, now_ms);
   double allowed = share * (is_fresh ? FRESH_SHARE : USED_SHARE);
   if (reason == GG_RETRY_REASON_REFUSED)
     allowed *= REFUSED_SHARE;
--- a/src/core/send_budget.h
+++ b/src/core/send_budget.h
@@ -15,7 +15,7 @@
  *  @param started_ms when this process started (monotonic); what an earlier process of this
  *    instance has spent is not known. */
 GgSendBudget *
-gg_send_budget_create (uint64_t window_ms, double ratio, uint32_t extra, uint64_t started_ms);
+gg_send_budget_create (uint64_t window_ms, double ratio, double extra, uint64_t started_ms);
 void gg_send_budget_destroy (GgSendBudget *self);
 
 /** Sets how many instances share the additional retries; before the first call many are assumed. A
--- a/src/daemons/routerd/router.c
+++ b/src/daemons/routerd/router.c
@@ -10,9 +10,8 @@
 {
   double window_s = gg_settings_get_decimal (self->settings, "retries", "window_s");
   double ratio = gg_settings_get_decimal (self->settings, "retries", "ratio");
-  uint64_t extra = gg_settings_get_uint (self->settings, "retries", "extra");
-  return gg_send_budget_create ((uint64_t) (window_s * MS_PER_S), ratio, (uint32_t) extra,
-                                self->started_ms);
+  double extra = gg_settings_get_decimal (self->settings, "retries", "extra");
+  return gg_send_budget_create ((uint64_t) (window_s * MS_PER_S), ratio, extra, self->started_ms);
 }
 
 GgSendBudget *
--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -9,6 +9,7 @@
   { "instance", "name", GG_SETTING_STRING, NULL, 0, 0, "", "Name of the instance." },
   { "limits", "streams", GG_SETTING_UINT, "100", 1, 1000, "", "Open streams." },
   { "limits", "strict", GG_SETTING_BOOLEAN, "true", 0, 0, "", "Reject early." },
+  { "limits", "extra", GG_SETTING_DECIMAL, "2", 1, 50, "", "A share of a limit." },
   { "peers", "seeds", GG_SETTING_ADDRESS_LIST, "", 0, 0, "", "Peers to start from." },
 };
 
@@ -39,6 +40,7 @@
   CU_ASSERT_STRING_EQUAL (gg_settings_get_string (settings, "instance", "name"), "a1");
   CU_ASSERT_EQUAL (gg_settings_get_uint (settings, "limits", "streams"), 100);
   CU_ASSERT_TRUE (gg_settings_get_boolean (settings, "limits", "strict"));
+  CU_ASSERT_DOUBLE_EQUAL (gg_settings_get_decimal (settings, "limits", "extra"), 2, 0);
   char **seeds = gg_settings_get_list (settings, "peers", "seeds");
   CU_ASSERT_EQUAL (g_strv_length (seeds), 2);
   g_strfreev (seeds);
@@ -54,6 +56,8 @@
   check_error ("[instance]\nname=a\n[limits]\nstreams=0\n", GG_SETTINGS_ERROR_VALUE,
                "f.ini: section [limits]: key 'streams' = '0': expected a whole number from 1 to "
                "1000");
+  check_error ("[instance]\nname=a\n[limits]\nextra=0.5\n", GG_SETTINGS_ERROR_VALUE,
+               "f.ini: section [limits]: key 'extra' = '0.5': expected a number from 1 to 50");
   check_error ("[instance]\nname=a\ncolour=red\n", GG_SETTINGS_ERROR_UNKNOWN_KEY,
                "f.ini: section [instance]: key 'colour' = 'red': expected a known key; see the "
                "settings reference");
--- a/tests/platform/test_directory.c
+++ b/tests/platform/test_directory.c
@@ -108,6 +108,29 @@
   g_bytes_unref (value);
 }
 
+/* Operators may write a time limit or a share with a fraction; a configuration that is dropped for
+ * that would leave the older one in force. */
+static void
+test_fractional_quantities (void)
+{
+  GString *text = g_string_new (CONFIG);
+  g_string_replace (text, "\"timeout_ms\":1000", "\"timeout_ms\":1500.75", 0);
+  g_string_replace (text, "\"weight\":10", "\"weight\":0.5", 0);
+  g_string_replace (text, "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":15000.0", 0);
+  GBytes *value = bytes_of (text->str);
+  GgRoutingConfig *c = gg_directory_decode_config (value, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  CU_ASSERT_EQUAL (gg_routing_config_find_route (c, "a.example", "/y/1")->timeout_ms, 1500);
+  CU_ASSERT_EQUAL (gg_routing_config_get_limits (c)->idle_timeout_ms, 15000);
+  gg_routing_config_unref (c);
+  g_bytes_unref (value);
+  g_string_replace (text, "\"timeout_ms\":1500.75", "\"timeout_ms\":-1.5", 0);
+  value = bytes_of (text->str);
+  CU_ASSERT_PTR_NULL (gg_directory_decode_config (value, NULL));
+  g_bytes_unref (value);
+  g_string_free (text, TRUE);
+}
+
 /* Random damage to a valid text: it is decoded or rejected, without a crash or a leak. */
 static void
 test_damaged_texts (void)
@@ -149,6 +172,7 @@
     { "runner", test_runner },
     { "unusable entries", test_unusable_entries },
     { "config", test_config },
+    { "fractional quantities", test_fractional_quantities },
     { "damaged texts", test_damaged_texts },
   };
   return gg_test_run ("directory", cases, G_N_ELEMENTS (cases));
