--- a/src/adapters/rpc/load_report.c
+++ b/src/adapters/rpc/load_report.c
@@ -5,7 +5,7 @@
 
 /* Distinguishes this kind of datagram and its version from anything else that may arrive at the
  * port. */
-#define MAGIC 0x67675735U
+#define MAGIC 0x67675736U
 #define MAX_NAME_BYTES 128
 /* Request memory is encoded in 32 bits, in units of this many tokens x layers: a request takes some
  * thousands of tokens x layers. */
@@ -69,7 +69,8 @@
       || !xdr_string (xdr, &self->instance, MAX_NAME_BYTES)
       || !xdr_string (xdr, &self->data_centre, MAX_NAME_BYTES) || !xdr_uint32_t (xdr, &is_sum)
       || !xdr_uint64_t (xdr, &self->incarnation) || !xdr_uint64_t (xdr, &self->number)
-      || !xdr_uint32_t (xdr, &n_entries) || n_entries > GG_LOAD_REPORT_MAX_ENTRIES)
+      || !xdr_uint32_t (xdr, &self->n_instances) || !xdr_uint32_t (xdr, &n_entries)
+      || n_entries > GG_LOAD_REPORT_MAX_ENTRIES)
     return FALSE;
   self->is_sum = is_sum != 0;
   g_array_set_size (self->entries, n_entries);
--- a/src/adapters/rpc/load_report.h
+++ b/src/adapters/rpc/load_report.h
@@ -23,12 +23,14 @@
 
 typedef struct
 {
-  char *instance;    /**< Name under which receivers keep the load: "INSTANCE", "sum/DATA_CENTRE" or
-                      * "orders/INSTANCE"; allocated with malloc(), owned by the report. */
-  char *data_centre; /**< Of the instances that gave the load; allocated and owned likewise. */
-  gboolean is_sum;   /**< The load given by all instances of the data centre. */
+  char *instance;       /**< Name under which receivers keep the load: the sender's address,
+                         * "sum/DATA_CENTRE" or "orders/ADDRESS"; allocated with malloc(), owned by the
+                         * report. */
+  char *data_centre;    /**< Of the instances that gave the load; allocated and owned likewise. */
+  gboolean is_sum;      /**< The load given by all instances of the data centre. */
   uint64_t incarnation; /**< Wall-clock start of the sender's process in ms. */
   uint64_t number;      /**< Grows with each datagram of an incarnation. */
+  uint32_t n_instances; /**< Instances that a sum counts. */
   GArray *entries;      /**< GgLoadReportEntry. */
 } GgLoadReport;
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -32,6 +32,15 @@
   self->n_misses += more->n_misses;
 }
 
+void
+gg_runner_load_subtract (GgRunnerLoad *self, const GgRunnerLoad *less)
+{
+  self->n_requests -= less->n_requests;
+  self->n_first_hop -= less->n_first_hop;
+  self->token_layers -= less->token_layers;
+  self->n_misses -= less->n_misses;
+}
+
 void
 gg_runner_record_copy (GgRunnerRecord *dest, const GgRunnerRecord *source)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -44,6 +44,9 @@
 /** Adds @p more to a sum. */
 void gg_runner_load_add (GgRunnerLoad *self, const GgRunnerLoad *more);
 
+/** Removes from a sum what was added to it before. */
+void gg_runner_load_subtract (GgRunnerLoad *self, const GgRunnerLoad *less);
+
 typedef struct _GgFleetRunner GgFleetRunner;
 
 /** One runner; reference counted, since a request may outlive the runner's entry. */
--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -1,13 +1,16 @@
 #include "daemons/routerd/config_watcher.h"
 
 #include "base/clock.h"
+#include "base/compress.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
 #include "daemons/routerd/delegated_watch.h"
+#include "daemons/routerd/peer_documents.h"
 #include "ports/directory.h"
 
 #include <string.h>
 
+#define STATUS_OK 200
 /* Each reply proves that the configuration was the newest one when the call was sent, so at the
  * start of an outage the proof is up to twice this old. That leaves most of the time limit for keys
  * (keys.revoke_ms) for the outage. The wait also outlasts the second for which a store that drops
@@ -24,6 +27,8 @@
 
 /* A call that exceeds the wait time of the watch by this much counts as hung. */
 #define OVERDUE_MS 250
+/* A configuration that takes more than this is not read from a source. */
+#define MAX_CONFIG_BYTES (16 * 1024 * 1024)
 /* Most failed calls succeed at the first retry, so a shorter failure is no sign of an outage. */
 #define FAILURE_GRACE_MS 300
 
@@ -38,6 +43,8 @@
 {
   GgRouter *router;
   GgStoreCall *call;
+  GgLoopFetch *fetch;   /* of the document of a source; NULL for none */
+  GByteArray *document; /* revision of the key and compressed value; NULL for none */
   GgLoopTimer *retry_timer;
   Step step;
   uint64_t revision;      /* of the store, up to which changes are known */
@@ -54,23 +61,49 @@
 
 static void send_call (GgConfigWatcher *self);
 
+static void
+log_unreadable (uint64_t revision, GError *error)
+{
+  gg_event_log_add (GG_EVENT_NOTABLE, "config_unreadable",
+                    "revision=%" G_GUINT64_FORMAT " reason=\"%s\"", (guint64) revision,
+                    error->message);
+  g_error_free (error);
+}
+
+/* Only registered instances are asked for the document. */
+static void
+keep_document (GgConfigWatcher *self, uint64_t revision, GBytes *value)
+{
+  if (self->document != NULL)
+    g_byte_array_unref (self->document);
+  self->document = NULL;
+  if (!self->router->is_registered)
+    return;
+  gsize size = 0;
+  const void *bytes = g_bytes_get_data (value, &size);
+  uint64_t revision_be = GUINT64_TO_BE (revision);
+  self->document = gg_compress (bytes, size);
+  g_byte_array_prepend (self->document, (const guint8 *) &revision_be, sizeof revision_be);
+}
+
 static void
 apply_item (GgConfigWatcher *self, const GgStoreItem *item)
 {
-  if (item->value == NULL || strcmp (item->key, gg_directory_get_config_key ()) != 0)
+  if (item->value == NULL || strcmp (item->key, gg_directory_get_config_key ()) != 0
+      || item->revision < self->item_revision)
     return;
+  gboolean is_new = item->revision != self->item_revision;
   self->item_revision = item->revision;
   GError *error = NULL;
   GgRoutingConfig *config = gg_directory_decode_config (item->value, &error);
   if (config == NULL)
     {
-      gg_event_log_add (GG_EVENT_NOTABLE, "config_unreadable",
-                        "revision=%" G_GUINT64_FORMAT " reason=\"%s\"", (guint64) item->revision,
-                        error->message);
-      g_error_free (error);
+      log_unreadable (item->revision, error);
       return;
     }
   gg_router_apply_config (self->router, config);
+  if (is_new || self->document == NULL)
+    keep_document (self, item->revision, item->value);
   gg_delegated_watch_notify (self->router->delegated_watch);
 }
 
@@ -177,15 +210,23 @@
   self->router = router;
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->retry_timer = gg_loop_timer_create (router->loop, on_retry, self);
-  send_call (self);
+  self->is_delegated = TRUE;
   return self;
 }
 
+GByteArray *
+gg_config_watcher_build_document (const GgConfigWatcher *self)
+{
+  return self->document != NULL ? g_byte_array_ref (self->document) : NULL;
+}
+
 /* Cancels the pending call or pause and reads the configuration at once. */
 static void
 read_now (GgConfigWatcher *self)
 {
   gg_store_call_cancel (self->call);
+  gg_loop_fetch_cancel (self->fetch);
+  self->fetch = NULL;
   gg_loop_timer_stop (self->retry_timer);
   self->step = STEP_READ;
   send_call (self);
@@ -206,11 +247,12 @@
   self->is_delegated = is_delegated;
   if (!is_delegated)
     read_now (self);
-  else if (self->step == STEP_WATCH && !self->is_store_lost)
+  else if (!self->router->is_registered || (self->step == STEP_WATCH && !self->is_store_lost))
     {
       gg_store_call_cancel (self->call);
       self->call = NULL;
       gg_loop_timer_stop (self->retry_timer);
+      set_store_lost (self, FALSE);
     }
 }
 
@@ -234,21 +276,69 @@
 {
   if (revision == self->item_revision)
     self->router->config_fresh_boot_ms = MAX (self->router->config_fresh_boot_ms, proven_boot_ms);
-  if (self->is_store_lost && proven_boot_ms > self->failed_boot_ms && !has_recent_call (self))
+  if (self->router->is_registered && self->is_store_lost && proven_boot_ms > self->failed_boot_ms
+      && !has_recent_call (self))
     read_now (self);
 }
 
-void
-gg_config_watcher_note_revision (GgConfigWatcher *self, uint64_t revision)
+/* Applies the document of a source.
+ * @return FALSE if it is damaged or not newer than the known configuration. */
+static gboolean
+apply_document (GgConfigWatcher *self, const char *bytes, size_t size_bytes)
 {
-  if (self->is_delegated && revision > self->item_revision && !has_recent_call (self))
+  uint64_t revision_be = 0;
+  if (size_bytes <= sizeof revision_be)
+    return FALSE;
+  memcpy (&revision_be, bytes, sizeof revision_be);
+  GgStoreItem item = { .key = (char *) gg_directory_get_config_key (),
+                       .revision = GUINT64_FROM_BE (revision_be) };
+  if (item.revision <= self->item_revision)
+    return FALSE;
+  GError *error = NULL;
+  GByteArray *value = gg_decompress (bytes + sizeof revision_be, size_bytes - sizeof revision_be,
+                                     MAX_CONFIG_BYTES, &error);
+  if (value == NULL)
+    {
+      log_unreadable (item.revision, error);
+      return FALSE;
+    }
+  item.value = g_byte_array_free_to_bytes (value);
+  apply_item (self, &item);
+  g_bytes_unref (item.value);
+  return TRUE;
+}
+
+static void
+on_fetched (void *data, const GgFetchResult *result)
+{
+  GgConfigWatcher *self = data;
+  self->fetch = NULL;
+  if (result->end == GG_FETCH_ANSWERED && result->status == STATUS_OK
+      && apply_document (self, result->body, result->body_bytes))
+    return;
+  gg_event_log_add (GG_EVENT_NOTABLE, "document_not_read", "document=config end=%d status=%u",
+                    result->end, result->end == GG_FETCH_ANSWERED ? result->status : 0);
+  if (!has_recent_call (self))
     read_now (self);
 }
 
+void
+gg_config_watcher_note_revision (GgConfigWatcher *self, uint64_t revision, const char *source)
+{
+  if (!self->is_delegated || revision <= self->item_revision || self->fetch != NULL
+      || has_recent_call (self))
+    return;
+  self->fetch
+      = gg_peer_document_fetch (self->router, source, GG_PEER_DOCUMENT_CONFIG, on_fetched, self);
+}
+
 void
 gg_config_watcher_destroy (GgConfigWatcher *self)
 {
   gg_store_call_cancel (self->call);
+  gg_loop_fetch_cancel (self->fetch);
   gg_loop_timer_destroy (self->retry_timer);
+  if (self->document != NULL)
+    g_byte_array_unref (self->document);
   g_free (self);
 }
--- a/src/daemons/routerd/delegated_watch.c
+++ b/src/daemons/routerd/delegated_watch.c
@@ -3,24 +3,34 @@
 #include "adapters/rpc/watch_message.h"
 #include "base/clock.h"
 #include "base/event_log.h"
-#include "core/watch_delegation.h"
+#include "core/source_choice.h"
 
 #include <string.h>
 
 /* If the delegate's unrequested report of a change is lost, the change is known this much later. */
 #define POLL_INTERVAL_MS 300
-/* Interval and number of the first requests, for instances that start together. */
-#define FIRST_POLL_INTERVAL_MS 60
-#define N_FIRST_POLLS 10
+/* Interval while a source is sought. */
+#define SEARCH_INTERVAL_MS 80
+/* The role of a process that is started again is known this soon. */
+#define FIRST_TICK_MS 20
+/* How long an instance goes on without a valid source before it watches by itself. The second in
+ * rank takes the place of the first one at once; the others wait for it, for different times, so
+ * that they don't all call the store if it does not. */
+#define REGISTERED_PATIENCE_MS 500
+#define MEMBER_PATIENCE_MS 700
+#define MEMBER_PATIENCE_SPREAD_MS 700
+/* After its start a member waits this long for a source, and any process for its role. */
+#define START_PATIENCE_MS 1500
 /* A subscriber that has not sent a request for this long no longer relies on this instance. */
 #define SUBSCRIBER_EXPIRY_MS 1000
 /* Number of the latest requests whose reports are accepted as proof. */
-#define MAX_PENDING_REQUESTS 8
+#define MAX_PENDING_REQUESTS 32
 
 typedef struct
 {
   uint64_t number; /* 0 for none */
   uint64_t sent_boot_ms;
+  char *address;
 } PendingRequest;
 
 /* Instance that relies on this one. */
@@ -33,44 +43,85 @@
 struct _GgDelegatedWatch
 {
   GgRouter *router;
-  const GgMembership *membership;
+  GgMembership *membership;
   GgConfigWatcher *config_watcher;
   GgRunnerWatcher *runner_watcher;
   GgLoopTimer *timer;
-  GgWatchDelegation delegation;
-  char *delegate_address; /* latest known one, may be this instance's; NULL for none */
+  GgSourceChoice *choice;
+  uint64_t roster_revision; /* of the roster that the choice knows */
+  uint64_t started_boot_ms;
+  uint64_t patience_ms; /* of a member */
   uint64_t last_number;
   PendingRequest pending[MAX_PENDING_REQUESTS];
   gboolean is_delegated;
   GHashTable *subscribers; /* address -> Subscriber */
 };
 
+/* How long this instance goes on without a valid source. */
+static uint64_t
+get_patience_ms (const GgDelegatedWatch *self)
+{
+  const GgRoster *roster = gg_membership_get_roster (self->membership);
+  uint64_t started_ms = gg_clock_boot_ms () - self->started_boot_ms;
+  switch (gg_membership_get_role (self->membership))
+    {
+    case GG_ROLE_UNKNOWN:
+      return START_PATIENCE_MS;
+    case GG_ROLE_REGISTERED:
+      return gg_roster_get_rank (roster) <= 1 ? 0 : REGISTERED_PATIENCE_MS;
+    case GG_ROLE_MEMBER:
+      return started_ms < START_PATIENCE_MS ? START_PATIENCE_MS : self->patience_ms;
+    }
+  return 0;
+}
+
+/* The first instance in rank watches by itself while it reaches the store. */
 static gboolean
-is_own_address (const GgDelegatedWatch *self, const char *address)
+is_own_watch_due (const GgDelegatedWatch *self)
 {
-  return strcmp (address, gg_membership_get_address (self->membership)) == 0;
+  return gg_membership_is_first (self->membership)
+         && gg_config_watcher_is_healthy (self->config_watcher);
+}
+
+static void
+update_sources (GgDelegatedWatch *self)
+{
+  uint64_t revision = gg_membership_get_roster_revision (self->membership);
+  if (revision == self->roster_revision)
+    return;
+  self->roster_revision = revision;
+  const GPtrArray *peers = gg_roster_get_sources (gg_membership_get_roster (self->membership));
+  GPtrArray *addresses = g_ptr_array_new ();
+  for (guint i = 0; i < peers->len; i++)
+    g_ptr_array_add (addresses, ((GgPeer *) g_ptr_array_index (peers, i))->address);
+  gg_source_choice_set_sources (self->choice, addresses);
+  g_ptr_array_unref (addresses);
 }
 
 static void
 update_delegation (GgDelegatedWatch *self)
 {
-  gboolean is_delegated = gg_watch_delegation_is_active (&self->delegation, gg_clock_boot_ms ());
+  uint64_t now_ms = gg_clock_boot_ms ();
+  gboolean is_delegated = gg_source_choice_update (self->choice, now_ms, get_patience_ms (self));
+  is_delegated = is_delegated && !is_own_watch_due (self);
+  if (!is_delegated)
+    gg_membership_refresh (self->membership);
   if (is_delegated == self->is_delegated)
     return;
   self->is_delegated = is_delegated;
+  const char *source = gg_source_choice_get_source (self->choice);
   gg_event_log_add (GG_EVENT_NOTABLE, is_delegated ? "feed_begun" : "feed_ended",
-                    "source=%s words_in_a_row=%u",
-                    self->delegate_address != NULL ? self->delegate_address : "-",
-                    self->delegation.n_valid_reports);
+                    "source=%s rank=%u", source != NULL ? source : "-",
+                    gg_roster_get_rank (gg_membership_get_roster (self->membership)));
   gg_config_watcher_set_delegated (self->config_watcher, is_delegated);
   gg_runner_watcher_set_delegated (self->runner_watcher, is_delegated);
 }
 
-static gboolean
-is_delegate (const GgDelegatedWatch *self)
+gboolean
+gg_delegated_watch_is_source (const GgDelegatedWatch *self)
 {
-  const char *delegate_address = gg_membership_find_delegate (self->membership);
-  return delegate_address != NULL && is_own_address (self, delegate_address)
+  return self != NULL && !self->is_delegated
+         && gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED
          && !self->router->is_stopping && self->router->config_fresh_boot_ms != 0
          && gg_config_watcher_is_healthy (self->config_watcher);
 }
@@ -141,9 +192,10 @@
   gg_watch_message_init (&message, GG_WATCH_MESSAGE_REPORT);
   GgWatchReport *report = &message.report;
   report->number = number;
-  report->status.is_delegate = is_delegate (self);
+  report->status.is_delegate = gg_delegated_watch_is_source (self);
   report->status.age_ms = gg_clock_boot_ms () - self->router->config_fresh_boot_ms;
   report->config_revision = gg_config_watcher_get_revision (self->config_watcher);
+  report->n_instances = self->router->n_instances;
   report->changes_after = known_revision;
   while (!send_part (self, address, &message))
     {
@@ -153,6 +205,41 @@
   gg_watch_message_clear (&message);
 }
 
+static void
+add_peer (GgWatchMessage *message, const GgPeer *peer)
+{
+  if (message->roster.peers->len < GG_WATCH_MESSAGE_MAX_PEERS)
+    g_ptr_array_add (message->roster.peers,
+                     gg_peer_create (peer->name, peer->address, peer->data_centre, peer->capacity));
+}
+
+/* Sends the registered instances that a member of this data centre has to know. */
+static void
+send_roster (const GgDelegatedWatch *self, const char *address)
+{
+  const GgRoster *roster = gg_membership_get_roster (self->membership);
+  const GPtrArray *names = gg_roster_get_data_centres (roster);
+  GgWatchMessage message;
+  char bytes[GG_WATCH_MESSAGE_MAX_BYTES];
+  gg_watch_message_init (&message, GG_WATCH_MESSAGE_ROSTER);
+  message.roster.revision = gg_membership_get_roster_revision (self->membership);
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      const GPtrArray *ranked = gg_roster_get_ranked (roster, name);
+      gboolean is_own = strcmp (name, self->router->data_centre) == 0;
+      guint n_known = is_own ? GG_ROSTER_TARGET + 1 : 1;
+      for (guint k = 0; k < MIN (ranked->len, n_known); k++)
+        add_peer (&message, g_ptr_array_index (ranked, k));
+    }
+  size_t size_bytes = gg_watch_message_encode (&message, bytes, sizeof bytes);
+  if (size_bytes > 0)
+    gg_datagram_socket_send (self->router->peer_socket, address, bytes, size_bytes);
+  else
+    gg_event_log_add (GG_EVENT_NOTABLE, "roster_too_large", "count=%u", message.roster.peers->len);
+  gg_watch_message_clear (&message);
+}
+
 static void
 handle_request (GgDelegatedWatch *self, const GgWatchRequest *request)
 {
@@ -160,41 +247,61 @@
   g_hash_table_replace (self->subscribers, g_strdup (request->reply_address),
                         g_memdup2 (&subscriber, sizeof subscriber));
   send_report (self, request->reply_address, request->number, request->runners_revision);
+  if (gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED
+      && gg_membership_get_roster_revision (self->membership) > request->roster_revision
+      && strcmp (request->data_centre, self->router->data_centre) == 0
+      && !gg_roster_has_address (gg_membership_get_roster (self->membership),
+                                 request->reply_address))
+    send_roster (self, request->reply_address);
 }
 
-/* @return when the request was sent (CLOCK_BOOTTIME), 0 if it is no longer pending. */
-static uint64_t
-complete_request (GgDelegatedWatch *self, uint64_t number)
+static void
+clear_request (PendingRequest *request)
 {
-  PendingRequest *request = &self->pending[number % MAX_PENDING_REQUESTS];
-  if (number == 0 || request->number != number)
-    return 0;
-  request->number = 0;
-  return request->sent_boot_ms;
+  g_free (request->address);
+  *request = (PendingRequest){ 0 };
+}
+
+/* Applies what a source has reported. */
+static void
+apply_report (GgDelegatedWatch *self, const GgWatchReport *report, const char *source)
+{
+  if (report->n_instances > 0 && gg_membership_get_role (self->membership) == GG_ROLE_MEMBER)
+    gg_router_set_instances (self->router, report->n_instances);
+  gg_config_watcher_note_revision (self->config_watcher, report->config_revision, source);
+  uint64_t known_revision = gg_runner_watcher_get_revision (self->runner_watcher);
+  if (known_revision < report->changes_after || known_revision > report->runners_revision)
+    return; /* an earlier datagram was lost, so the next request states the known revision; or this
+             * instance has listed the entries later than the source */
+  if (report->is_listing_needed)
+    gg_runner_watcher_relist (self->runner_watcher, source);
+  else
+    gg_runner_watcher_apply_changes (self->runner_watcher, report->changes,
+                                     report->runners_revision);
 }
 
 static void
 handle_report (GgDelegatedWatch *self, const GgWatchReport *report)
 {
-  uint64_t sent_boot_ms = complete_request (self, report->number);
-  if (sent_boot_ms != 0)
+  PendingRequest *request = &self->pending[report->number % MAX_PENDING_REQUESTS];
+  gboolean is_requested = report->number != 0 && request->number == report->number;
+  char *sender = is_requested ? g_strdup (request->address) : NULL;
+  if (is_requested)
     {
-      gg_watch_delegation_note_status (&self->delegation, &report->status, sent_boot_ms);
+      uint64_t sent_boot_ms = request->sent_boot_ms;
+      gg_source_choice_note_status (self->choice, sender, &report->status, sent_boot_ms,
+                                    gg_clock_boot_ms ());
       gg_config_watcher_note_proof (self->config_watcher, report->config_revision,
                                     gg_watch_status_get_proven_ms (&report->status, sent_boot_ms));
+      clear_request (request);
     }
   update_delegation (self);
-  if (!self->is_delegated || !report->status.is_delegate)
-    return;
-  gg_config_watcher_note_revision (self->config_watcher, report->config_revision);
-  uint64_t known_revision = gg_runner_watcher_get_revision (self->runner_watcher);
-  if (known_revision < report->changes_after)
-    return; /* an earlier datagram was lost; the next request states the known revision */
-  if (report->is_listing_needed)
-    gg_runner_watcher_relist (self->runner_watcher);
-  else
-    gg_runner_watcher_apply_changes (self->runner_watcher, report->changes,
-                                     report->runners_revision);
+  const char *source = gg_source_choice_get_source (self->choice);
+  /* The documents are read from the source, so only its own reports say what it has. */
+  if (self->is_delegated && source != NULL && report->status.is_delegate
+      && (sender == NULL || strcmp (sender, source) == 0))
+    apply_report (self, report, source);
+  g_free (sender);
 }
 
 gboolean
@@ -211,24 +318,32 @@
     case GG_WATCH_MESSAGE_REPORT:
       handle_report (self, &message.report);
       break;
+    case GG_WATCH_MESSAGE_ROSTER:
+      gg_membership_apply_roster (self->membership, message.roster.revision, message.roster.peers);
+      break;
+    case GG_WATCH_MESSAGE_LIST:
+      break; /* only sent as a document */
     }
   gg_watch_message_clear (&message);
   return TRUE;
 }
 
 static void
-send_request (GgDelegatedWatch *self)
+send_request (GgDelegatedWatch *self, const char *address)
 {
   PendingRequest *request = &self->pending[++self->last_number % MAX_PENDING_REQUESTS];
-  *request = (PendingRequest){ self->last_number, gg_clock_boot_ms () };
+  clear_request (request);
+  *request = (PendingRequest){ self->last_number, gg_clock_boot_ms (), g_strdup (address) };
   GgWatchMessage message;
   char bytes[GG_WATCH_MESSAGE_MAX_BYTES];
   gg_watch_message_init (&message, GG_WATCH_MESSAGE_REQUEST);
   message.request.number = request->number;
   message.request.reply_address = g_strdup (gg_membership_get_address (self->membership));
   message.request.runners_revision = gg_runner_watcher_get_revision (self->runner_watcher);
+  message.request.data_centre = g_strdup (self->router->data_centre);
+  message.request.roster_revision = gg_membership_get_roster_revision (self->membership);
   size_t size_bytes = gg_watch_message_encode (&message, bytes, sizeof bytes);
-  gg_datagram_socket_send (self->router->peer_socket, self->delegate_address, bytes, size_bytes);
+  gg_datagram_socket_send (self->router->peer_socket, address, bytes, size_bytes);
   gg_watch_message_clear (&message);
 }
 
@@ -244,35 +359,42 @@
 {
   GgDelegatedWatch *self = data;
   uint64_t now_ms = gg_clock_now_ms ();
-  const char *delegate_address = gg_membership_find_delegate (self->membership);
-  if (g_strcmp0 (delegate_address, self->delegate_address) != 0)
-    {
-      /* The delegation stays as it is: the new delegate must respond by the time by which the old
-       * one would have had to. */
-      memset (self->pending, 0, sizeof self->pending);
-      g_free (self->delegate_address);
-      self->delegate_address = g_strdup (delegate_address);
-    }
-  if (delegate_address == NULL || is_own_address (self, delegate_address))
-    gg_watch_delegation_reset (&self->delegation);
+  const char *polled[GG_SOURCE_CHOICE_MAX_POLLS];
+  update_sources (self);
   update_delegation (self);
-  if (delegate_address != NULL && !is_own_address (self, delegate_address))
-    send_request (self);
+  guint n = is_own_watch_due (self) ? 0 : gg_source_choice_get_polls (self->choice, polled);
+  for (guint i = 0; i < n; i++)
+    send_request (self, polled[i]);
   g_hash_table_foreach_remove (self->subscribers, is_expired_subscriber, &now_ms);
-  gboolean is_starting = !self->is_delegated && self->last_number < N_FIRST_POLLS;
-  gg_loop_timer_start (self->timer, is_starting ? FIRST_POLL_INTERVAL_MS : POLL_INTERVAL_MS);
+  gboolean is_settled
+      = is_own_watch_due (self) || gg_source_choice_get_source (self->choice) != NULL;
+  gg_loop_timer_start (self->timer, is_settled ? POLL_INTERVAL_MS : SEARCH_INTERVAL_MS);
 }
 
 gboolean
 gg_delegated_watch_has_delegate (const GgDelegatedWatch *self)
 {
-  return self != NULL && gg_watch_delegation_has_delegate (&self->delegation, gg_clock_boot_ms ());
+  return self != NULL && gg_source_choice_has_responding (self->choice, gg_clock_boot_ms ());
+}
+
+void
+gg_delegated_watch_foreach_member (const GgDelegatedWatch *self,
+                                   void (*func) (void *data, const char *address),
+                                   void *data)
+{
+  const GgRoster *roster = gg_membership_get_roster (self->membership);
+  GHashTableIter iter;
+  void *address;
+  g_hash_table_iter_init (&iter, self->subscribers);
+  while (g_hash_table_iter_next (&iter, &address, NULL))
+    if (!gg_roster_has_address (roster, address))
+      func (data, address);
 }
 
 void
 gg_delegated_watch_notify (GgDelegatedWatch *self)
 {
-  if (self == NULL || !is_delegate (self))
+  if (!gg_delegated_watch_is_source (self))
     return;
   GHashTableIter iter;
   void *address;
@@ -291,8 +413,13 @@
   self->config_watcher = params->config_watcher;
   self->runner_watcher = params->runner_watcher;
   self->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->started_boot_ms = gg_clock_boot_ms ();
+  self->choice = gg_source_choice_create (self->started_boot_ms);
+  self->patience_ms
+      = MEMBER_PATIENCE_MS + (uint64_t) g_random_int_range (0, MEMBER_PATIENCE_SPREAD_MS);
+  self->is_delegated = TRUE;
   self->timer = gg_loop_timer_create (self->router->loop, on_timer, self);
-  gg_loop_timer_start (self->timer, FIRST_POLL_INTERVAL_MS);
+  gg_loop_timer_start (self->timer, FIRST_TICK_MS);
   return self;
 }
 
@@ -301,6 +428,8 @@
 {
   gg_loop_timer_destroy (self->timer);
   g_hash_table_unref (self->subscribers);
-  g_free (self->delegate_address);
+  for (guint i = 0; i < MAX_PENDING_REQUESTS; i++)
+    clear_request (&self->pending[i]);
+  gg_source_choice_destroy (self->choice);
   g_free (self);
 }
--- a/src/daemons/routerd/delegated_watch.h
+++ b/src/daemons/routerd/delegated_watch.h
@@ -1,8 +1,8 @@
 /** @file
- * Delegation of the store's watches: one instance of each data centre, the delegate, watches the
- * store for the others. They poll it several times a second, and it reports changes to them at
- * once. An instance that receives no valid report from its delegate watches by itself, as every
- * instance does at its start. */
+ * Delegation of the store's watches: one registered instance of each data centre, the first in rank
+ * that reaches the store, watches it for the others. They poll it several times a second, and it
+ * reports changes to them at once. If it fails, another registered instance takes its place. An
+ * instance that finds no such source watches by itself. */
 #pragma once
 
 #include "daemons/routerd/config_watcher.h"
@@ -13,7 +13,7 @@
 typedef struct
 {
   GgRouter *router;
-  const GgMembership *membership;
+  GgMembership *membership;
   GgConfigWatcher *config_watcher;
   GgRunnerWatcher *runner_watcher;
 } GgDelegatedWatchParams;
@@ -29,9 +29,18 @@
  * @return FALSE if it is no watch message. */
 gboolean gg_delegated_watch_receive (GgDelegatedWatch *self, char *bytes, size_t size_bytes);
 
-/** Whether the delegate of this instance's data centre is another instance and responds, whether or
- * not that one reaches the store; NULL is allowed. */
+/** Whether another instance that could watch for this one responds, whether or not it reaches the
+ * store; NULL is allowed. */
 gboolean gg_delegated_watch_has_delegate (const GgDelegatedWatch *self);
 
+/** Whether this instance watches the store by itself and others may rely on it. */
+gboolean gg_delegated_watch_is_source (const GgDelegatedWatch *self);
+
 /** Reports changes to the instances that rely on this one; NULL is allowed. */
 void gg_delegated_watch_notify (GgDelegatedWatch *self);
+
+/** Calls @p func with the address of each instance that relies on this one and is not
+ * registered. */
+void gg_delegated_watch_foreach_member (const GgDelegatedWatch *self,
+                                        void (*func) (void *data, const char *address),
+                                        void *data);
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -3,6 +3,7 @@
 #include "adapters/rpc/load_report.h"
 #include "base/clock.h"
 #include "core/peer_load.h"
+#include "daemons/routerd/delegated_watch.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,24 +14,29 @@
 /* Reports go to other data centres in every third round only: traffic between data centres is
  * expensive, and requests mostly stay in the data centre in which they arrive. */
 #define REMOTE_ROUNDS 3
-/* Up to this number of peers in other data centres receive reports directly. With direct reports
- * the traffic grows with the square of the number of instances, so with more peers the delegates
- * exchange sums instead. */
+/* Up to this number of registered peers in other data centres receive reports directly, if all
+ * instances of this data centre are registered. Otherwise the sources exchange sums, so that the
+ * traffic does not grow with the square of the number of instances. */
 #define MAX_DIRECT_REMOTE_PEERS 16
+/* An instance without load reports in every so many rounds that it is there. */
+#define IDLE_ROUNDS 4
+/* While two instances compute the sum of a data centre, the one that was first counts until it has
+ * been silent for this long. */
+#define SUM_TAKEOVER_MS 500
 /* The load of a peer that has sent no report for this long is no longer counted; its requests have
  * ended, or runners refuse requests because of them. */
 #define PEER_LOAD_EXPIRY_MS 2000
-/* Prefixes of the sender's name in reports other than REPORT_OWN. */
+/* Prefixes of the sender's address, or of the data centre, in reports other than REPORT_OWN. */
 #define SUM_PREFIX "sum/"
 #define ORDERS_PREFIX "orders/"
 
 /* Kinds of reports, with their receivers. */
 typedef enum
 {
-  REPORT_OWN,    /* load given by this instance, and from the leader the assigned ranges: all peers
-                  * that get direct reports */
-  REPORT_SUM,    /* load given by its data centre: the delegates of the others */
-  REPORT_ORDERS, /* assigned ranges, sent by the leader: all peers in other data centres */
+  REPORT_OWN,    /* load given by this instance, and from the leader the assigned ranges: the
+                  * registered instances of its data centre, and those of the others if direct */
+  REPORT_SUM,    /* load given by its data centre: the registered instances of the others */
+  REPORT_ORDERS, /* assigned ranges, sent by the leader: all registered instances */
 } ReportKind;
 
 struct _GgLoadExchange
@@ -38,14 +44,18 @@
   GgRouter *router;
   const GgMembership *membership;
   GgLoopTimer *timer;
-  GgPeerLoad *local_load;  /* given by the peers in this data centre */
+  GgPeerLoad *local_load;  /* given by the instances of this data centre, each by its own report */
+  GgPeerLoad *local_sum;   /* the same as a sum, without this instance; for a member */
   GgPeerLoad *remote_load; /* given by the other data centres */
+  GHashTable *n_remote;    /* data centre -> number of its instances, from its sums */
+  gboolean has_members;    /* an instance of this data centre is not registered */
   uint64_t incarnation;
   uint64_t number;
   uint64_t n_rounds;
   /* Hash of a runner that was reported with load -> number of rounds in which it is still to be
    * reported without load; by kind of report. */
   GHashTable *reported[REPORT_SUM + 1];
+  GHashTable *reported_to_members;
 };
 
 static gboolean
@@ -54,24 +64,30 @@
   return strcmp (data_centre, self->router->data_centre) == 0;
 }
 
+static gboolean
+is_member (const GgLoadExchange *self)
+{
+  return gg_membership_get_role (self->membership) != GG_ROLE_REGISTERED;
+}
+
+static gboolean
+is_source (const GgLoadExchange *self)
+{
+  return gg_delegated_watch_is_source (self->router->delegated_watch);
+}
+
 static gboolean
 is_remote_direct (const GgLoadExchange *self)
 {
-  const GPtrArray *peers = gg_membership_get_peers (self->membership);
+  const GPtrArray *peers = gg_roster_get_others (gg_membership_get_roster (self->membership));
   guint n_remote = 0;
+  if (self->has_members || is_member (self))
+    return FALSE;
   for (guint i = 0; i < peers->len; i++)
     n_remote += !is_local (self, ((const GgPeer *) g_ptr_array_index (peers, i))->data_centre);
   return n_remote <= MAX_DIRECT_REMOTE_PEERS;
 }
 
-static gboolean
-is_delegate (const GgLoadExchange *self)
-{
-  return g_strcmp0 (gg_membership_find_delegate (self->membership),
-                    gg_membership_get_address (self->membership))
-         == 0;
-}
-
 static void
 apply_peer_load (GgLoadExchange *self, uint64_t now_ms)
 {
@@ -81,7 +97,8 @@
       GgFleetRunner *runner = gg_fleet_get (fleet, i);
       uint32_t hash = gg_load_report_hash (runner->record.id, runner->record.started_ms);
       GgRunnerLoad remote = gg_peer_load_get (self->remote_load, hash);
-      runner->peers = gg_peer_load_get (self->local_load, hash);
+      runner->peers
+          = gg_peer_load_get (is_member (self) ? self->local_sum : self->local_load, hash);
       gg_runner_load_add (&runner->peers, &remote);
       gg_fleet_runner_note_peer_misses (runner, runner->peers.n_misses, now_ms);
     }
@@ -99,7 +116,7 @@
     }
 }
 
-/* Sends to the peers in this data centre, in the others, or in all. */
+/* Sends to the registered peers in this data centre, in the others, or in all. */
 static void
 send_to_peers (const GgLoadExchange *self,
                const char *bytes,
@@ -107,7 +124,7 @@
                gboolean to_local,
                gboolean to_remote)
 {
-  const GPtrArray *peers = gg_membership_get_peers (self->membership);
+  const GPtrArray *peers = gg_roster_get_others (gg_membership_get_roster (self->membership));
   for (guint i = 0; i < peers->len; i++)
     {
       const GgPeer *peer = g_ptr_array_index (peers, i);
@@ -116,9 +133,48 @@
     }
 }
 
-/* Applies a report. The delegate forwards a sum to the peers in its data centre, except one that is
- * not newer than the known one, so that two instances that both consider themselves the delegate
- * don't send it to each other endlessly. */
+typedef struct
+{
+  const GgLoadExchange *exchange;
+  const char *bytes;
+  size_t size_bytes;
+} Forward;
+
+static void
+forward_to_member (void *data, const char *address)
+{
+  const Forward *forward = data;
+  gg_datagram_socket_send (forward->exchange->router->peer_socket, address, forward->bytes,
+                           forward->size_bytes);
+}
+
+/* Sends a datagram to the members that rely on this instance. */
+static void
+send_to_members (const GgLoadExchange *self, const char *bytes, size_t size_bytes)
+{
+  Forward forward = { self, bytes, size_bytes };
+  gg_delegated_watch_foreach_member (self->router->delegated_watch, forward_to_member, &forward);
+}
+
+/* Returns where a report is counted. */
+static GgPeerLoad *
+find_table (const GgLoadExchange *self, const GgLoadReport *report)
+{
+  if (!is_local (self, report->data_centre))
+    return self->remote_load;
+  return report->is_sum ? self->local_sum : self->local_load;
+}
+
+static void
+note_sender (GgLoadExchange *self, const GgLoadReport *report)
+{
+  if (report->is_sum && !is_local (self, report->data_centre))
+    g_hash_table_insert (self->n_remote, g_strdup (report->data_centre),
+                         GUINT_TO_POINTER (report->n_instances));
+}
+
+/* Applies a report. A source forwards reports from other data centres to its members, except one
+ * that is not newer than the known one, so that none is forwarded endlessly. */
 static void
 apply_report (GgLoadExchange *self,
               const GgLoadReport *report,
@@ -126,10 +182,11 @@
               size_t size_bytes)
 {
   uint64_t now_ms = gg_clock_now_ms ();
-  GgPeerLoad *load = is_local (self, report->data_centre) ? self->local_load : self->remote_load;
+  GgPeerLoad *load = find_table (self, report);
   if (!gg_peer_load_begin_report (load, report->instance, report->incarnation, report->number,
                                   now_ms))
     return;
+  note_sender (self, report);
   for (guint i = 0; i < report->entries->len; i++)
     {
       const GgLoadReportEntry *entry = &g_array_index (report->entries, GgLoadReportEntry, i);
@@ -137,8 +194,9 @@
       if (entry->assigned_range.end_layer > 0)
         apply_assignment (self, entry, now_ms);
     }
-  if (report->is_sum && is_delegate (self))
-    send_to_peers (self, bytes, size_bytes, TRUE, FALSE);
+  gboolean is_order = g_str_has_prefix (report->instance, ORDERS_PREFIX);
+  if ((load == self->remote_load || is_order) && is_source (self))
+    send_to_members (self, bytes, size_bytes);
 }
 
 void
@@ -146,7 +204,7 @@
 {
   GgLoadReport report;
   if (gg_load_report_decode (bytes, size_bytes, &report)
-      && !(report.is_sum && is_local (self, report.data_centre)))
+      && !(report.is_sum && is_local (self, report.data_centre) && !is_member (self)))
     apply_report (self, &report, bytes, size_bytes);
   gg_load_report_clear (&report);
 }
@@ -164,8 +222,6 @@
 send_part (GgLoadExchange *self, GgLoadReport *report, ReportKind kind, gboolean is_remote_due)
 {
   char bytes[GG_LOAD_REPORT_MAX_BYTES];
-  if (report->entries->len == 0)
-    return;
   report->number = ++self->number;
   size_t size_bytes = gg_load_report_encode (report, bytes, sizeof bytes);
   g_assert (size_bytes > 0);
@@ -175,21 +231,42 @@
       send_to_peers (self, bytes, size_bytes, TRUE, is_remote_due && is_remote_direct (self));
       break;
     case REPORT_SUM:
-      {
-        const GPtrArray *delegates = gg_membership_get_remote_delegates (self->membership);
-        for (guint i = 0; i < delegates->len; i++)
-          gg_datagram_socket_send (self->router->peer_socket,
-                                   ((const GgPeer *) g_ptr_array_index (delegates, i))->address,
-                                   bytes, size_bytes);
-        break;
-      }
-    case REPORT_ORDERS:
       send_to_peers (self, bytes, size_bytes, FALSE, TRUE);
       break;
+    case REPORT_ORDERS:
+      send_to_peers (self, bytes, size_bytes, TRUE, TRUE);
+      if (is_source (self))
+        send_to_members (self, bytes, size_bytes);
+      break;
     }
   g_array_set_size (report->entries, 0);
 }
 
+/* Whether a runner is to be reported: with load, or for REMOTE_ROUNDS rounds after that without. */
+static gboolean
+is_due (GHashTable *reported, uint32_t hash, const GgRunnerLoad *load)
+{
+  guint n_left = GPOINTER_TO_UINT (g_hash_table_lookup (reported, GUINT_TO_POINTER (hash)));
+  gboolean has_load = load->n_requests > 0 || load->n_misses > 0;
+  if (!has_load && n_left == 0)
+    return FALSE;
+  n_left = has_load ? REMOTE_ROUNDS : n_left - 1;
+  if (n_left > 0)
+    g_hash_table_insert (reported, GUINT_TO_POINTER (hash), GUINT_TO_POINTER (n_left));
+  else
+    g_hash_table_remove (reported, GUINT_TO_POINTER (hash));
+  return TRUE;
+}
+
+/* Returns the load that this instance has given to a runner, with its misses. */
+static GgRunnerLoad
+get_own_load (const GgFleetRunner *runner)
+{
+  GgRunnerLoad load = runner->own;
+  load.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
+  return load;
+}
+
 /* Fills in the entry of a runner.
  * @return FALSE if there is nothing to report. */
 static gboolean
@@ -206,46 +283,51 @@
     entry_out->assigned_range = runner->assigned_range;
   if (kind == REPORT_ORDERS)
     return is_assigned;
-  entry_out->load = runner->own;
-  entry_out->load.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
+  entry_out->load = get_own_load (runner);
   if (kind == REPORT_SUM)
     {
       GgRunnerLoad local = gg_peer_load_get (self->local_load, hash);
       gg_runner_load_add (&entry_out->load, &local);
     }
-  GHashTable *reported = self->reported[kind];
-  guint n_left = GPOINTER_TO_UINT (g_hash_table_lookup (reported, GUINT_TO_POINTER (hash)));
-  gboolean has_load = entry_out->load.n_requests > 0 || entry_out->load.n_misses > 0;
-  if (!has_load && n_left == 0)
-    return is_assigned;
-  n_left = has_load ? REMOTE_ROUNDS : n_left - 1;
-  if (n_left > 0)
-    g_hash_table_insert (reported, GUINT_TO_POINTER (hash), GUINT_TO_POINTER (n_left));
-  else
-    g_hash_table_remove (reported, GUINT_TO_POINTER (hash));
-  return TRUE;
+  return is_due (self->reported[kind], hash, &entry_out->load) || is_assigned;
+}
+
+/* Returns the number of active instances in this data centre, as far as a registered one knows. */
+static guint
+count_local (const GgLoadExchange *self)
+{
+  return gg_peer_load_count_peers (self->local_load) + 1;
 }
 
-/* Reports each runner that has load, and in the REMOTE_ROUNDS rounds after that the fact that it
- * has none any more. */
 static void
-send_reports (GgLoadExchange *self, ReportKind kind, gboolean is_remote_due)
+init_report (const GgLoadExchange *self, GgLoadReport *report, ReportKind kind)
 {
   static const char *const prefixes[] = { "", SUM_PREFIX, ORDERS_PREFIX };
-  const GgFleet *fleet = self->router->fleet;
   /* A sum has the name of the data centre, whichever instance computes it, so that it replaces the
    * one before. */
-  char *name
-      = g_strconcat (prefixes[kind],
-                     kind == REPORT_SUM ? self->router->data_centre : self->router->instance, NULL);
-  GgLoadReport report;
-  gg_load_report_init (&report);
+  char *name = g_strconcat (prefixes[kind],
+                            kind == REPORT_SUM ? self->router->data_centre
+                                               : gg_membership_get_address (self->membership),
+                            NULL);
+  gg_load_report_init (report);
   /* Allocated with malloc(), as XDR does when it decodes. */
-  report.instance = strdup (name);
-  report.data_centre = strdup (self->router->data_centre);
-  report.is_sum = kind == REPORT_SUM;
-  report.incarnation = self->incarnation;
+  report->instance = strdup (name);
+  report->data_centre = strdup (self->router->data_centre);
+  report->is_sum = kind == REPORT_SUM;
+  report->incarnation = self->incarnation;
+  report->n_instances = kind == REPORT_SUM ? count_local (self) : 1;
   g_free (name);
+}
+
+/* Reports each runner that has load, and in the REMOTE_ROUNDS rounds after that the fact that it
+ * has none any more. */
+static void
+send_reports (GgLoadExchange *self, ReportKind kind, gboolean is_remote_due)
+{
+  const GgFleet *fleet = self->router->fleet;
+  GgLoadReport report;
+  init_report (self, &report, kind);
+  gboolean is_due_idle = kind != REPORT_ORDERS && self->n_rounds % IDLE_ROUNDS == 0;
   for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
     {
       GgLoadReportEntry entry;
@@ -253,12 +335,95 @@
         continue;
       g_array_append_val (report.entries, entry);
       if (report.entries->len == GG_LOAD_REPORT_MAX_ENTRIES)
-        send_part (self, &report, kind, is_remote_due);
+        {
+          send_part (self, &report, kind, is_remote_due);
+          is_due_idle = FALSE;
+        }
     }
-  send_part (self, &report, kind, is_remote_due);
+  if (report.entries->len > 0 || is_due_idle)
+    send_part (self, &report, kind, is_remote_due);
   gg_load_report_clear (&report);
 }
 
+/* The sum for the members: for each the load given by all others of the data centre. */
+typedef struct
+{
+  GgLoadExchange *exchange;
+  GArray *entries; /* GgLoadReportEntry, of all instances together */
+} MemberSum;
+
+static void
+send_member_part (GgLoadExchange *self, const char *address, GgLoadReport *report)
+{
+  char bytes[GG_LOAD_REPORT_MAX_BYTES];
+  report->number = ++self->number;
+  size_t size_bytes = gg_load_report_encode (report, bytes, sizeof bytes);
+  g_assert (size_bytes > 0);
+  gg_datagram_socket_send (self->router->peer_socket, address, bytes, size_bytes);
+  g_array_set_size (report->entries, 0);
+}
+
+static void
+send_sum_to_member (void *data, const char *address)
+{
+  const MemberSum *sum = data;
+  GgLoadExchange *self = sum->exchange;
+  GgLoadReport report;
+  init_report (self, &report, REPORT_SUM);
+  for (guint i = 0; i < sum->entries->len; i++)
+    {
+      GgLoadReportEntry entry = g_array_index (sum->entries, GgLoadReportEntry, i);
+      GgRunnerLoad own = gg_peer_load_get_of (self->local_load, entry.runner_hash, address);
+      gg_runner_load_subtract (&entry.load, &own);
+      g_array_append_val (report.entries, entry);
+      if (report.entries->len == GG_LOAD_REPORT_MAX_ENTRIES)
+        send_member_part (self, address, &report);
+    }
+  if (report.entries->len > 0)
+    send_member_part (self, address, &report);
+  gg_load_report_clear (&report);
+}
+
+static void
+send_sums_to_members (GgLoadExchange *self)
+{
+  const GgFleet *fleet = self->router->fleet;
+  MemberSum sum = { self, g_array_new (FALSE, TRUE, sizeof (GgLoadReportEntry)) };
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      uint32_t hash = gg_load_report_hash (runner->record.id, runner->record.started_ms);
+      GgLoadReportEntry entry = { .runner_hash = hash, .load = get_own_load (runner) };
+      GgRunnerLoad local = gg_peer_load_get (self->local_load, hash);
+      gg_runner_load_add (&entry.load, &local);
+      if (is_due (self->reported_to_members, hash, &entry.load))
+        g_array_append_val (sum.entries, entry);
+    }
+  gg_delegated_watch_foreach_member (self->router->delegated_watch, send_sum_to_member, &sum);
+  g_array_unref (sum.entries);
+}
+
+/* Members learn the number of instances from their source. */
+static void
+update_instances (GgLoadExchange *self)
+{
+  const GgRoster *roster = gg_membership_get_roster (self->membership);
+  const GPtrArray *names = gg_roster_get_data_centres (roster);
+  guint n_registered = gg_roster_get_others (roster)->len + 1;
+  guint n_local = count_local (self);
+  guint n = n_local;
+  const GPtrArray *ranked = gg_roster_get_ranked (roster, self->router->data_centre);
+  self->has_members = ranked != NULL && n_local > ranked->len;
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      guint n_known = GPOINTER_TO_UINT (g_hash_table_lookup (self->n_remote, name));
+      if (!is_local (self, name))
+        n += MAX (gg_roster_get_ranked (roster, name)->len, n_known);
+    }
+  gg_router_set_instances (self->router, MAX (n, n_registered));
+}
+
 static void
 on_timer (void *data)
 {
@@ -266,12 +431,17 @@
   uint64_t now_ms = gg_clock_now_ms ();
   gboolean is_remote_due = self->n_rounds++ % REMOTE_ROUNDS == 0;
   gg_peer_load_expire (self->local_load, now_ms);
+  gg_peer_load_expire (self->local_sum, now_ms);
   gg_peer_load_expire (self->remote_load, now_ms);
   apply_peer_load (self, now_ms);
+  if (gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED)
+    update_instances (self);
   send_reports (self, REPORT_OWN, is_remote_due);
+  if (is_source (self))
+    send_sums_to_members (self);
   if (is_remote_due && !is_remote_direct (self))
     {
-      if (is_delegate (self))
+      if (is_source (self))
         send_reports (self, REPORT_SUM, TRUE);
       if (gg_membership_is_leader (self->membership))
         send_reports (self, REPORT_ORDERS, TRUE);
@@ -286,8 +456,11 @@
   self->router = router;
   self->membership = membership;
   self->incarnation = gg_clock_wall_ms ();
-  self->local_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS);
-  self->remote_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS);
+  self->local_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, 0);
+  self->local_sum = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, SUM_TAKEOVER_MS);
+  self->remote_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, SUM_TAKEOVER_MS);
+  self->n_remote = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->reported_to_members = g_hash_table_new (NULL, NULL);
   for (guint i = 0; i < G_N_ELEMENTS (self->reported); i++)
     self->reported[i] = g_hash_table_new (NULL, NULL);
   self->timer = gg_loop_timer_create (router->loop, on_timer, self);
@@ -300,6 +473,9 @@
 {
   gg_loop_timer_destroy (self->timer);
   gg_peer_load_destroy (self->local_load);
+  gg_peer_load_destroy (self->local_sum);
+  g_hash_table_unref (self->n_remote);
+  g_hash_table_unref (self->reported_to_members);
   gg_peer_load_destroy (self->remote_load);
   for (guint i = 0; i < G_N_ELEMENTS (self->reported); i++)
     g_hash_table_unref (self->reported[i]);
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -4,6 +4,7 @@
 #include "base/event_log.h"
 #include "core/backoff.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Keys in the store that belong to the router. */
@@ -27,29 +28,44 @@
 /* A process that has just started knows the instances that start with it only after it has read the
  * list twice. */
 #define FIRST_CAMPAIGN_DELAY_MS (WATCH_PAUSE_MS + 50)
+/* When the whole system starts, large instances read the list before small ones, and these at
+ * different times, so that the ones that read it late find enough of the others registered. */
+#define LARGE_CAPACITY 250
+#define LARGE_START_SPREAD_MS 100
+#define SMALL_START_DELAY_MS 300
+#define SMALL_START_SPREAD_MS 500
+/* When registered instances are missing, the others register at different times. */
+#define REGISTER_SPREAD_MS 400
+/* Surplus instances leave after this long, at different times. */
+#define SURPLUS_MS 8000
+#define SURPLUS_SPREAD_MS 4000
+/* Pause between two reads of the list by a member that finds no source. */
+#define REFRESH_INTERVAL_MS 2000
+#define THOUSANDTHS 1000.0
 
 struct _GgMembership
 {
   GgRouter *router;
   char *address;
-  char *own_value; /* "IP:PORT DATA_CENTRE" */
+  char *own_value; /* "IP:PORT DATA_CENTRE CAPACITY" */
   char *own_key;
-  uint64_t lease; /* 0 for none */
+  uint32_t capacity; /* in thousandths of a core */
+  uint64_t lease;    /* 0 for none */
   uint64_t lease_ms;
   uint64_t valid_until_boot_ms;
+  GgRole role;
   gboolean is_joined; /* this instance's key is written under the current lease */
   gboolean is_leaving;
   uint64_t fencing_number; /* revision of this process's write of the leader key; 0: not leader */
   uint64_t last_fencing_number; /* highest token with which this process has led */
 
-  GHashTable *instances;       /* key -> GgPeer */
-  GPtrArray *peers;            /* GgPeer of the others, borrowed */
-  const GgPeer *delegate;      /* first instance of this data centre, borrowed; or NULL */
-  GPtrArray *remote_delegates; /* GgPeer: first instance of each other data centre, borrowed */
-  uint64_t leader_revision;    /* of the leader key; 0: no leader */
+  GgRoster *roster;
+  uint64_t leader_revision; /* of the leader key; 0: no leader */
   uint64_t watch_revision;
   gboolean is_listed;
   gboolean has_listed_once; /* the list was read at least once */
+  gboolean is_registering;  /* the list is read in order to register if it is still needed */
+  uint64_t refreshed_ms;
 
   GgStoreCall *lease_call; /* opens, renews or ends the lease, or writes own_key */
   GgStoreCall *watch_call;
@@ -59,36 +75,27 @@
   GgLoopTimer *lease_timer;
   GgLoopTimer *watch_timer;
   GgLoopTimer *campaign_timer;
+  GgLoopTimer *role_timer; /* until this instance registers or leaves as surplus */
 };
 
 static void open_or_renew_lease (void *data);
 static void watch (void *data);
 
-static void
-free_peer (void *data)
-{
-  GgPeer *peer = data;
-  g_free (peer->address);
-  g_free (peer->data_centre);
-  g_free (peer);
-}
-
-/* Decodes the value of an instance's key.
+/* Decodes the key and the value of an instance.
  * @return NULL if it is malformed. */
 static GgPeer *
-decode_peer (GBytes *value)
+decode_peer (const char *key, GBytes *value)
 {
   gsize size = 0;
   const char *bytes = g_bytes_get_data (value, &size);
   char *text = g_strndup (bytes, size);
-  char *space = strchr (text, ' ');
+  char **fields = g_strsplit (text, " ", 3);
   GgPeer *peer = NULL;
-  if (space != NULL)
-    {
-      peer = g_new0 (GgPeer, 1);
-      peer->address = g_strndup (text, (gsize) (space - text));
-      peer->data_centre = g_strdup (space + 1);
-    }
+  if (g_strv_length (fields) >= 2)
+    peer = gg_peer_create (key + strlen (INSTANCE_PREFIX), fields[0], fields[1],
+                           fields[2] != NULL ? (uint32_t) g_ascii_strtoull (fields[2], NULL, 10)
+                                             : 0);
+  g_strfreev (fields);
   g_free (text);
   return peer;
 }
@@ -168,7 +175,7 @@
 {
   GgMembership *self = data;
   self->lease_call = NULL;
-  if (self->is_leaving)
+  if (self->is_leaving || self->role != GG_ROLE_REGISTERED)
     return;
   if (reply->result == GG_STORE_OK)
     {
@@ -194,7 +201,7 @@
 open_or_renew_lease (void *data)
 {
   GgMembership *self = data;
-  if (self->is_leaving)
+  if (self->is_leaving || self->role != GG_ROLE_REGISTERED || self->lease_call != NULL)
     return;
   if (self->router->is_store_unavailable)
     {
@@ -203,7 +210,8 @@
     }
   if (self->lease == 0)
     {
-      uint64_t floor_ms = gg_settings_get_uint (self->router->settings, "store", "lease_floor_ms");
+      uint64_t floor_ms = (uint64_t) ceil (
+          gg_settings_get_decimal (self->router->settings, "store", "lease_floor_ms"));
       self->lease_call
           = gg_store_open_lease (self->router->store, MAX (LEASE_MS, floor_ms), on_opened, self);
     }
@@ -270,64 +278,6 @@
                                       self->lease, on_campaigned, self);
 }
 
-/* Position of this instance among all, ordered by key. */
-static guint
-get_rank (const GgMembership *self)
-{
-  guint rank = 0;
-  GHashTableIter iter;
-  void *key;
-  g_hash_table_iter_init (&iter, self->instances);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (strcmp (key, self->own_key) < 0)
-      rank++;
-  return rank;
-}
-
-/* Finds the first instance of each data centre. */
-static void
-rebuild_delegates (GgMembership *self)
-{
-  GHashTable *firsts = g_hash_table_new (g_str_hash, g_str_equal); /* data centre -> key */
-  GHashTableIter iter;
-  void *key;
-  void *value;
-  g_hash_table_iter_init (&iter, self->instances);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const char *first = g_hash_table_lookup (firsts, ((const GgPeer *) value)->data_centre);
-      if (first == NULL || strcmp (key, first) < 0)
-        g_hash_table_insert (firsts, ((GgPeer *) value)->data_centre, key);
-    }
-  self->delegate = NULL;
-  g_ptr_array_set_size (self->remote_delegates, 0);
-  g_hash_table_iter_init (&iter, firsts);
-  while (g_hash_table_iter_next (&iter, NULL, &key))
-    {
-      GgPeer *peer = g_hash_table_lookup (self->instances, key);
-      if (strcmp (peer->data_centre, self->router->data_centre) == 0)
-        self->delegate = peer;
-      else
-        g_ptr_array_add (self->remote_delegates, peer);
-    }
-  g_hash_table_unref (firsts);
-}
-
-static void
-rebuild_peers (GgMembership *self)
-{
-  g_ptr_array_set_size (self->peers, 0);
-  GHashTableIter iter;
-  void *key;
-  void *peer;
-  g_hash_table_iter_init (&iter, self->instances);
-  while (g_hash_table_iter_next (&iter, &key, &peer))
-    if (strcmp (key, self->own_key) != 0)
-      g_ptr_array_add (self->peers, peer);
-  rebuild_delegates (self);
-  gg_router_set_instances (self->router, self->peers->len + 1);
-}
-
 static void
 apply_leader (GgMembership *self, const GgStoreItem *item)
 {
@@ -354,15 +304,117 @@
   else if (!g_str_has_prefix (item->key, INSTANCE_PREFIX))
     return;
   else if (item->value == NULL)
-    g_hash_table_remove (self->instances, item->key);
+    gg_roster_remove (self->roster, item->key + strlen (INSTANCE_PREFIX));
   else
     {
-      GgPeer *peer = decode_peer (item->value);
+      GgPeer *peer = decode_peer (item->key, item->value);
       if (peer != NULL)
-        g_hash_table_insert (self->instances, g_strdup (item->key), peer);
+        gg_roster_put (self->roster, peer);
     }
 }
 
+static void
+become (GgMembership *self, GgRole role, const char *reason)
+{
+  if (self->role == role)
+    return;
+  self->role = role;
+  self->router->is_registered = role == GG_ROLE_REGISTERED;
+  gg_event_log_add (GG_EVENT_NOTABLE, "role_changed", "role=%s reason=%s rank=%u",
+                    role == GG_ROLE_REGISTERED ? "registered" : "member", reason,
+                    gg_roster_get_rank (self->roster));
+}
+
+static void
+register_self (GgMembership *self, const char *reason)
+{
+  become (self, GG_ROLE_REGISTERED, reason);
+  open_or_renew_lease (self);
+}
+
+/* Ends the registration of this instance, which others have made needless. */
+static void
+unregister (GgMembership *self)
+{
+  become (self, GG_ROLE_MEMBER, "surplus");
+  gg_loop_timer_stop (self->lease_timer);
+  gg_loop_timer_stop (self->watch_timer);
+  gg_loop_timer_stop (self->campaign_timer);
+  gg_store_call_cancel (self->lease_call);
+  gg_store_call_cancel (self->watch_call);
+  self->watch_call = NULL;
+  self->lease_call = gg_store_end_lease (self->router->store, self->lease, on_renewed, self);
+  drop_lease (self, "surplus");
+}
+
+static void
+on_role_timer (void *data)
+{
+  GgMembership *self = data;
+  if (self->is_leaving)
+    return;
+  if (self->role == GG_ROLE_REGISTERED)
+    {
+      if (gg_roster_is_surplus (self->roster) && self->lease != 0
+          && !gg_membership_is_leader (self))
+        unregister (self);
+      return;
+    }
+  if (self->watch_call != NULL || !gg_roster_is_needed (self->roster))
+    return;
+  self->is_registering = TRUE;
+  self->is_listed = FALSE;
+  watch (self);
+}
+
+/* Decides whether to register or to leave, now that the roster has changed. */
+static void
+update_role (GgMembership *self)
+{
+  if (self->is_leaving)
+    return;
+  if (self->role == GG_ROLE_REGISTERED)
+    {
+      if (gg_roster_is_surplus (self->roster))
+        gg_loop_timer_start (self->role_timer,
+                             SURPLUS_MS + (uint64_t) g_random_int_range (0, SURPLUS_SPREAD_MS));
+      else
+        gg_loop_timer_stop (self->role_timer);
+      return;
+    }
+  if (gg_roster_is_needed (self->roster))
+    gg_loop_timer_start (self->role_timer, (uint64_t) g_random_int_range (0, REGISTER_SPREAD_MS));
+  else
+    gg_loop_timer_stop (self->role_timer);
+}
+
+/* The first read decides the role. An instance whose earlier process was registered, or that starts
+ * together with the whole system and is needed, registers at once. */
+static void
+choose_first_role (GgMembership *self)
+{
+  gboolean is_needed = gg_roster_is_needed (self->roster);
+  gboolean was_registered = gg_roster_get_rank (self->roster) < GG_ROSTER_TARGET
+                            && gg_roster_has_name (self->roster, self->router->instance);
+  gboolean is_first_start
+      = gg_settings_get_boolean (self->router->settings, "instance", "first_start");
+  if (is_needed && (was_registered || is_first_start || self->is_registering))
+    register_self (self, was_registered ? "restart" : "needed");
+  else
+    become (self, GG_ROLE_MEMBER, "start");
+}
+
+static void
+on_list_read (GgMembership *self)
+{
+  if (self->role == GG_ROLE_UNKNOWN)
+    choose_first_role (self);
+  else if (self->role == GG_ROLE_MEMBER && self->is_registering
+           && gg_roster_is_needed (self->roster))
+    register_self (self, "needed");
+  self->is_registering = FALSE;
+}
+
 static void
 on_watched (void *data, const GgStoreReply *reply)
 {
@@ -376,25 +428,36 @@
     }
   if (reply->result != GG_STORE_OK)
     {
-      gg_loop_timer_start (self->watch_timer,
-                           gg_backoff_next_ms (&self->watch_backoff, g_random_int ()));
+      if (self->is_registering)
+        gg_loop_timer_start (self->role_timer, REFRESH_INTERVAL_MS);
+      self->is_registering = FALSE;
+      /* A member reads the list again when it still finds no source. */
+      if (self->role != GG_ROLE_MEMBER)
+        gg_loop_timer_start (self->watch_timer,
+                             gg_backoff_next_ms (&self->watch_backoff, g_random_int ()));
       return;
     }
   gg_backoff_reset (&self->watch_backoff);
   if (!self->is_listed)
     {
-      g_hash_table_remove_all (self->instances);
+      gg_roster_clear (self->roster);
       self->leader_revision = 0;
     }
   for (guint i = 0; i < reply->items->len; i++)
     apply_item (self, g_ptr_array_index (reply->items, i));
+  gboolean was_listed = self->is_listed;
   self->is_listed = TRUE;
   self->watch_revision = reply->revision;
-  rebuild_peers (self);
+  if (!was_listed)
+    on_list_read (self);
+  update_role (self);
+  if (self->role != GG_ROLE_REGISTERED)
+    return;
   if (self->leader_revision == 0)
     gg_loop_timer_start (self->campaign_timer,
                          (self->has_listed_once ? CAMPAIGN_DELAY_MS : FIRST_CAMPAIGN_DELAY_MS)
-                             + (uint64_t) get_rank (self) * CAMPAIGN_STEP_MS);
+                             + (uint64_t) gg_roster_get_overall_rank (self->roster)
+                                   * CAMPAIGN_STEP_MS);
   self->has_listed_once = TRUE;
   gg_loop_timer_start (self->watch_timer, reply->items->len > 0 ? WATCH_PAUSE_MS : 0);
 }
@@ -418,22 +481,71 @@
   return self->address;
 }
 
-const char *
-gg_membership_find_delegate (const GgMembership *self)
+GgRole
+gg_membership_get_role (const GgMembership *self)
 {
-  return self->delegate != NULL ? self->delegate->address : NULL;
+  return self->role;
 }
 
-const GPtrArray *
-gg_membership_get_remote_delegates (const GgMembership *self)
+gboolean
+gg_membership_is_first (const GgMembership *self)
+{
+  return self->role == GG_ROLE_REGISTERED && self->is_joined
+         && gg_roster_get_rank (self->roster) == 0
+         && gg_roster_has_name (self->roster, self->router->instance);
+}
+
+const GgRoster *
+gg_membership_get_roster (const GgMembership *self)
+{
+  return self->roster;
+}
+
+uint64_t
+gg_membership_get_roster_revision (const GgMembership *self)
+{
+  return self->is_listed ? self->watch_revision : 0;
+}
+
+void
+gg_membership_apply_roster (GgMembership *self, uint64_t revision, const GPtrArray *peers)
 {
-  return self->remote_delegates;
+  if (self->role != GG_ROLE_MEMBER || self->watch_call != NULL
+      || (self->is_listed && revision <= self->watch_revision))
+    return;
+  gg_roster_clear (self->roster);
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const GgPeer *peer = g_ptr_array_index (peers, i);
+      gg_roster_put (self->roster,
+                     gg_peer_create (peer->name, peer->address, peer->data_centre, peer->capacity));
+    }
+  self->is_listed = TRUE;
+  self->watch_revision = revision;
+  update_role (self);
+}
+
+void
+gg_membership_refresh (GgMembership *self)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  if (self->role != GG_ROLE_MEMBER || self->watch_call != NULL
+      || now_ms < self->refreshed_ms + REFRESH_INTERVAL_MS || self->router->is_store_unavailable)
+    return;
+  self->refreshed_ms = now_ms;
+  self->is_listed = FALSE;
+  watch (self);
 }
 
-const GPtrArray *
-gg_membership_get_peers (const GgMembership *self)
+/* Returns how long this instance waits before it reads the list for the first time. */
+static uint64_t
+get_start_delay_ms (const GgMembership *self)
 {
-  return self->peers;
+  if (!gg_settings_get_boolean (self->router->settings, "instance", "first_start"))
+    return 0;
+  if (self->capacity >= LARGE_CAPACITY)
+    return (uint64_t) g_random_int_range (0, LARGE_START_SPREAD_MS);
+  return SMALL_START_DELAY_MS + (uint64_t) g_random_int_range (0, SMALL_START_SPREAD_MS);
 }
 
 GgMembership *
@@ -442,18 +554,22 @@
   GgMembership *self = g_new0 (GgMembership, 1);
   self->router = router;
   self->address = g_strdup (peer_address);
-  self->own_value = g_strdup_printf ("%s %s", peer_address, router->data_centre);
+  self->capacity
+      = (uint32_t) (gg_settings_get_decimal (router->settings, "instance", "processor_share")
+                    * THOUSANDTHS);
+  self->own_value = g_strdup_printf ("%s %s %u", peer_address, router->data_centre, self->capacity);
   self->own_key = g_strconcat (INSTANCE_PREFIX, router->instance, NULL);
-  self->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_peer);
-  self->peers = g_ptr_array_new ();
-  self->remote_delegates = g_ptr_array_new ();
+  GgPeer *own
+      = gg_peer_create (router->instance, peer_address, router->data_centre, self->capacity);
+  self->roster = gg_roster_create (own);
+  gg_peer_destroy (own);
   self->lease_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->watch_backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->lease_timer = gg_loop_timer_create (router->loop, open_or_renew_lease, self);
   self->watch_timer = gg_loop_timer_create (router->loop, watch, self);
   self->campaign_timer = gg_loop_timer_create (router->loop, campaign, self);
-  open_or_renew_lease (self);
-  watch (self);
+  self->role_timer = gg_loop_timer_create (router->loop, on_role_timer, self);
+  gg_loop_timer_start (self->watch_timer, get_start_delay_ms (self));
   return self;
 }
 
@@ -462,6 +578,7 @@
 {
   self->is_leaving = TRUE;
   gg_loop_timer_stop (self->lease_timer);
+  gg_loop_timer_stop (self->role_timer);
   gg_store_call_cancel (self->lease_call);
   self->lease_call = NULL;
   if (self->lease != 0)
@@ -478,9 +595,8 @@
   gg_loop_timer_destroy (self->lease_timer);
   gg_loop_timer_destroy (self->watch_timer);
   gg_loop_timer_destroy (self->campaign_timer);
-  g_hash_table_unref (self->instances);
-  g_ptr_array_unref (self->peers);
-  g_ptr_array_unref (self->remote_delegates);
+  gg_loop_timer_destroy (self->role_timer);
+  gg_roster_destroy (self->roster);
   g_free (self->address);
   g_free (self->own_key);
   g_free (self->own_value);
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -1,12 +1,22 @@
 /** @file
- * The active instances and the leader among them, which alone sends orders to runners. Both are
- * keys in the store under a lease of this process. */
+ * The registered instances and the leader among them, which alone sends orders to runners. A
+ * registered instance has a key in the store under a lease of its process; a few in each data
+ * centre register (see core/roster.h), the others learn of them from their source. */
 #pragma once
 
+#include "core/roster.h"
 #include "daemons/routerd/router.h"
 
 typedef struct _GgMembership GgMembership;
 
+/** What this instance is to the others. */
+typedef enum
+{
+  GG_ROLE_UNKNOWN,    /**< The store was not read yet. */
+  GG_ROLE_MEMBER,     /**< Not registered; relies on registered ones. */
+  GG_ROLE_REGISTERED, /**< Registered, or about to be. */
+} GgRole;
+
 /** @param peer_address address at which this instance receives datagrams of its peers. */
 GgMembership *gg_membership_create (GgRouter *router, const char *peer_address);
 void gg_membership_destroy (GgMembership *self);
@@ -25,23 +35,26 @@
 /** Resigns from leading, since a runner has seen a higher fencing token. */
 void gg_membership_resign (GgMembership *self);
 
-/** Another active instance. */
-typedef struct
-{
-  char *address; /**< At which it receives datagrams of its peers. */
-  char *data_centre;
-} GgPeer;
-
 /** Returns the address at which this instance receives datagrams of its peers. */
 const char *gg_membership_get_address (const GgMembership *self);
 
-/** Returns the address of the delegate that is to watch the store for this instance's data centre,
- * which may be its own; NULL while no instance is known. Instances that know the same peers find
- * the same one. */
-const char *gg_membership_find_delegate (const GgMembership *self);
+GgRole gg_membership_get_role (const GgMembership *self);
+
+/** Whether this instance is registered and ranks first in its data centre, so that it is to watch
+ * the store for the others. */
+gboolean gg_membership_is_first (const GgMembership *self);
+
+/** Returns the known registered instances: all for a registered instance; those of its data centre
+ * and the first one of each other data centre for a member. */
+const GgRoster *gg_membership_get_roster (const GgMembership *self);
+
+/** Returns the store's revision up to which the roster is known; 0 while it is not known. */
+uint64_t gg_membership_get_roster_revision (const GgMembership *self);
 
-/** The delegates of the other data centres: GgPeer, valid until the next change. */
-const GPtrArray *gg_membership_get_remote_delegates (const GgMembership *self);
+/** Applies a roster that a registered instance has sent.
+ * @param peers GgPeer, copied. */
+void gg_membership_apply_roster (GgMembership *self, uint64_t revision, const GPtrArray *peers);
 
-/** The other active instances: GgPeer, valid until the next change. */
-const GPtrArray *gg_membership_get_peers (const GgMembership *self);
+/** Reads the registered instances from the store again, since those that a member knows don't
+ * respond; called as often as wanted. */
+void gg_membership_refresh (GgMembership *self);
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -45,6 +45,7 @@
   GgDatagramSocket *peer_socket;     /**< To and from the other instances. */
   GgLoopServer *caller_server;
   gboolean has_runner_list; /**< The runners have been listed at least once. */
+  gboolean is_registered;   /**< This instance is registered in the store, or is about to be. */
   gboolean is_stopping;     /**< No longer ready; requests that still arrive are served. */
   gboolean is_refusing;     /**< Too late in the stop for a new request to be completed. */
 } GgRouter;
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -13,6 +13,7 @@
 #include "daemons/routerd/delegated_watch.h"
 #include "daemons/routerd/request_queue.h"
 #include "daemons/routerd/load_exchange.h"
+#include "daemons/routerd/peer_documents.h"
 #include "ports/relay_wire.h"
 
 #include <malloc.h>
@@ -51,6 +52,7 @@
   GgRunnerWatcher *runner_watcher;
   GgMembership *membership;
   GgLoadExchange *load_exchange;
+  GgPeerDocumentServer *peer_document_server;
   GgPlacementController *placement_controller;
   GgLoopTimer *log_timer;
   GgLoopTimer *stop_timer;
@@ -192,7 +194,7 @@
   router->stall_detector = gg_stall_detector_create (router);
   if (gg_settings_get_boolean (self->settings, "keys", "strict"))
     {
-      uint64_t revoke_ms = gg_settings_get_uint (self->settings, "keys", "revoke_ms");
+      uint64_t revoke_ms = (uint64_t) gg_settings_get_decimal (self->settings, "keys", "revoke_ms");
       router->key_age_limit_ms
           = revoke_ms > 2 * KEY_MARGIN_MS ? revoke_ms - KEY_MARGIN_MS : revoke_ms / 2;
     }
@@ -245,6 +247,10 @@
     return FALSE;
   self->config_watcher = gg_config_watcher_create (router);
   self->runner_watcher = gg_runner_watcher_create (router);
+  self->peer_document_server = gg_peer_document_server_create (
+      router, self->config_watcher, self->runner_watcher, peer_address, error);
+  if (self->peer_document_server == NULL)
+    return FALSE;
   self->membership = gg_membership_create (router, peer_address);
   self->load_exchange = gg_load_exchange_create (router, self->membership);
   const GgDelegatedWatchParams watch = { .router = router,
@@ -270,6 +276,7 @@
   gg_loop_server_destroy (router->caller_server);
   gg_loop_server_destroy (self->ready_server);
   gg_loop_server_destroy (self->metrics_server);
+  gg_peer_document_server_destroy (self->peer_document_server);
   gg_datagram_socket_destroy (router->peer_socket);
   gg_placement_controller_destroy (self->placement_controller);
   gg_delegated_watch_destroy (router->delegated_watch);
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -1,10 +1,12 @@
 #include "daemons/routerd/runner_watcher.h"
 
+#include "adapters/rpc/watch_message.h"
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
 #include "core/outage_grace.h"
 #include "daemons/routerd/delegated_watch.h"
+#include "daemons/routerd/peer_documents.h"
 #include "ports/directory.h"
 
 #include <string.h>
@@ -16,17 +18,24 @@
 #define WATCH_PAUSE_MS 500
 #define RETRY_MS 100
 #define RETRY_MAX_MS 1500
+/* After the end of a delegation the watch begins this much later: by then the configuration's
+ * watcher has found out whether this instance reaches the store. */
+#define TAKEOVER_DELAY_MS 150
+#define STATUS_OK 200
 
 struct _GgRunnerWatcher
 {
   GgRouter *router;
   GgStoreCall *call;
+  GgLoopFetch *fetch; /* of the document of a source; NULL for none */
   GgLoopTimer *timer;
   uint64_t revision;
   gboolean is_listed;      /* all pages were read; changes are watched from then on */
   GHashTable *listed_ids;  /* ids of the pages read so far */
   char *last_key;          /* of the last page */
   uint64_t first_revision; /* of the first page: the watch returns later changes */
+  gboolean is_started;     /* the list was requested */
+  gboolean has_news;       /* something has changed since the last report to other instances */
   gboolean is_store_lost;
   gboolean is_delegated;    /* a delegate watches */
   GgRunnerChanges *changes; /* since the last listing */
@@ -53,6 +62,7 @@
   char *id = g_strdup (record->id);
   g_hash_table_remove (self->retained_ids, id);
   gboolean is_changed = gg_fleet_put (self->router->fleet, record);
+  self->has_news |= is_changed;
   const GgRunnerRecord *known = &gg_fleet_find (self->router->fleet, id)->record;
   if (is_changed)
     gg_event_log_add (
@@ -119,6 +129,7 @@
 static void
 handle_missing_entry (GgRunnerWatcher *self, const char *id, uint64_t revision)
 {
+  self->has_news = TRUE;
   retain_or_remove_runner (self, id, revision);
   gg_runner_changes_remove (self->changes, get_change_revision (self, revision), id,
                             gg_clock_now_ms ());
@@ -149,6 +160,22 @@
     }
 }
 
+/* Completes a list of which all entries were applied. */
+static void
+end_list (GgRunnerWatcher *self, const char *origin)
+{
+  handle_unlisted (self);
+  g_hash_table_remove_all (self->listed_ids);
+  if (self->revision == 0)
+    gg_runner_changes_reset (self->changes, self->first_revision);
+  self->revision = self->first_revision;
+  self->is_listed = TRUE;
+  self->router->has_runner_list = TRUE;
+  gg_event_log_add (GG_EVENT_NOTABLE, "runners_listed",
+                    "count=%u revision=%" G_GUINT64_FORMAT " origin=%s",
+                    gg_fleet_get_size (self->router->fleet), (guint64) self->revision, origin);
+}
+
 static void
 end_page (GgRunnerWatcher *self, const GgStoreReply *reply)
 {
@@ -159,15 +186,7 @@
       self->last_key = g_strdup (last->key);
       return;
     }
-  handle_unlisted (self);
-  g_hash_table_remove_all (self->listed_ids);
-  if (self->revision == 0)
-    gg_runner_changes_reset (self->changes, self->first_revision);
-  self->revision = self->first_revision;
-  self->is_listed = TRUE;
-  self->router->has_runner_list = TRUE;
-  gg_event_log_add (GG_EVENT_NOTABLE, "runners_listed", "count=%u revision=%" G_GUINT64_FORMAT,
-                    gg_fleet_get_size (self->router->fleet), (guint64) self->revision);
+  end_list (self, "store");
 }
 
 static void
@@ -182,6 +201,7 @@
 static void
 start_listing (GgRunnerWatcher *self)
 {
+  self->is_started = TRUE;
   self->is_listed = FALSE;
   self->first_revision = 0;
   g_hash_table_remove_all (self->listed_ids);
@@ -208,7 +228,9 @@
       if (self->is_listed)
         {
           self->revision = reply->revision;
-          gg_delegated_watch_notify (self->router->delegated_watch);
+          if (self->has_news)
+            gg_delegated_watch_notify (self->router->delegated_watch);
+          self->has_news = FALSE;
           gg_loop_timer_start (self->timer, reply->items->len > 0 ? WATCH_PAUSE_MS : 0);
           return;
         }
@@ -253,23 +275,105 @@
     send_call (self);
 }
 
-void
-gg_runner_watcher_relist (GgRunnerWatcher *self)
+static void
+list_from_store (GgRunnerWatcher *self)
 {
-  if (!self->is_delegated || !self->is_listed)
+  if (self->call != NULL)
     return;
   start_listing (self);
   send_call (self);
 }
 
+/* Applies the list of a source.
+ * @return FALSE if it is damaged or older than what is known. */
+static gboolean
+apply_document (GgRunnerWatcher *self, const char *bytes, size_t size_bytes)
+{
+  GgWatchMessage message;
+  char *copy = g_memdup2 (bytes, size_bytes);
+  gboolean is_valid = gg_watch_message_decode (copy, size_bytes, &message);
+  g_free (copy);
+  if (!is_valid)
+    return FALSE;
+  gboolean is_new
+      = message.kind == GG_WATCH_MESSAGE_LIST && message.report.runners_revision >= self->revision;
+  if (is_new)
+    {
+      start_listing (self);
+      self->first_revision = message.report.runners_revision;
+      for (guint i = 0; i < message.report.changes->len; i++)
+        {
+          GgRunnerRecord record;
+          gg_runner_record_copy (&record,
+                                 &g_array_index (message.report.changes, GgRunnerChange, i).record);
+          g_hash_table_add (self->listed_ids, g_strdup (record.id));
+          put_runner (self, &record, self->first_revision);
+        }
+      end_list (self, "source");
+    }
+  gg_watch_message_clear (&message);
+  return is_new;
+}
+
+static void
+on_fetched (void *data, const GgFetchResult *result)
+{
+  GgRunnerWatcher *self = data;
+  self->fetch = NULL;
+  if (result->end == GG_FETCH_ANSWERED && result->status == STATUS_OK
+      && apply_document (self, result->body, result->body_bytes))
+    return;
+  gg_event_log_add (GG_EVENT_NOTABLE, "document_not_read", "document=runners end=%d status=%u",
+                    result->end, result->end == GG_FETCH_ANSWERED ? result->status : 0);
+  list_from_store (self);
+}
+
+void
+gg_runner_watcher_relist (GgRunnerWatcher *self, const char *source)
+{
+  if (!self->is_delegated || self->call != NULL || self->fetch != NULL)
+    return;
+  self->fetch
+      = gg_peer_document_fetch (self->router, source, GG_PEER_DOCUMENT_RUNNERS, on_fetched, self);
+}
+
+GByteArray *
+gg_runner_watcher_build_document (const GgRunnerWatcher *self)
+{
+  if (!self->is_listed)
+    return NULL;
+  GgWatchMessage message;
+  const GgFleet *fleet = self->router->fleet;
+  gg_watch_message_init (&message, GG_WATCH_MESSAGE_LIST);
+  message.report.runners_revision = self->revision;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgRunnerRecord *record = &gg_fleet_get (fleet, i)->record;
+      GgRunnerChange change = { .revision = self->revision };
+      if (g_hash_table_contains (self->retained_ids, record->id))
+        continue;
+      gg_runner_record_copy (&change.record, record);
+      g_array_append_val (message.report.changes, change);
+    }
+  GByteArray *document = gg_watch_message_encode_document (&message);
+  gg_watch_message_clear (&message);
+  return document;
+}
+
 void
 gg_runner_watcher_set_delegated (GgRunnerWatcher *self, gboolean is_delegated)
 {
   self->is_delegated = is_delegated;
+  if (!is_delegated && !self->is_started)
+    {
+      gg_loop_fetch_cancel (self->fetch);
+      self->fetch = NULL;
+      list_from_store (self);
+    }
   if (!self->is_listed)
     return; /* a listing is always completed */
   if (!is_delegated)
-    gg_loop_timer_start (self->timer, 0);
+    gg_loop_timer_start (self->timer, TAKEOVER_DELAY_MS);
   else
     {
       gg_store_call_cancel (self->call);
@@ -327,8 +431,8 @@
   self->retained_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->changes = gg_runner_changes_create ();
   self->retained_timer = gg_loop_timer_create (router->loop, on_grace_ended, self);
-  start_listing (self);
-  send_call (self);
+  self->last_key = g_strdup ("");
+  self->is_delegated = TRUE;
   return self;
 }
 
@@ -336,6 +440,7 @@
 gg_runner_watcher_destroy (GgRunnerWatcher *self)
 {
   gg_store_call_cancel (self->call);
+  gg_loop_fetch_cancel (self->fetch);
   gg_loop_timer_destroy (self->timer);
   gg_loop_timer_destroy (self->retained_timer);
   gg_runner_changes_destroy (self->changes);
--- a/src/daemons/routerd/runner_watcher.h
+++ b/src/daemons/routerd/runner_watcher.h
@@ -24,5 +24,11 @@
 void
 gg_runner_watcher_apply_changes (GgRunnerWatcher *self, const GArray *changes, uint64_t revision);
 
-/** Lists all entries again, since changes were missed. Ignored unless the watch is delegated. */
-void gg_runner_watcher_relist (GgRunnerWatcher *self);
+/** Reads all entries again, since changes were missed: from the source, or from the store if that
+ * fails. Ignored unless the watch is delegated.
+ * @param source address of the source. */
+void gg_runner_watcher_relist (GgRunnerWatcher *self, const char *source);
+
+/** Returns the list of runners as a document for other instances, owned by the caller; NULL while
+ * it is not known. */
+GByteArray *gg_runner_watcher_build_document (const GgRunnerWatcher *self);
--- a/tests/adapters/test_watch_message.c
+++ b/tests/adapters/test_watch_message.c
@@ -74,7 +74,7 @@
   GgWatchMessage sent;
   GgWatchMessage got;
   gg_watch_message_init (&sent, GG_WATCH_MESSAGE_REQUEST);
-  sent.request = (GgWatchRequest){ 3, g_strdup ("10.0.0.9:7000"), 99 };
+  sent.request = (GgWatchRequest){ 3, g_strdup ("10.0.0.9:7000"), 99, g_strdup ("karongi"), 12 };
   size_t n = gg_watch_message_encode (&sent, bytes, sizeof bytes);
   CU_ASSERT_TRUE_FATAL (gg_watch_message_decode (bytes, n, &got));
   CU_ASSERT_STRING_EQUAL (got.request.reply_address, "10.0.0.9:7000");
@@ -95,6 +95,52 @@
   gg_watch_message_clear (&message);
 }
 
+/* The instances that a member has to know. */
+static void
+test_roster (void)
+{
+  char bytes[GG_WATCH_MESSAGE_MAX_BYTES];
+  GgWatchMessage message;
+  GgWatchMessage got;
+  gg_watch_message_init (&message, GG_WATCH_MESSAGE_ROSTER);
+  message.roster.revision = 31;
+  for (guint i = 0; i < 13; i++)
+    g_ptr_array_add (
+        message.roster.peers,
+        gg_peer_create ("front-kibuye-isles-64", "10.200.100.64:7340", "kibuye-isles", 500 + i));
+  size_t n = gg_watch_message_encode (&message, bytes, sizeof bytes);
+  CU_ASSERT_TRUE_FATAL (n > 0);
+  CU_ASSERT_TRUE_FATAL (gg_watch_message_decode (bytes, n, &got));
+  CU_ASSERT_EQUAL (got.roster.revision, 31);
+  CU_ASSERT_EQUAL_FATAL (got.roster.peers->len, 13);
+  const GgPeer *last = g_ptr_array_index (got.roster.peers, 12);
+  CU_ASSERT_STRING_EQUAL (last->address, "10.200.100.64:7340");
+  CU_ASSERT_EQUAL (last->capacity, 512);
+  gg_watch_message_clear (&got);
+  for (size_t short_n = 0; short_n < n; short_n++)
+    CU_ASSERT_FALSE (gg_watch_message_decode (bytes, short_n, &got));
+  gg_watch_message_clear (&message);
+}
+
+/* All runners of a large deployment as one document. */
+static void
+test_list (void)
+{
+  GgWatchMessage message;
+  GgWatchMessage got;
+  gg_watch_message_init (&message, GG_WATCH_MESSAGE_LIST);
+  for (uint64_t i = 0; i < 810; i++)
+    add_change (&message, i, FALSE);
+  GByteArray *document = gg_watch_message_encode_document (&message);
+  CU_ASSERT_TRUE_FATAL (gg_watch_message_decode ((char *) document->data, document->len, &got));
+  CU_ASSERT_EQUAL (got.kind, GG_WATCH_MESSAGE_LIST);
+  CU_ASSERT_EQUAL (got.report.changes->len, 810);
+  gg_watch_message_clear (&got);
+  CU_ASSERT_FALSE (gg_watch_message_decode ((char *) document->data, document->len - 4, &got));
+  g_byte_array_unref (document);
+  gg_watch_message_clear (&message);
+}
+
 /* Both kinds of datagrams between instances arrive at one port. */
 static void
 test_other_datagrams (void)
@@ -138,6 +184,8 @@
 {
   static const GgTestCase cases[] = {
     { "report", test_report },
+    { "roster", test_roster },
+    { "list", test_list },
     { "request", test_request },
     { "too long", test_too_long },
     { "other datagrams", test_other_datagrams },
--- a/tests/core/test_peer_load.c
+++ b/tests/core/test_peer_load.c
@@ -28,7 +28,7 @@
 static void
 test_sum (void)
 {
-  GgPeerLoad *p = gg_peer_load_create (HOLD_MS);
+  GgPeerLoad *p = gg_peer_load_create (HOLD_MS, 0);
   report (p, "a", 1, 1, 1000, 7, 3);
   report (p, "b", 1, 1, 1000, 7, 4);
   report (p, "b", 1, 2, 1000, 8, 5);
@@ -43,7 +43,7 @@
 static void
 test_late_report_is_ignored (void)
 {
-  GgPeerLoad *p = gg_peer_load_create (HOLD_MS);
+  GgPeerLoad *p = gg_peer_load_create (HOLD_MS, 0);
   report (p, "a", 1, 5, 1000, 7, 1);
   report (p, "a", 1, 4, 1001, 7, 9);
   CU_ASSERT_EQUAL (get (p, 7), 1);
@@ -53,7 +53,7 @@
 static void
 test_restarted_peer_replaces_its_load (void)
 {
-  GgPeerLoad *p = gg_peer_load_create (HOLD_MS);
+  GgPeerLoad *p = gg_peer_load_create (HOLD_MS, 0);
   report (p, "a", 1, 50, 1000, 7, 9);
   report (p, "a", 2, 1, 1001, 8, 1);
   CU_ASSERT_EQUAL (get (p, 7), 0);
@@ -64,7 +64,7 @@
 static void
 test_unrepeated_load_expires (void)
 {
-  GgPeerLoad *p = gg_peer_load_create (HOLD_MS);
+  GgPeerLoad *p = gg_peer_load_create (HOLD_MS, 0);
   report (p, "a", 1, 1, 1000, 7, 9);
   report (p, "a", 1, 2, 2500, 8, 2);
   gg_peer_load_expire (p, 1000 + HOLD_MS + 1);
@@ -137,8 +137,8 @@
       uint32_t total = 0;
       for (int c = 0; c < N_CENTRES; c++)
         for (int i = 0; i < N_INSTANCES; i++)
-          all[c][i] = (Instance){ .near = gg_peer_load_create (HOLD_MS),
-                                  .far = gg_peer_load_create (HOLD_MS) };
+          all[c][i] = (Instance){ .near = gg_peer_load_create (HOLD_MS, 0),
+                                  .far = gg_peer_load_create (HOLD_MS, 0) };
       for (uint64_t number = 1; number <= 10; number++)
         {
           for (int c = 0; c < N_CENTRES; c++)
@@ -162,6 +162,72 @@
     }
 }
 
+/* Two instances compute the sum of one data centre for a moment, each in several datagrams: one of
+ * them counts until it has been silent for a while, so that no part of the other replaces its. */
+static void
+test_two_senders_of_one_sum (void)
+{
+  GgPeerLoad *p = gg_peer_load_create (HOLD_MS, 500);
+  report (p, "sum/north", 1, 1, 1000, 7, 3);
+  report (p, "sum/north", 1, 2, 1000, 8, 4);
+  report (p, "sum/north", 2, 1, 1100, 7, 9);
+  CU_ASSERT_EQUAL (get (p, 7), 3);
+  CU_ASSERT_EQUAL (get (p, 8), 4);
+  report (p, "sum/north", 2, 2, 1600, 7, 5);
+  CU_ASSERT_EQUAL (get (p, 7), 5);
+  CU_ASSERT_EQUAL (get (p, 8), 0);
+  gg_peer_load_destroy (p);
+}
+
+enum
+{
+  N_PEERS = 8,
+  N_RUNNERS = 12,
+  N_EVENTS = 400
+};
+
+/* In any order of reports, repetitions, restarts and expiry, the total of each runner is the sum of
+ * what counts of each peer. */
+static void
+test_totals_match_parts (void)
+{
+  static const char *const names[N_PEERS] = { "a", "b", "c", "d", "e", "f", "g", "h" };
+  for (guint32 seed = 1; seed <= 300; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      GgPeerLoad *p = gg_peer_load_create (HOLD_MS, seed % 2 == 0 ? 300 : 0);
+      uint64_t now_ms = 5000;
+      for (int i = 0; i < N_EVENTS; i++)
+        {
+          const char *peer = names[g_rand_int_range (rand, 0, N_PEERS)];
+          now_ms += (uint64_t) g_rand_int_range (rand, 0, 40);
+          report (p, peer, (uint64_t) g_rand_int_range (rand, 1, 3),
+                  (uint64_t) i + (uint64_t) g_rand_int_range (rand, 0, 30), now_ms,
+                  (uint32_t) g_rand_int_range (rand, 0, N_RUNNERS),
+                  (uint32_t) g_rand_int_range (rand, 0, 4));
+          if (g_rand_int_range (rand, 0, 5) == 0)
+            gg_peer_load_expire (p, now_ms);
+          for (uint32_t runner = 0; runner < N_RUNNERS; runner++)
+            {
+              GgRunnerLoad sum = { 0 };
+              for (int k = 0; k < N_PEERS; k++)
+                {
+                  GgRunnerLoad part = gg_peer_load_get_of (p, runner, names[k]);
+                  gg_runner_load_add (&sum, &part);
+                }
+              GgRunnerLoad total = gg_peer_load_get (p, runner);
+              CU_ASSERT_TRUE (sum.n_requests == total.n_requests
+                              && sum.token_layers == total.token_layers);
+            }
+        }
+      gg_peer_load_expire (p, now_ms + HOLD_MS + 1);
+      CU_ASSERT_EQUAL (gg_peer_load_count_peers (p), 0);
+      CU_ASSERT_EQUAL (get (p, 1), 0);
+      gg_peer_load_destroy (p);
+      g_rand_free (rand);
+    }
+}
+
 int
 main (void)
 {
@@ -171,6 +237,8 @@
     { "restarted peer replaces its load", test_restarted_peer_replaces_its_load },
     { "unrepeated load expires", test_unrepeated_load_expires },
     { "sums of data centres", test_sums_of_data_centres },
+    { "two senders of one sum", test_two_senders_of_one_sum },
+    { "totals match parts", test_totals_match_parts },
   };
   return gg_test_run ("peer load", cases, G_N_ELEMENTS (cases));
 }
