Spread streams over runners whose load is known from old reports

Two paths over fast cards in one data centre had the lowest cost for all five: 295 instances sent there until the next report, which comes from another data centre every 450 ms, and prompts waited 0.7 to 1.2 s to be read. 892 of 14,292 sends were rejected for memory.

Change: the cost of a runner counts the reading of prompts, which under load takes longer than the tokens of its requests; it has a random part that differs between requests; a path in another data centre costs 1.6 times as much.

Ruled out by the simulation of test_path_spread: the random part alone (no effect), a larger reserve of memory (sends more to slow cards, which hold memory longer).

Tests: 300-odd instances on 190 runners in five data centres, herding and callers that move; both fail on the old choice.

--- a/src/core/engine_model.c
+++ b/src/core/engine_model.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#define MS_PER_S 1000.0
 #define BYTES_PER_MB 1e6
 #define TOKENS_PER_CONTEXT_UNIT 1000.0
 
@@ -104,3 +105,16 @@
   double share = (double) n_layers / self->n_layers;
   return share * accelerator->step_factor * (self->step_ms + request_ms * n_requests);
 }
+
+double
+gg_engine_model_get_reading_ms (const GgEngineModel *self,
+                                const GgAccelerator *accelerator,
+                                uint32_t n_layers,
+                                uint32_t n_requests)
+{
+  if (self->prefill_tokens_per_s <= 0 || self->typical_answer_tokens == 0)
+    return 0;
+  double prompt_ms = self->typical_prompt_tokens * MS_PER_S / self->prefill_tokens_per_s;
+  double share = (double) n_layers / self->n_layers;
+  return share * accelerator->prefill_factor * prompt_ms * n_requests / self->typical_answer_tokens;
+}
--- a/src/core/engine_model.h
+++ b/src/core/engine_model.h
@@ -88,3 +88,11 @@
                                     const GgAccelerator *accelerator,
                                     uint32_t n_layers,
                                     uint32_t n_requests);
+
+/** Returns the time that a runner with @p n_requests in its batch spends on the prompts of new
+ * requests for each token step: in the time of a typical answer each of them is replaced by another
+ * one. */
+double gg_engine_model_get_reading_ms (const GgEngineModel *self,
+                                       const GgAccelerator *accelerator,
+                                       uint32_t n_layers,
+                                       uint32_t n_requests);
--- a/src/core/layer_path.c
+++ b/src/core/layer_path.c
@@ -14,6 +14,12 @@
 /* Penalty of a path in another data centre than the one that received the request: the stream
  * crosses between them once, which costs bandwidth rather than time. */
 #define REMOTE_PENALTY_MS 2.0
+/* Factor on the cost of a path in another data centre: its load is known from older reports, and
+ * all other data centres see the same free capacity there. */
+#define REMOTE_FACTOR 1.6
+/* Random part of a runner's cost, different for each request: instances that have received the same
+ * report would otherwise all choose the same runners until the next one. */
+#define JITTER 0.3
 
 typedef struct
 {
@@ -63,6 +69,15 @@
   return runner->own.n_first_hop + runner->peers.n_first_hop < runner->record.slots;
 }
 
+/* Returns a number from 0 to 1 that differs between requests and between runners. */
+static double
+get_jitter (const GgPathQuery *query, guint i)
+{
+  uint32_t hash = (query->random ^ (i * 2654435761U)) * 2246822519U;
+  hash = (hash ^ hash >> 15) * 3266489917U;
+  return (hash ^ hash >> 13) / 4294967296.0;
+}
+
 /* Collects the usable runners that hold layers, in one data centre, or in all if it is NULL. */
 static guint
 collect_candidates (const GgPathQuery *query, const char *data_centre, Candidate *out, guint max)
@@ -85,6 +100,7 @@
         continue;
       double use = gg_layer_path_get_memory_use (query->model, runner);
       candidate.spread = 1 + SPREAD_FACTOR * MAX (0, use - SPREAD_FROM);
+      candidate.spread *= 1 + JITTER * get_jitter (query, i);
       out[n++] = candidate;
     }
   return n;
@@ -98,9 +114,11 @@
 {
   const GgFleetRunner *runner = candidate->runner;
   uint32_t n_requests = runner->own.n_requests + runner->peers.n_requests + 1;
-  double cost_ms
+  double busy_ms
       = gg_engine_model_get_step_ms (query->model, candidate->accelerator, n_layers, n_requests)
-        * candidate->spread;
+        + gg_engine_model_get_reading_ms (query->model, candidate->accelerator, n_layers,
+                                          n_requests);
+  double cost_ms = busy_ms * candidate->spread;
   if (start->runner != NULL)
     cost_ms += HOP_MS
                + gg_engine_model_get_delay_ms (query->model, start->runner->record.data_centre,
@@ -267,8 +285,9 @@
         result = GG_PATH_FULL;
       if (found != GG_PATH_FOUND)
         continue;
-      double cost_ms
-          = path.token_ms + (strcmp (name, query->data_centre) == 0 ? 0 : REMOTE_PENALTY_MS);
+      double cost_ms = path.token_ms;
+      if (strcmp (name, query->data_centre) != 0)
+        cost_ms = cost_ms * REMOTE_FACTOR + REMOTE_PENALTY_MS;
       if (cost_ms >= best_ms)
         {
           gg_layer_path_clear (&path);
--- a/src/core/layer_path.h
+++ b/src/core/layer_path.h
@@ -39,6 +39,7 @@
   uint32_t tokens;               /**< Tokens of the prompt and of the expected answer. */
   const GgFleetRunner *excluded; /**< A runner that must not be used, or NULL. */
   const GgPathHop *first_hop;    /**< The hop that the path must start with, or NULL. */
+  uint32_t random;               /**< Differs between requests. */
   uint64_t now_ms;
 } GgPathQuery;
 
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -266,6 +266,7 @@
                         .data_centre = self->router->data_centre,
                         .tokens = get_expected_tokens (self),
                         .excluded = self->failed_runner,
+                        .random = self->random,
                         .now_ms = now_ms };
   return query;
 }
