--- a/src/adapters/rpc/load_report.h
+++ b/src/adapters/rpc/load_report.h
@@ -10,7 +10,7 @@
 
 /** Largest size of a datagram, and the most runners in it. */
 #define GG_LOAD_REPORT_MAX_BYTES 1400
-#define GG_LOAD_REPORT_MAX_ENTRIES 52
+#define GG_LOAD_REPORT_MAX_ENTRIES 46
 
 /** Load of one runner, as one instance reports it. */
 typedef struct
--- a/src/adapters/rpc/watch_message.c
+++ b/src/adapters/rpc/watch_message.c
@@ -52,6 +52,7 @@
       break;
     case GG_WATCH_MESSAGE_REPORT:
     case GG_WATCH_MESSAGE_LIST:
+      g_free (self->report.sender);
       g_array_unref (self->report.changes);
       break;
     case GG_WATCH_MESSAGE_ROSTER:
@@ -144,7 +145,8 @@
 code_report (XDR *xdr, GgWatchReport *report, uint32_t max_changes)
 {
   uint32_t n_changes = report->changes->len;
-  if (!xdr_uint64_t (xdr, &report->number) || !code_flag (xdr, &report->status.is_delegate)
+  if (!xdr_uint64_t (xdr, &report->number) || !code_text (xdr, &report->sender)
+      || !code_flag (xdr, &report->status.is_delegate)
       || !xdr_uint64_t (xdr, &report->status.age_ms)
       || !xdr_uint64_t (xdr, &report->config_revision) || !xdr_uint32_t (xdr, &report->n_instances)
       || !xdr_uint64_t (xdr, &report->changes_after)
--- a/src/adapters/rpc/watch_message.h
+++ b/src/adapters/rpc/watch_message.h
@@ -41,6 +41,7 @@
 {
   uint64_t number; /**< Of the request; 0 for an unrequested report, which can't prove how old its
                     * content is. */
+  char *sender;    /**< Its "IP:PORT", owned by the message. */
   GgWatchStatus status;
   uint64_t config_revision;   /**< Of the configuration's key. */
   uint32_t n_instances;       /**< Active in all data centres; 0 if not known. */
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -214,6 +214,12 @@
   return rank;
 }
 
+gboolean
+gg_roster_is_first (const GgRoster *self)
+{
+  return gg_roster_get_rank (self) == 0 && gg_roster_has_name (self, self->own->name);
+}
+
 guint
 gg_roster_get_overall_rank (const GgRoster *self)
 {
--- a/src/core/roster.h
+++ b/src/core/roster.h
@@ -61,6 +61,9 @@
  * if it is not registered. */
 guint gg_roster_get_rank (const GgRoster *self);
 
+/** Whether this instance is registered and ranks first in its data centre. */
+gboolean gg_roster_is_first (const GgRoster *self);
+
 /** Returns this instance's position among all registered ones, by name. */
 guint gg_roster_get_overall_rank (const GgRoster *self);
 
--- a/src/core/send_budget.c
+++ b/src/core/send_budget.c
@@ -10,8 +10,10 @@
 #define FRESH_SHARE 0.25
 /* Part of an instance's share that may be spent on retries after refusals. */
 #define REFUSED_SHARE 0.6
-/* Assumed number of instances until it is known. */
-#define UNKNOWN_INSTANCES 16
+/* Assumed number of instances until it is known. More than in any deployment: after a restart of
+ * all at once, none knows how many they are, and together they must not spend the budget many
+ * times. */
+#define UNKNOWN_INSTANCES 1000
 
 struct _GgSendBudget
 {
--- a/src/daemons/routerd/delegated_watch.c
+++ b/src/daemons/routerd/delegated_watch.c
@@ -19,6 +19,10 @@
 #define REGISTERED_PATIENCE_MS 500
 #define MEMBER_PATIENCE_MS 700
 #define MEMBER_PATIENCE_SPREAD_MS 700
+/* The same for a member while registered instances respond but none reaches the store: it would
+ * hardly reach the store itself, and each call of a large deployment during an outage is one of
+ * hundreds. */
+#define OUTAGE_PATIENCE_MS 8000
 /* After its start a member waits this long for a source, and any process for its role. */
 #define START_PATIENCE_MS 1500
 /* A subscriber that has not sent a request for this long no longer relies on this instance. */
@@ -70,6 +74,8 @@
     case GG_ROLE_REGISTERED:
       return gg_roster_get_rank (roster) <= 1 ? 0 : REGISTERED_PATIENCE_MS;
     case GG_ROLE_MEMBER:
+      if (gg_source_choice_has_responding (self->choice, gg_clock_boot_ms ()))
+        return OUTAGE_PATIENCE_MS;
       return started_ms < START_PATIENCE_MS ? START_PATIENCE_MS : self->patience_ms;
     }
   return 0;
@@ -192,6 +198,7 @@
   gg_watch_message_init (&message, GG_WATCH_MESSAGE_REPORT);
   GgWatchReport *report = &message.report;
   report->number = number;
+  report->sender = g_strdup (gg_membership_get_address (self->membership));
   report->status.is_delegate = gg_delegated_watch_is_source (self);
   report->status.age_ms = gg_clock_boot_ms () - self->router->config_fresh_boot_ms;
   report->config_revision = gg_config_watcher_get_revision (self->config_watcher);
@@ -284,12 +291,11 @@
 handle_report (GgDelegatedWatch *self, const GgWatchReport *report)
 {
   PendingRequest *request = &self->pending[report->number % MAX_PENDING_REQUESTS];
-  gboolean is_requested = report->number != 0 && request->number == report->number;
-  char *sender = is_requested ? g_strdup (request->address) : NULL;
-  if (is_requested)
+  if (report->number != 0 && request->number == report->number
+      && g_strcmp0 (request->address, report->sender) == 0)
     {
       uint64_t sent_boot_ms = request->sent_boot_ms;
-      gg_source_choice_note_status (self->choice, sender, &report->status, sent_boot_ms,
+      gg_source_choice_note_status (self->choice, request->address, &report->status, sent_boot_ms,
                                     gg_clock_boot_ms ());
       gg_config_watcher_note_proof (self->config_watcher, report->config_revision,
                                     gg_watch_status_get_proven_ms (&report->status, sent_boot_ms));
@@ -299,9 +305,8 @@
   const char *source = gg_source_choice_get_source (self->choice);
   /* The documents are read from the source, so only its own reports say what it has. */
   if (self->is_delegated && source != NULL && report->status.is_delegate
-      && (sender == NULL || strcmp (sender, source) == 0))
+      && g_strcmp0 (report->sender, source) == 0)
     apply_report (self, report, source);
-  g_free (sender);
 }
 
 gboolean
@@ -374,7 +379,9 @@
 gboolean
 gg_delegated_watch_has_delegate (const GgDelegatedWatch *self)
 {
-  return self != NULL && gg_source_choice_has_responding (self->choice, gg_clock_boot_ms ());
+  /* The first one in rank does not wait for the others, or all would wait for each other. */
+  return self != NULL && !gg_roster_is_first (gg_membership_get_roster (self->membership))
+         && gg_source_choice_has_responding (self->choice, gg_clock_boot_ms ());
 }
 
 void
--- a/src/daemons/routerd/delegated_watch.h
+++ b/src/daemons/routerd/delegated_watch.h
@@ -29,7 +29,7 @@
  * @return FALSE if it is no watch message. */
 gboolean gg_delegated_watch_receive (GgDelegatedWatch *self, char *bytes, size_t size_bytes);
 
-/** Whether another instance that could watch for this one responds, whether or not it reaches the
+/** Whether another instance is to watch for this one and responds, whether or not it reaches the
  * store; NULL is allowed. */
 gboolean gg_delegated_watch_has_delegate (const GgDelegatedWatch *self);
 
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -490,9 +490,7 @@
 gboolean
 gg_membership_is_first (const GgMembership *self)
 {
-  return self->role == GG_ROLE_REGISTERED && self->is_joined
-         && gg_roster_get_rank (self->roster) == 0
-         && gg_roster_has_name (self->roster, self->router->instance);
+  return self->role == GG_ROLE_REGISTERED && self->is_joined && gg_roster_is_first (self->roster);
 }
 
 const GgRoster *
--- a/src/daemons/routerd/relay.h
+++ b/src/daemons/routerd/relay.h
@@ -2,6 +2,7 @@
  * One request of a caller: from its arrival through its sends to runners to the answer. */
 #pragma once
 
+#include "core/stall_policy.h"
 #include "daemons/routerd/router.h"
 
 typedef struct _GgRelay GgRelay;
@@ -23,11 +24,8 @@
 /** Ends a queued request for which no capacity became free in time. */
 void gg_relay_reject_queued (GgRelay *self);
 
-/** For a request that is at a model's runners: when bytes of its answer were last received, or when
- * it was sent or rerouted if that is later (monotonic), and whether the caller has received the
- * first event. */
-uint64_t gg_relay_get_last_activity_ms (const GgRelay *self);
-gboolean gg_relay_has_events (const GgRelay *self);
+/** Returns the progress of a request that is at a model's runners. */
+GgStallState gg_relay_get_stall_state (const GgRelay *self);
 
 /** First runner of its path, borrowed. */
 GgFleetRunner *gg_relay_get_runner (const GgRelay *self);
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -44,6 +44,7 @@
   GgLayerPath path;
   uint64_t sent_ms;
   uint64_t last_activity_ms; /* last bytes of the answer received, or sent or rerouted since */
+  uint64_t rerouted_ms;      /* sent or rerouted last */
   GgLoopCall *reroute_call;  /* the order to change the path, NULL if none */
   GgOrderResult reroute_result;
   gboolean has_path;
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -340,6 +340,7 @@
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
   self->last_activity_ms = now_ms;
+  self->rerouted_ms = now_ms;
   /* Fields of an earlier answer must not be taken for this send's answer. */
   self->answer_fields = (GgRunnerAnswerFields){ 0 };
   self->call = gg_loop_client_call (self->router->client, &request, on_call, self);
@@ -358,16 +359,13 @@
   g_free (path);
 }
 
-uint64_t
-gg_relay_get_last_activity_ms (const GgRelay *self)
+GgStallState
+gg_relay_get_stall_state (const GgRelay *self)
 {
-  return self->last_activity_ms;
-}
-
-gboolean
-gg_relay_has_events (const GgRelay *self)
-{
-  return self->events != NULL && self->is_head_sent;
+  return (GgStallState){ .has_events = self->events != NULL && self->is_head_sent,
+                         .is_resumable = self->route->is_resumable,
+                         .last_activity_ms = self->last_activity_ms,
+                         .last_event_ms = MAX (self->last_event_ms, self->rerouted_ms) };
 }
 
 GgFleetRunner *
@@ -455,6 +453,7 @@
   self->path = moved;
   gg_layer_path_reserve (&self->path);
   self->last_activity_ms = now_ms;
+  self->rerouted_ms = now_ms;
   send_reroute_order (self);
 }
 
--- a/src/daemons/routerd/stall_detector.c
+++ b/src/daemons/routerd/stall_detector.c
@@ -8,10 +8,6 @@
 #include <string.h>
 
 #define CHECK_MS 50
-/* Without bytes of the answer for this long, a request counts as stalled. Events of a stream come
- * every 30 to 100 ms; the first event may be delayed by long prompts of other requests. */
-#define EVENT_IDLE_LIMIT_MS 250
-#define FIRST_EVENT_IDLE_LIMIT_MS 500
 /* A report shows the state of some hundred ms before, so it is requested again if it does not show
  * the stall yet. */
 #define REQUERY_MS 150
@@ -47,11 +43,11 @@
   g_free (self);
 }
 
-static gboolean
-is_idle (const GgRelay *relay, uint64_t now_ms)
+static GgStallAction
+decide (const GgRelay *relay, uint64_t now_ms)
 {
-  uint64_t limit_ms = gg_relay_has_events (relay) ? EVENT_IDLE_LIMIT_MS : FIRST_EVENT_IDLE_LIMIT_MS;
-  return now_ms - gg_relay_get_last_activity_ms (relay) >= limit_ms;
+  GgStallState state = gg_relay_get_stall_state (relay);
+  return gg_stall_policy_decide (&state, now_ms);
 }
 
 /* Lists the idle requests whose first runner is @p runner; freed by the caller. Acting on one may
@@ -64,7 +60,7 @@
   void *key;
   g_hash_table_iter_init (&iter, self->relays);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (gg_relay_get_runner (key) == runner && is_idle (key, now_ms))
+    if (gg_relay_get_runner (key) == runner && decide (key, now_ms) == GG_STALL_QUERY)
       list = g_list_prepend (list, key);
   return list;
 }
@@ -175,17 +171,44 @@
   return query->fetch == NULL && *now_ms - query->sent_ms > 10 * REQUERY_MS;
 }
 
+/* Abandons the streams that bring bytes but no events. Acting on one may end others, so each is
+ * looked up again before it is used. */
+static void
+abandon_partial (GgStallDetector *self, GList *partial)
+{
+  for (GList *l = partial; l != NULL; l = l->next)
+    if (g_hash_table_contains (self->relays, l->data))
+      {
+        gg_event_log_add (GG_EVENT_NOTABLE, "stream_without_events", "request=%s runner=%s",
+                          gg_relay_get_attempt_id (l->data),
+                          gg_relay_get_runner (l->data)->record.id);
+        gg_relay_abandon_send (l->data);
+      }
+  g_list_free (partial);
+}
+
 static void
 on_check (void *data)
 {
   GgStallDetector *self = data;
   uint64_t now_ms = gg_clock_now_ms ();
+  GList *partial = NULL;
   GHashTableIter iter;
   void *key;
   g_hash_table_iter_init (&iter, self->relays);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (is_idle (key, now_ms))
-      query_runner (self, gg_relay_get_runner (key), now_ms);
+    switch (decide (key, now_ms))
+      {
+      case GG_STALL_NONE:
+        break;
+      case GG_STALL_QUERY:
+        query_runner (self, gg_relay_get_runner (key), now_ms);
+        break;
+      case GG_STALL_ABANDON:
+        partial = g_list_prepend (partial, key);
+        break;
+      }
+  abandon_partial (self, partial);
   g_hash_table_foreach_remove (self->queries, is_unused, &now_ms);
   if (g_hash_table_size (self->relays) > 0)
     gg_loop_timer_start (self->timer, CHECK_MS);
--- a/tests/core/test_roster.c
+++ b/tests/core/test_roster.c
@@ -45,6 +45,10 @@
   CU_ASSERT_STRING_EQUAL (name_at (ranked, 0), "z");
   CU_ASSERT_STRING_EQUAL (name_at (ranked, 1), "a");
   CU_ASSERT_EQUAL (gg_roster_get_rank (r), 3);
+  CU_ASSERT_FALSE (gg_roster_is_first (r));
+  put (r, "d", "north", LARGE);
+  CU_ASSERT_TRUE (gg_roster_is_first (r));
+  put (r, "d", "north", SMALL);
   const GPtrArray *sources = gg_roster_get_sources (r);
   CU_ASSERT_EQUAL_FATAL (sources->len, 4);
   CU_ASSERT_STRING_EQUAL (name_at (sources, 0), "z");
--- a/tests/core/test_send_budget.c
+++ b/tests/core/test_send_budget.c
@@ -166,6 +166,22 @@
   CU_ASSERT_TRUE (n[1] > EXTRA / 2);
 }
 
+/* All instances of a large deployment restart at once; none knows yet how many they are, and each
+ * retries as often as it may. */
+static void
+test_unknown_number_of_instances (void)
+{
+  guint n_retries = 0;
+  for (guint i = 0; i < 400; i++)
+    {
+      GgSendBudget *b = gg_send_budget_create (WINDOW_MS, RATIO, EXTRA, 0);
+      while (gg_send_budget_withdraw (b, GG_RETRY_REASON_LOST, WINDOW_MS))
+        n_retries++;
+      gg_send_budget_destroy (b);
+    }
+  CU_ASSERT_TRUE (n_retries <= EXTRA);
+}
+
 int
 main (void)
 {
@@ -176,6 +192,7 @@
     { "refusals leave retries for losses", test_refusals_leave_retries_for_losses },
     { "full share after an idle window", test_full_share_after_an_idle_window },
     { "all restart at once", test_all_restart_at_once },
+    { "unknown number of instances", test_unknown_number_of_instances },
     { "most of the budget can be used", test_most_of_the_budget_can_be_used },
   };
   return gg_test_run ("send budget", cases, G_N_ELEMENTS (cases));
