--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -105,6 +105,15 @@
   router->process = gg_process_start ("greengage-routerd", args);
 }
 
+static const char *
+get_size_settings (const Site *self, guint i)
+{
+  if (self->n_large == 0)
+    return "";
+  return i < self->n_large ? "processor_share = 0.5\nfirst_start = true\n"
+                           : "processor_share = 0.12\nfirst_start = true\n";
+}
+
 static void
 add_router (Site *self)
 {
@@ -118,10 +127,11 @@
   char *text = g_strdup_printf ("[instance]\nname = %s\ndata_centre = %s\n"
                                 "[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n"
                                 "[store]\naddress = %s\n[stop]\ngrace_s = 5\n"
-                                "[retries]\nextra = 1000\n",
+                                "[retries]\nextra = 1000\n[instance]\n%s",
                                 router->name, self->n_routers % 2 == 0 ? "north" : "south",
                                 router->callers_address, router->ready_address, peers,
-                                router->metrics_address, self->store_address);
+                                router->metrics_address, self->store_address,
+                                get_size_settings (self, self->n_routers));
   g_file_set_contents (router->settings_path, text, -1, NULL);
   g_free (text);
   g_free (peers);
@@ -155,8 +165,15 @@
 
 Site *
 site_create (guint n_routers)
+{
+  return site_create_sized (n_routers, 0);
+}
+
+Site *
+site_create_sized (guint n_routers, guint n_large)
 {
   Site *self = g_new0 (Site, 1);
+  self->n_large = n_large;
   self->folder = g_dir_make_tmp ("greengage-XXXXXX", NULL);
   self->store_address = gg_process_reserve_address ();
   const char *args[] = { "--listen", self->store_address, NULL };
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -7,7 +7,7 @@
 #include <glib.h>
 
 #define SITE_MAX_RUNNERS 16
-#define SITE_MAX_ROUTERS 4
+#define SITE_MAX_ROUTERS 12
 #define SITE_LAYERS 8
 #define SITE_HOST "desk.example"
 #define SITE_KEY "key-of-school"
@@ -38,6 +38,7 @@
   guint n_runners;
   SiteRouter routers[SITE_MAX_ROUTERS];
   guint n_routers;
+  guint n_large; /* 0: all routers have the same size */
 } Site;
 
 /** Starts the store, ten model runners in two data centres, two runners of the service "desk", and
@@ -45,6 +46,11 @@
  * are placed.
  * @return NULL if that takes longer than 15 s. */
 Site *site_create (guint n_routers);
+
+/** As site_create(), with routers that start together for the first time. The first @p n_large of
+ * them are larger than the others, so that they register first. */
+Site *site_create_sized (guint n_routers, guint n_large);
+
 void site_destroy (Site *self);
 
 /** Starts or restarts a router. */
