Bound interim responses, and write the records of a step at once

Cause 1 (test_message_reader, new, failed first): a runner that sends interim responses without end was read until the caller's time limit; each began a new count of head bytes. They count towards the head that follows. Status lines, fields, chunk sizes, extensions and trailers without end were bounded already.

--- a/src/loop/message_reader.c
+++ b/src/loop/message_reader.c
@@ -5,6 +5,9 @@
 
 #define HTTP_1_1 1
 #define FIRST_FINAL_STATUS 200
+/* An interim response counts as at least this much of the head that follows it: a server could send
+ * them without end. */
+#define INTERIM_BYTES 64
 
 struct _GgMessageReader
 {
@@ -12,13 +15,14 @@
   GgMessageFunc func;
   void *data;
   size_t max_head_bytes;
-  size_t head_bytes;   /* of the current message */
+  size_t head_bytes;   /* of the current message and the interim responses before it */
   GgMessageHead *head; /* NULL once it has been delivered */
   GString *target;
   GString *name;
   GString *value;
   gboolean is_value; /* the last fragment was part of a value */
   gboolean is_bodiless;
+  gboolean is_after_interim; /* the message before the current one was an interim response */
   gboolean is_in_message;
   gboolean is_complete;
   gboolean is_stopped;
@@ -42,7 +46,8 @@
   g_string_truncate (self->name, 0);
   g_string_truncate (self->value, 0);
   self->is_value = FALSE;
-  self->head_bytes = 0;
+  if (!self->is_after_interim)
+    self->head_bytes = 0;
   self->is_in_message = TRUE;
   return 0;
 }
@@ -151,8 +156,9 @@
 on_complete (http_parser *parser)
 {
   GgMessageReader *self = parser->data;
-  if (is_interim (parser))
-    return 0;
+  self->is_after_interim = is_interim (parser);
+  if (self->is_after_interim)
+    return count_head_bytes (self, INTERIM_BYTES) ? 0 : fail_head_size (self);
   self->is_in_message = FALSE;
   self->is_complete = TRUE;
   http_parser_pause (parser, 1);
--- a/tests/fakes/common_runner.c
+++ b/tests/fakes/common_runner.c
@@ -92,19 +92,34 @@
 }
 
 void
-runner_record (const char *format, ...)
+runner_record_all (const GPtrArray *lines)
 {
   if (profile->without_records)
     return;
+  GString *output = g_string_new (NULL);
+  pthread_mutex_lock (&lock);
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const char *line = g_ptr_array_index (lines, i);
+      g_string_append_printf (records, "%s\n", line);
+      g_string_append_printf (output, "%srecord %s", i > 0 ? "\n" : "", line);
+    }
+  if (lines->len > 0)
+    write_line ("", output->str);
+  pthread_mutex_unlock (&lock);
+  g_string_free (output, TRUE);
+}
+
+void
+runner_record (const char *format, ...)
+{
   va_list args;
   va_start (args, format);
-  char *text = g_strdup_vprintf (format, args);
+  GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (lines, g_strdup_vprintf (format, args));
   va_end (args);
-  pthread_mutex_lock (&lock);
-  g_string_append_printf (records, "%s\n", text);
-  write_line ("record ", text);
-  pthread_mutex_unlock (&lock);
-  g_free (text);
+  runner_record_all (lines);
+  g_ptr_array_unref (lines);
 }
 
 void
--- a/tests/fakes/common_runner.h
+++ b/tests/fakes/common_runner.h
@@ -68,6 +68,9 @@
  * outlives the process; does nothing if the profile has without_records set. */
 void runner_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
+/** Records several lines (char *) with one write, so that a kill leaves either all or none. */
+void runner_record_all (const GPtrArray *lines);
+
 /** Writes one line to standard output unless the profile has without_records set. */
 void runner_trace (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -196,11 +196,15 @@
 record_step (JsonObject *step, uint32_t n)
 {
   uint32_t position = get_number (step, "position");
+  GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
   for (uint32_t p = position; p < position + n; p++)
     for (unsigned layer = first_layer; layer < end_layer; layer++)
-      runner_record ("%s %s %u %u %u %" G_GUINT64_FORMAT, get_text (step, "request"),
-                     get_text (step, "attempt"), get_number (step, "epoch"), p, layer,
-                     gg_clock_now_us ());
+      g_ptr_array_add (lines,
+                       g_strdup_printf ("%s %s %u %u %u %" G_GUINT64_FORMAT,
+                                        get_text (step, "request"), get_text (step, "attempt"),
+                                        get_number (step, "epoch"), p, layer, gg_clock_now_us ()));
+  runner_record_all (lines);
+  g_ptr_array_unref (lines);
 }
 
 static char *
--- /dev/null
+++ b/tests/loop/test_message_reader.c
@@ -0,0 +1,100 @@
+/* Guards the reader against servers in trouble: bytes that are no answer may come without end, in a
+ * head, between chunks or in place of an answer. Whatever comes outside a body must end the reading
+ * after a bounded number of bytes. */
+#include "loop/message_reader.h"
+#include "test_main.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_HEAD_BYTES 65536
+/* Reading ends before this many bytes without a part of a body. */
+#define BOUND_BYTES (4 * MAX_HEAD_BYTES)
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+typedef struct
+{
+  guint n_heads;
+  size_t body_bytes;
+} Seen;
+
+static gboolean
+on_message (void *data, const GgMessageEvent *event)
+{
+  Seen *seen = data;
+  switch (event->kind)
+    {
+    case GG_MESSAGE_HEAD:
+      seen->n_heads++;
+      gg_message_head_destroy (event->head);
+      return TRUE;
+    case GG_MESSAGE_BODY:
+      seen->body_bytes += event->body.size_bytes;
+      return TRUE;
+    case GG_MESSAGE_END:
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Feeds @p start, then @p endless again and again.
+ * @return the bytes after which reading ended, or BOUND_BYTES. */
+static size_t
+feed_endless (const char *start, const char *endless)
+{
+  Seen seen = { 0 };
+  GgMessageReader *r
+      = gg_message_reader_create (GG_MESSAGE_RESPONSES, MAX_HEAD_BYTES, on_message, &seen);
+  size_t n_fed = strlen (start);
+  size_t n_used = 0;
+  GgReadResult result = GG_READ_OK;
+  if (n_fed > 0)
+    result = gg_message_reader_feed (r, start, n_fed, &n_used);
+  while (result == GG_READ_OK && n_fed < BOUND_BYTES)
+    {
+      result = gg_message_reader_feed (r, endless, strlen (endless), &n_used);
+      n_fed += strlen (endless);
+    }
+  CU_ASSERT_EQUAL (seen.body_bytes, 0);
+  gg_message_reader_destroy (r);
+  return n_fed;
+}
+
+static void
+test_endless_bytes (void)
+{
+  static const struct
+  {
+    const char *start;
+    const char *endless;
+  } rows[] = {
+    { "", "x" },
+    { "", "\r\n" },
+    { "HTTP/1.1 200 ", "reason " },
+    { OK_HEAD "X-Field", "name" },
+    { OK_HEAD "X-Field: ", "value" },
+    { OK_HEAD "X-Field: value", " " },
+    { OK_HEAD, "X-Field: value\r\n" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n", "0" },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n5;", "extension" },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: value\r\n" },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ", "value" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      size_t n = feed_endless (rows[i].start, rows[i].endless);
+      if (n >= BOUND_BYTES)
+        fprintf (stderr, "\"%s\" followed by \"%s\" without end is read on\n", rows[i].start,
+                 rows[i].endless);
+      CU_ASSERT_TRUE (n < BOUND_BYTES);
+    }
+}
+
+int
+main (void)
+{
+  static const GgTestCase cases[] = { { "endless bytes", test_endless_bytes } };
+  return gg_test_run ("message reader", cases, G_N_ELEMENTS (cases));
+}
