--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -30,7 +30,7 @@
 #define FIRST_CAMPAIGN_DELAY_MS (WATCH_PAUSE_MS + 50)
 /* When the whole system starts, large instances read the list before small ones, and these at
  * different times, so that the ones that read it late find enough of the others registered. */
-#define LARGE_CAPACITY 250
+#define LARGE_CAPACITY 250 /* thousandths of a core */
 #define LARGE_START_SPREAD_MS 100
 #define SMALL_START_DELAY_MS 300
 #define SMALL_START_SPREAD_MS 500
