Reword comments and names that needed a second reading

Last reading of the change: patience becomes search timeout, an empty report of an idle instance is explained, and figurative words in new comments give way to the field's terms.

--- a/src/base/json.c
+++ b/src/base/json.c
@@ -1,6 +1,6 @@
 #include "base/json.h"
 
-/* Largest number up to which a double holds each whole number. */
+/* Largest number up to which a double represents every integer. */
 #define MAX_QUANTITY 9007199254740992.0
 
 void
--- a/src/core/peer_load.h
+++ b/src/core/peer_load.h
@@ -8,7 +8,7 @@
 typedef struct _GgPeerLoad GgPeerLoad;
 
 /** @param hold_ms how long reported load counts without being repeated.
- *  @param takeover_ms how long a sender must have been silent before the reports of another one
+ *  @param takeover_ms how long a sender must have sent no report before the reports of another one
  *    under the same name replace its own; 0 for at once. Two instances that compute the same sum
  *    for a moment would otherwise replace each other's parts. */
 GgPeerLoad *gg_peer_load_create (uint64_t hold_ms, uint64_t takeover_ms);
--- a/src/core/source_choice.c
+++ b/src/core/source_choice.c
@@ -105,10 +105,10 @@
 }
 
 gboolean
-gg_source_choice_update (GgSourceChoice *self, uint64_t now_ms, uint64_t patience_ms)
+gg_source_choice_update (GgSourceChoice *self, uint64_t now_ms, uint64_t search_timeout_ms)
 {
   self->chosen = find_valid (self, now_ms);
-  return self->chosen != NULL || now_ms < self->valid_ms + patience_ms;
+  return self->chosen != NULL || now_ms < self->valid_ms + search_timeout_ms;
 }
 
 const char *
--- a/src/core/source_choice.h
+++ b/src/core/source_choice.h
@@ -27,9 +27,10 @@
                                    uint64_t now_ms);
 
 /** Chooses the source again.
- * @param patience_ms how long to go on without any valid source before relying on none.
+ * @param search_timeout_ms how long to go on without any valid source before relying on none.
  * @return whether to rely on sources, of which one may just be sought. */
-gboolean gg_source_choice_update (GgSourceChoice *self, uint64_t now_ms, uint64_t patience_ms);
+gboolean
+gg_source_choice_update (GgSourceChoice *self, uint64_t now_ms, uint64_t search_timeout_ms);
 
 /** Returns the address of the valid source that was chosen last; NULL if there is none now. */
 const char *gg_source_choice_get_source (const GgSourceChoice *self);
--- a/src/core/stall_policy.h
+++ b/src/core/stall_policy.h
@@ -19,7 +19,7 @@
 typedef enum
 {
   GG_STALL_NONE,
-  GG_STALL_QUERY,   /**< Ask the first runner of the path whether the request is stalled. */
+  GG_STALL_QUERY,   /**< Query the first runner of the path whether the request is stalled. */
   GG_STALL_ABANDON, /**< End this run; the stream is resumed elsewhere. */
 } GgStallAction;
 
--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -70,7 +70,7 @@
   g_error_free (error);
 }
 
-/* Only registered instances are asked for the document. */
+/* Other instances request the document from registered ones only. */
 static void
 keep_document (GgConfigWatcher *self, uint64_t revision, GBytes *value)
 {
--- a/src/daemons/routerd/delegated_watch.c
+++ b/src/daemons/routerd/delegated_watch.c
@@ -16,15 +16,15 @@
 /* How long an instance goes on without a valid source before it watches by itself. The second in
  * rank takes the place of the first one at once; the others wait for it, for different times, so
  * that they don't all call the store if it does not. */
-#define REGISTERED_PATIENCE_MS 500
-#define MEMBER_PATIENCE_MS 700
-#define MEMBER_PATIENCE_SPREAD_MS 700
+#define REGISTERED_SEARCH_TIMEOUT_MS 500
+#define MEMBER_SEARCH_TIMEOUT_MS 700
+#define MEMBER_SEARCH_SPREAD_MS 700
 /* The same for a member while registered instances respond but none reaches the store: it would
  * hardly reach the store itself, and each call of a large deployment during an outage is one of
  * hundreds. */
-#define OUTAGE_PATIENCE_MS 8000
+#define OUTAGE_SEARCH_TIMEOUT_MS 8000
 /* After its start a member waits this long for a source, and any process for its role. */
-#define START_PATIENCE_MS 1500
+#define START_SEARCH_TIMEOUT_MS 1500
 /* A subscriber that has not sent a request for this long no longer relies on this instance. */
 #define SUBSCRIBER_EXPIRY_MS 1000
 /* Number of the latest requests whose reports are accepted as proof. */
@@ -54,7 +54,7 @@
   GgSourceChoice *choice;
   uint64_t roster_revision; /* of the roster that the choice knows */
   uint64_t started_boot_ms;
-  uint64_t patience_ms; /* of a member */
+  uint64_t search_timeout_ms; /* of a member */
   uint64_t last_number;
   PendingRequest pending[MAX_PENDING_REQUESTS];
   gboolean is_delegated;
@@ -63,20 +63,21 @@
 
 /* How long this instance goes on without a valid source. */
 static uint64_t
-get_patience_ms (const GgDelegatedWatch *self)
+get_search_timeout_ms (const GgDelegatedWatch *self)
 {
   const GgRoster *roster = gg_membership_get_roster (self->membership);
   uint64_t started_ms = gg_clock_boot_ms () - self->started_boot_ms;
   switch (gg_membership_get_role (self->membership))
     {
     case GG_ROLE_UNKNOWN:
-      return START_PATIENCE_MS;
+      return START_SEARCH_TIMEOUT_MS;
     case GG_ROLE_REGISTERED:
-      return gg_roster_get_rank (roster) <= 1 ? 0 : REGISTERED_PATIENCE_MS;
+      return gg_roster_get_rank (roster) <= 1 ? 0 : REGISTERED_SEARCH_TIMEOUT_MS;
     case GG_ROLE_MEMBER:
       if (gg_source_choice_has_responding (self->choice, gg_clock_boot_ms ()))
-        return OUTAGE_PATIENCE_MS;
-      return started_ms < START_PATIENCE_MS ? START_PATIENCE_MS : self->patience_ms;
+        return OUTAGE_SEARCH_TIMEOUT_MS;
+      return started_ms < START_SEARCH_TIMEOUT_MS ? START_SEARCH_TIMEOUT_MS
+                                                  : self->search_timeout_ms;
     }
   return 0;
 }
@@ -108,7 +109,8 @@
 update_delegation (GgDelegatedWatch *self)
 {
   uint64_t now_ms = gg_clock_boot_ms ();
-  gboolean is_delegated = gg_source_choice_update (self->choice, now_ms, get_patience_ms (self));
+  gboolean is_delegated
+      = gg_source_choice_update (self->choice, now_ms, get_search_timeout_ms (self));
   is_delegated = is_delegated && !is_own_watch_due (self);
   if (!is_delegated)
     gg_membership_refresh (self->membership);
@@ -303,7 +305,7 @@
     }
   update_delegation (self);
   const char *source = gg_source_choice_get_source (self->choice);
-  /* The documents are read from the source, so only its own reports say what it has. */
+  /* The documents are read from the source, so only its own reports state what it has. */
   if (self->is_delegated && source != NULL && report->status.is_delegate
       && g_strcmp0 (report->sender, source) == 0)
     apply_report (self, report, source);
@@ -422,8 +424,8 @@
   self->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->started_boot_ms = gg_clock_boot_ms ();
   self->choice = gg_source_choice_create (self->started_boot_ms);
-  self->patience_ms
-      = MEMBER_PATIENCE_MS + (uint64_t) g_random_int_range (0, MEMBER_PATIENCE_SPREAD_MS);
+  self->search_timeout_ms
+      = MEMBER_SEARCH_TIMEOUT_MS + (uint64_t) g_random_int_range (0, MEMBER_SEARCH_SPREAD_MS);
   self->is_delegated = TRUE;
   self->timer = gg_loop_timer_create (self->router->loop, on_timer, self);
   gg_loop_timer_start (self->timer, FIRST_TICK_MS);
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -18,10 +18,11 @@
  * instances of this data centre are registered. Otherwise the sources exchange sums, so that the
  * traffic does not grow with the square of the number of instances. */
 #define MAX_DIRECT_REMOTE_PEERS 16
-/* An instance without load reports in every so many rounds that it is there. */
+/* An instance that has no load to report sends an empty report once in so many rounds, so that it
+ * is still counted. */
 #define IDLE_ROUNDS 4
 /* While two instances compute the sum of a data centre, the one that was first counts until it has
- * been silent for this long. */
+ * sent none for this long. */
 #define SUM_TAKEOVER_MS 500
 /* The load of a peer that has sent no report for this long is no longer counted; its requests have
  * ended, or runners refuse requests because of them. */
@@ -403,7 +404,7 @@
   g_array_unref (sum.entries);
 }
 
-/* Members learn the number of instances from their source. */
+/* Members receive the number of instances from their source. */
 static void
 update_instances (GgLoadExchange *self)
 {
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -28,7 +28,7 @@
 /* A process that has just started knows the instances that start with it only after it has read the
  * list twice. */
 #define FIRST_CAMPAIGN_DELAY_MS (WATCH_PAUSE_MS + 50)
-/* When the whole system starts, large instances read the list before small ones, and these at
+/* When all instances start, large instances read the list before small ones, and these at
  * different times, so that the ones that read it late find enough of the others registered. */
 #define LARGE_CAPACITY 250 /* thousandths of a core */
 #define LARGE_START_SPREAD_MS 100
@@ -389,7 +389,7 @@
 }
 
 /* The first read decides the role. An instance whose earlier process was registered, or that starts
- * together with the whole system and is needed, registers at once. */
+ * together with all others and is needed, registers at once. */
 static void
 choose_first_role (GgMembership *self)
 {
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -1,7 +1,7 @@
 /** @file
  * The registered instances and the leader among them, which alone sends orders to runners. A
  * registered instance has a key in the store under a lease of its process; a few in each data
- * centre register (see core/roster.h), the others learn of them from their source. */
+ * centre register (see core/roster.h), the others get them from their source. */
 #pragma once
 
 #include "core/roster.h"
--- a/tests/base/test_compress.c
+++ b/tests/base/test_compress.c
@@ -1,5 +1,5 @@
 /* Guards documents that instances pass to each other: a truncated, damaged or oversized one must be
- * rejected whole. */
+ * rejected. */
 #include "base/compress.h"
 #include "test_main.h"
 
--- a/tests/core/test_peer_load.c
+++ b/tests/core/test_peer_load.c
@@ -163,7 +163,7 @@
 }
 
 /* Two instances compute the sum of one data centre for a moment, each in several datagrams: one of
- * them counts until it has been silent for a while, so that no part of the other replaces its. */
+ * them counts until it has sent none for a while, so that no part of the other replaces its. */
 static void
 test_two_senders_of_one_sum (void)
 {
--- a/tests/core/test_source_choice.c
+++ b/tests/core/test_source_choice.c
@@ -5,7 +5,7 @@
 
 #define PERIOD_MS 300
 #define SEARCH_MS 80
-#define PATIENCE_MS 1000
+#define SEARCH_TIMEOUT_MS 1000
 
 static const GgWatchStatus valid = { .is_delegate = TRUE, .age_ms = 900 };
 static const GgWatchStatus unready = { .is_delegate = FALSE };
@@ -23,7 +23,7 @@
   return c;
 }
 
-/* Polls as the daemon does. @p is_valid says which of a, b and c answer.
+/* Polls as the daemon does. @p is_valid: which of a, b and c answer.
  * @return whether the instance relied on sources until the end. */
 static gboolean
 run (GgSourceChoice *c, uint64_t *now_ms, uint64_t duration_ms, const gboolean is_valid[3])
@@ -33,7 +33,7 @@
   while (*now_ms < end_ms)
     {
       const char *polled[GG_SOURCE_CHOICE_MAX_POLLS];
-      is_delegated = gg_source_choice_update (c, *now_ms, PATIENCE_MS) && is_delegated;
+      is_delegated = gg_source_choice_update (c, *now_ms, SEARCH_TIMEOUT_MS) && is_delegated;
       guint n = gg_source_choice_get_polls (c, polled);
       for (guint i = 0; i < n; i++)
         if (is_valid[polled[i][0] - 'a'])
@@ -58,7 +58,7 @@
   gg_source_choice_destroy (c);
 }
 
-/* A pause of all sources that is shorter than the patience, as while each of them applies a large
+/* A pause of all sources that is shorter than the timeout, as while each of them applies a large
  * configuration, sends nobody to the store; a longer one does. */
 static void
 test_pause_of_all_sources (void)
@@ -69,15 +69,15 @@
       GgSourceChoice *c = make (now_ms);
       CU_ASSERT_TRUE (run (c, &now_ms, 3000, (const gboolean[3]){ TRUE, TRUE, TRUE }));
       gboolean is_delegated = run (c, &now_ms, pause_ms, (const gboolean[3]){ FALSE });
-      if (pause_ms < PATIENCE_MS - PERIOD_MS)
+      if (pause_ms < SEARCH_TIMEOUT_MS - PERIOD_MS)
         CU_ASSERT_TRUE (is_delegated);
-      if (pause_ms > PATIENCE_MS + 2 * PERIOD_MS)
+      if (pause_ms > SEARCH_TIMEOUT_MS + 2 * PERIOD_MS)
         CU_ASSERT_FALSE (is_delegated);
       gg_source_choice_destroy (c);
     }
 }
 
-/* All sources have lost the store and say so: the instance learns that they still respond. */
+/* All sources have lost the store and report that: they still count as responding. */
 static void
 test_sources_without_the_store (void)
 {
@@ -87,7 +87,7 @@
   gg_source_choice_note_status (c, "b", &unready, now_ms, now_ms);
   CU_ASSERT_TRUE (gg_source_choice_has_responding (c, now_ms + PERIOD_MS));
   CU_ASSERT_PTR_NULL (gg_source_choice_get_source (c));
-  CU_ASSERT_FALSE (gg_source_choice_update (c, now_ms + PATIENCE_MS, PATIENCE_MS));
+  CU_ASSERT_FALSE (gg_source_choice_update (c, now_ms + SEARCH_TIMEOUT_MS, SEARCH_TIMEOUT_MS));
   gg_source_choice_destroy (c);
 }
 
@@ -103,10 +103,10 @@
   g_ptr_array_unref (addresses);
   CU_ASSERT_PTR_NULL (gg_source_choice_get_source (c));
   gg_source_choice_note_status (c, "a", &valid, now_ms, now_ms);
-  CU_ASSERT_TRUE (gg_source_choice_update (c, now_ms, PATIENCE_MS));
+  CU_ASSERT_TRUE (gg_source_choice_update (c, now_ms, SEARCH_TIMEOUT_MS));
   CU_ASSERT_PTR_NULL (gg_source_choice_get_source (c));
   gg_source_choice_note_status (c, "b", &valid, now_ms, now_ms);
-  CU_ASSERT_TRUE (gg_source_choice_update (c, now_ms, PATIENCE_MS));
+  CU_ASSERT_TRUE (gg_source_choice_update (c, now_ms, SEARCH_TIMEOUT_MS));
   CU_ASSERT_STRING_EQUAL (gg_source_choice_get_source (c), "b");
   gg_source_choice_destroy (c);
 }
--- a/tests/core/test_stall_policy.c
+++ b/tests/core/test_stall_policy.c
@@ -5,7 +5,7 @@
 
 #define CHECK_MS 50
 /* Callers leave a stream after this long without an event. */
-#define CALLER_PATIENCE_MS 2400
+#define CALLER_TIMEOUT_MS 2400
 #define TIME_LIMIT_MS 20000
 
 /* Plays a stream whose bytes come every @p byte_ms and whose events are complete every @p event_ms
@@ -30,7 +30,7 @@
 static void
 test_slow_stream_is_kept (void)
 {
-  for (uint64_t event_ms = CHECK_MS; event_ms <= CALLER_PATIENCE_MS; event_ms += CHECK_MS)
+  for (uint64_t event_ms = CHECK_MS; event_ms <= CALLER_TIMEOUT_MS; event_ms += CHECK_MS)
     for (uint64_t byte_ms = CHECK_MS; byte_ms <= event_ms; byte_ms += 7 * CHECK_MS)
       CU_ASSERT_EQUAL (play (byte_ms, event_ms, TRUE), TIME_LIMIT_MS);
 }
@@ -41,14 +41,14 @@
   for (uint64_t byte_ms = CHECK_MS; byte_ms <= 1000; byte_ms += CHECK_MS)
     {
       uint64_t end_ms = play (byte_ms, 0, TRUE);
-      CU_ASSERT_TRUE (end_ms > CALLER_PATIENCE_MS && end_ms <= 2 * CALLER_PATIENCE_MS);
+      CU_ASSERT_TRUE (end_ms > CALLER_TIMEOUT_MS && end_ms <= 2 * CALLER_TIMEOUT_MS);
       /* It can't be continued, so it is left to its time limit. */
       CU_ASSERT_EQUAL (play (byte_ms, 0, FALSE), TIME_LIMIT_MS);
     }
 }
 
 static void
-test_silent_stream_is_queried (void)
+test_idle_stream_is_queried (void)
 {
   GgStallState state = { .has_events = TRUE, .last_activity_ms = 1000, .last_event_ms = 1000 };
   CU_ASSERT_EQUAL (gg_stall_policy_decide (&state, 1100), GG_STALL_NONE);
@@ -64,7 +64,7 @@
   static const GgTestCase cases[] = {
     { "slow stream is kept", test_slow_stream_is_kept },
     { "dripping stream is resumed elsewhere", test_dripping_stream_is_resumed_elsewhere },
-    { "silent stream is queried", test_silent_stream_is_queried },
+    { "idle stream is queried", test_idle_stream_is_queried },
   };
   return gg_test_run ("stall policy", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/process/test_platform_members.c
+++ b/tests/process/test_platform_members.c
@@ -121,7 +121,7 @@
   gg_proof_check (proof, gg_wait_until (has_status_everywhere, (void *) "200", TIMEOUT_MS));
 }
 
-/* All registered routers are killed: the members serve on, take over and learn of changes. */
+/* All registered routers are killed: the members serve on, take over and receive changes. */
 static void
 run_all_registered_lost (GgProof *proof)
 {
