Log the age of the view of the runners, and which of them are retained

Callers saw a request sent to a runner that had left; the logs could not tell a grace period that began late from a watch that hung.

request_sent now has fleet_age_ms, the time since the view of the runners was last known to be complete: from the sending of the last call that was answered, at instances with a delegated watch from their source's report, which states the age and whether its changes are all it knows. runner_retained is logged when a runner stays in use without its entry, with the time for which it does. store_lost and store_regained have pending_ms, for how long the call that showed it had been pending.

Nothing is decided on these values yet. Mixed versions ignore each other's watch messages, as their magic number shows, and watch the store by themselves.

--- a/src/adapters/rpc/watch_message.c
+++ b/src/adapters/rpc/watch_message.c
@@ -5,7 +5,7 @@
 
 /* Distinguishes this kind of datagram and its version from anything else that may arrive at the
  * port. */
-#define MAGIC 0x67676632U
+#define MAGIC 0x67676633U
 #define MAX_TEXT_BYTES 256
 /* The buffer of a document is doubled until it fits. */
 #define DOCUMENT_FIRST_BYTES 4096
@@ -148,9 +148,10 @@
   if (!xdr_uint64_t (xdr, &report->number) || !code_text (xdr, &report->sender)
       || !code_flag (xdr, &report->status.is_delegate)
       || !xdr_uint64_t (xdr, &report->status.age_ms)
+      || !xdr_uint64_t (xdr, &report->status.runners_age_ms)
       || !xdr_uint64_t (xdr, &report->config_revision) || !xdr_uint32_t (xdr, &report->n_instances)
       || !xdr_uint64_t (xdr, &report->changes_after)
-      || !xdr_uint64_t (xdr, &report->runners_revision)
+      || !xdr_uint64_t (xdr, &report->runners_revision) || !code_flag (xdr, &report->is_complete)
       || !code_flag (xdr, &report->is_listing_needed) || !xdr_uint32_t (xdr, &n_changes)
       || n_changes > max_changes)
     return FALSE;
--- a/src/adapters/rpc/watch_message.h
+++ b/src/adapters/rpc/watch_message.h
@@ -47,6 +47,7 @@
   uint32_t n_instances;       /**< Active in all data centres; 0 if not known. */
   uint64_t changes_after;     /**< The changes are all those after this revision ... */
   uint64_t runners_revision;  /**< ... and up to this one. */
+  gboolean is_complete;       /**< The sender knows no later changes. */
   gboolean is_listing_needed; /**< Some changes are no longer known to the delegate. */
   GArray *changes;            /**< GgRunnerChange, in order of revision. */
 } GgWatchReport;
--- a/src/core/watch_delegation.c
+++ b/src/core/watch_delegation.c
@@ -62,3 +62,11 @@
 {
   return self->is_delegate && requested_ms > self->age_ms ? requested_ms - self->age_ms : 0;
 }
+
+uint64_t
+gg_watch_status_get_runners_proven_ms (const GgWatchStatus *self, uint64_t requested_ms)
+{
+  return self->is_delegate && requested_ms > self->runners_age_ms
+             ? requested_ms - self->runners_age_ms
+             : 0;
+}
--- a/src/core/watch_delegation.h
+++ b/src/core/watch_delegation.h
@@ -18,9 +18,11 @@
 /** State of an instance's own watch of the store. */
 typedef struct
 {
-  gboolean is_delegate; /**< It considers itself the delegate, and it reaches the store. */
-  uint64_t age_ms;      /**< Upper bound of the time since its configuration was last known to be
-                         * the newest one. */
+  gboolean is_delegate;    /**< It considers itself the delegate, and it reaches the store. */
+  uint64_t age_ms;         /**< Upper bound of the time since its configuration was last known to be
+                            * the newest one. */
+  uint64_t runners_age_ms; /**< Upper bound of the time since its list of runners was last known to
+                            * be complete. */
 } GgWatchStatus;
 
 /** Records a status that was requested at @p requested_ms. One that is not valid (not a delegate,
@@ -43,3 +45,6 @@
  * the status proves nothing. The delegate computed the age some time after the request was sent, so
  * the time of the request less the age is a safe bound. */
 uint64_t gg_watch_status_get_proven_ms (const GgWatchStatus *self, uint64_t requested_ms);
+
+/** The same for the list of runners. */
+uint64_t gg_watch_status_get_runners_proven_ms (const GgWatchStatus *self, uint64_t requested_ms);
--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -112,7 +112,9 @@
 {
   if (self->is_store_lost != is_store_lost)
     gg_event_log_add (GG_EVENT_NOTABLE, is_store_lost ? "store_lost" : "store_regained",
-                      "watch=config revision=%" G_GUINT64_FORMAT, (guint64) self->revision);
+                      "watch=config revision=%" G_GUINT64_FORMAT " pending_ms=%" G_GUINT64_FORMAT,
+                      (guint64) self->revision,
+                      (guint64) (gg_clock_boot_ms () - self->sent_boot_ms));
   self->is_store_lost = is_store_lost;
   self->router->is_store_unavailable = is_store_lost;
 }
--- a/src/daemons/routerd/delegated_watch.c
+++ b/src/daemons/routerd/delegated_watch.c
@@ -143,6 +143,7 @@
   const GgRunnerChanges *changes = gg_runner_watcher_get_changes (self->runner_watcher);
   g_array_set_size (report->changes, 0);
   report->runners_revision = report->changes_after;
+  report->is_complete = FALSE;
   if (changes == NULL)
     return TRUE; /* the entries are being listed again: nothing to report until that has ended */
   guint first = 0;
@@ -161,6 +162,7 @@
       gg_runner_record_copy (&change.record, &known->record);
       g_array_append_val (report->changes, change);
     }
+  report->is_complete = n >= 0 && n == (int) n_taken;
   return n <= (int) n_taken;
 }
 
@@ -203,6 +205,7 @@
   report->sender = g_strdup (gg_membership_get_address (self->membership));
   report->status.is_delegate = gg_delegated_watch_is_source (self);
   report->status.age_ms = gg_clock_boot_ms () - self->router->config_fresh_boot_ms;
+  report->status.runners_age_ms = gg_clock_boot_ms () - self->router->runners_fresh_boot_ms;
   report->config_revision = gg_config_watcher_get_revision (self->config_watcher);
   report->n_instances = self->router->n_instances;
   report->changes_after = known_revision;
@@ -293,6 +296,7 @@
 handle_report (GgDelegatedWatch *self, const GgWatchReport *report)
 {
   PendingRequest *request = &self->pending[report->number % MAX_PENDING_REQUESTS];
+  uint64_t runners_proven_ms = 0;
   if (report->number != 0 && request->number == report->number
       && g_strcmp0 (request->address, report->sender) == 0)
     {
@@ -301,6 +305,7 @@
                                     gg_clock_boot_ms ());
       gg_config_watcher_note_proof (self->config_watcher, report->config_revision,
                                     gg_watch_status_get_proven_ms (&report->status, sent_boot_ms));
+      runners_proven_ms = gg_watch_status_get_runners_proven_ms (&report->status, sent_boot_ms);
       clear_request (request);
     }
   update_delegation (self);
@@ -309,6 +314,9 @@
   if (self->is_delegated && source != NULL && report->status.is_delegate
       && g_strcmp0 (report->sender, source) == 0)
     apply_report (self, report, source);
+  if (report->is_complete)
+    gg_runner_watcher_note_proof (self->runner_watcher, report->runners_revision,
+                                  runners_proven_ms);
 }
 
 gboolean
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -350,12 +350,13 @@
   gg_event_log_add (
       GG_EVENT_ORDINARY, "request_sent",
       "request=%s runner=%s path=%s hops=%u token_ms=%.2f tokens=%u runs=%u misses=%u "
-      "left_ms=%" G_GUINT64_FORMAT " fleet=%" G_GUINT64_FORMAT,
+      "left_ms=%" G_GUINT64_FORMAT " fleet=%" G_GUINT64_FORMAT " fleet_age_ms=%" G_GUINT64_FORMAT,
       self->caller.attempt_id, self->runner->record.id, path,
       self->has_path ? self->path.n_hops : 1, self->has_path ? self->path.token_ms : 0,
       self->has_path ? self->path.tokens : 0, self->attempt.n_possible_runs,
       self->attempt.n_not_run, (guint64) send.time_left_ms,
-      (guint64) gg_fleet_get_revision (self->router->fleet));
+      (guint64) gg_fleet_get_revision (self->router->fleet),
+      (guint64) (gg_clock_boot_ms () - self->router->runners_fresh_boot_ms));
   g_free (path);
 }
 
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -29,9 +29,11 @@
   const char *instance;
   const char *data_centre;
   GgFleet *fleet;
-  GgRoutingConfig *config;       /**< NULL until the first one is known. */
-  uint64_t config_fresh_boot_ms; /**< The configuration was the newest one at this time at least
-                                  * (CLOCK_BOOTTIME). */
+  GgRoutingConfig *config;        /**< NULL until the first one is known. */
+  uint64_t config_fresh_boot_ms;  /**< The configuration was the newest one at this time at least
+                                   * (CLOCK_BOOTTIME). */
+  uint64_t runners_fresh_boot_ms; /**< All changes of the runners up to this time are known
+                                   * (CLOCK_BOOTTIME); 0 for never. */
   gboolean is_store_unavailable; /**< The store refuses or does not answer. Only the configuration's
                                   * watcher keeps trying; the others wait for its success. */
   uint64_t key_age_limit_ms;     /**< Requests with a key are refused if the configuration was last
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -30,12 +30,13 @@
   GgLoopFetch *fetch; /* of the document of a source; NULL for none */
   GgLoopTimer *timer;
   uint64_t revision;
-  gboolean is_listed;      /* all pages were read; changes are watched from then on */
-  GHashTable *listed_ids;  /* ids of the pages read so far */
-  char *last_key;          /* of the last page */
-  uint64_t first_revision; /* of the first page: the watch returns later changes */
-  gboolean is_started;     /* the list was requested */
-  gboolean has_news;       /* something has changed since the last report to other instances */
+  gboolean is_listed;          /* all pages were read; changes are watched from then on */
+  GHashTable *listed_ids;      /* ids of the pages read so far */
+  char *last_key;              /* of the last page */
+  uint64_t first_revision;     /* of the first page: the watch returns later changes */
+  uint64_t first_sent_boot_ms; /* when the first page was requested */
+  gboolean is_started;         /* the list was requested */
+  gboolean has_news;           /* something has changed since the last report to other instances */
   gboolean is_store_lost;
   gboolean is_delegated;    /* a delegate watches */
   GgRunnerChanges *changes; /* since the last listing */
@@ -123,6 +124,9 @@
       return;
     }
   g_hash_table_add (self->retained_ids, g_strdup (id));
+  gg_event_log_add (GG_EVENT_NOTABLE, "runner_retained",
+                    "runner=%s revision=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT, id,
+                    (guint64) revision, (guint64) (self->outage_grace.grace_until_ms - now_ms));
   gg_loop_timer_start (self->retained_timer, self->outage_grace.grace_until_ms - now_ms);
 }
 
@@ -187,14 +191,17 @@
       return;
     }
   end_list (self, "store");
+  self->router->runners_fresh_boot_ms = self->first_sent_boot_ms;
 }
 
+/* @param sent_boot_ms when the call that showed it was sent. */
 static void
-set_store_lost (GgRunnerWatcher *self, gboolean is_store_lost)
+set_store_lost (GgRunnerWatcher *self, gboolean is_store_lost, uint64_t sent_boot_ms)
 {
   if (self->is_store_lost != is_store_lost)
     gg_event_log_add (GG_EVENT_NOTABLE, is_store_lost ? "store_lost" : "store_regained",
-                      "watch=runners revision=%" G_GUINT64_FORMAT, (guint64) self->revision);
+                      "watch=runners revision=%" G_GUINT64_FORMAT " pending_ms=%" G_GUINT64_FORMAT,
+                      (guint64) self->revision, (guint64) (gg_clock_boot_ms () - sent_boot_ms));
   self->is_store_lost = is_store_lost;
 }
 
@@ -218,16 +225,20 @@
     {
     case GG_STORE_OK:
     case GG_STORE_ABSENT:
-      set_store_lost (self, FALSE);
+      set_store_lost (self, FALSE, reply->sent_boot_ms);
       gg_outage_grace_note_recovery (&self->outage_grace, gg_clock_now_ms ());
       gg_backoff_reset (&self->backoff);
       if (!self->is_listed && self->first_revision == 0)
-        self->first_revision = reply->revision;
+        {
+          self->first_revision = reply->revision;
+          self->first_sent_boot_ms = reply->sent_boot_ms;
+        }
       for (guint i = 0; i < reply->items->len; i++)
         apply_item (self, g_ptr_array_index (reply->items, i));
       if (self->is_listed)
         {
           self->revision = reply->revision;
+          self->router->runners_fresh_boot_ms = reply->sent_boot_ms;
           if (self->has_news)
             gg_delegated_watch_notify (self->router->delegated_watch);
           self->has_news = FALSE;
@@ -247,7 +258,7 @@
     case GG_STORE_CONFLICT:
     case GG_STORE_REFUSED:
     case GG_STORE_UNKNOWN:
-      set_store_lost (self, TRUE);
+      set_store_lost (self, TRUE, reply->sent_boot_ms);
       gg_outage_grace_note_outage (&self->outage_grace, gg_clock_now_ms ());
       gg_loop_timer_start (self->timer, gg_backoff_next_ms (&self->backoff, g_random_int ()));
       return;
@@ -380,11 +391,18 @@
       self->call = NULL;
       gg_loop_timer_stop (self->timer);
       /* The delegate reaches the store: entries removed from now on don't result from an outage. */
-      set_store_lost (self, FALSE);
+      set_store_lost (self, FALSE, gg_clock_boot_ms ());
       gg_outage_grace_note_recovery (&self->outage_grace, gg_clock_now_ms ());
     }
 }
 
+void
+gg_runner_watcher_note_proof (GgRunnerWatcher *self, uint64_t revision, uint64_t proven_boot_ms)
+{
+  if (self->is_delegated && self->is_listed && self->revision >= revision)
+    self->router->runners_fresh_boot_ms = MAX (self->router->runners_fresh_boot_ms, proven_boot_ms);
+}
+
 uint64_t
 gg_runner_watcher_get_revision (const GgRunnerWatcher *self)
 {
--- a/src/daemons/routerd/runner_watcher.h
+++ b/src/daemons/routerd/runner_watcher.h
@@ -16,6 +16,11 @@
 /** Returns the revision of the store up to which the entries are known. */
 uint64_t gg_runner_watcher_get_revision (const GgRunnerWatcher *self);
 
+/** Notes a source's report that no change after @p revision was known at @p proven_boot_ms
+ * (CLOCK_BOOTTIME of this instance; 0 for never). */
+void
+gg_runner_watcher_note_proof (GgRunnerWatcher *self, uint64_t revision, uint64_t proven_boot_ms);
+
 /** Returns the latest changes, borrowed; NULL while the entries are being listed. */
 const GgRunnerChanges *gg_runner_watcher_get_changes (const GgRunnerWatcher *self);
 
--- a/tests/adapters/test_watch_message.c
+++ b/tests/adapters/test_watch_message.c
@@ -31,7 +31,9 @@
   GgWatchMessage message;
   gg_watch_message_init (&message, GG_WATCH_MESSAGE_REPORT);
   message.report.number = 7;
-  message.report.status = (GgWatchStatus){ .is_delegate = TRUE, .age_ms = 812 };
+  message.report.status
+      = (GgWatchStatus){ .is_delegate = TRUE, .age_ms = 812, .runners_age_ms = 1455 };
+  message.report.is_complete = TRUE;
   message.report.config_revision = 44;
   message.report.changes_after = 50;
   message.report.runners_revision = 61;
@@ -53,6 +55,8 @@
   CU_ASSERT_EQUAL_FATAL (got.kind, GG_WATCH_MESSAGE_REPORT);
   CU_ASSERT_EQUAL (got.report.number, 7);
   CU_ASSERT_EQUAL (got.report.status.age_ms, 812);
+  CU_ASSERT_EQUAL (got.report.status.runners_age_ms, 1455);
+  CU_ASSERT_TRUE (got.report.is_complete);
   CU_ASSERT_EQUAL (got.report.config_revision, 44);
   CU_ASSERT_EQUAL (got.report.changes_after, 50);
   CU_ASSERT_EQUAL (got.report.runners_revision, 61);
