Reproduce requests to a runner that left after an outage of the store

The stand-ins learn what this takes: the store stays silent on SIGHUP, and a runner removes its entry on SIGUSR2. A write of the value that is there already no longer counts as a change in the stand-in, since the platform's entries change only with their content; with a change every half second no watch ever waited.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -3,7 +3,8 @@
  * Words in the request target inject faults: "refuse" (rejected, not run), "lose" (run, connection
  * reset), "cut" (a stream breaks off in the middle of an event unless the request resumes it),
  * "unsigned" (no response signature), "fail" (status 500 of the service), "forget" (404 to a stream
- * resumption). GET /test/runs returns the number of requests run. SIGUSR1 makes it drain. */
+ * resumption). GET /test/runs returns the number of requests run. SIGUSR1 makes it drain, SIGUSR2
+ * removes its entry; in both cases it goes on serving. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -37,7 +38,8 @@
   uint64_t n_runs;
   gboolean is_busy;
   gboolean is_leaving;
-  GHashTable *streams; /* set of Stream */
+  gboolean is_withdrawn; /* its entry is removed */
+  GHashTable *streams;   /* set of Stream */
 } runner;
 
 typedef struct
@@ -92,13 +94,24 @@
   return TRUE;
 }
 
-static void
-register_self (void *data)
+static char *
+print_registration (void)
 {
+  if (runner.is_withdrawn)
+    return g_strdup_printf ("{\"deletes\":[\"servers/%s\"]}", runner.id);
   char *entry = print_entry ();
   char *value = g_base64_encode ((const guchar *) entry, strlen (entry));
   char *body = g_strdup_printf ("{\"puts\":[{\"key\":\"servers/%s\",\"value\":\"%s\"}]}", runner.id,
                                 value);
+  g_free (value);
+  g_free (entry);
+  return body;
+}
+
+static void
+register_self (void *data)
+{
+  char *body = print_registration ();
   GgMessageHead *head = gg_message_head_create_request ("POST", "/test/put");
   gg_message_head_add_uint (head, "Content-Length", strlen (body));
   GgCallRequest request = { .address = gg_fake_loop_get_option (runner.fake, "store"),
@@ -109,8 +122,6 @@
   gg_loop_client_call (runner.client, &request, on_registered, NULL);
   gg_message_head_destroy (head);
   g_free (body);
-  g_free (value);
-  g_free (entry);
   gg_loop_timer_start (runner.register_timer, REGISTER_MS);
 }
 
@@ -342,6 +353,13 @@
   register_self (NULL);
 }
 
+static void
+on_withdraw (void *data)
+{
+  runner.is_withdrawn = TRUE;
+  register_self (NULL);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,6 +373,7 @@
   runner.load_timer = gg_loop_timer_create (loop, on_loaded, NULL);
   runner.register_timer = gg_loop_timer_create (loop, register_self, NULL);
   gg_loop_watch_signal (loop, SIGUSR1, on_drain, NULL);
+  gg_loop_watch_signal (loop, SIGUSR2, on_withdraw, NULL);
   register_self (NULL);
   return gg_fake_loop_run (runner.fake);
 }
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -1,7 +1,9 @@
 /* Fake of the platform's metadata store: keys with revisions, lists, watches with history, leases,
  * conditional transactions. Nothing is persisted. POST /test/put writes unconditionally, as
- * operators and runners do. SIGUSR1 discards the history (compaction), SIGUSR2 starts or ends an
- * outage in which every call is rejected. */
+ * operators and runners do, also in an outage; a value that is there already is no change. SIGUSR1
+ * discards the history (compaction), SIGUSR2 starts or ends an outage in which every call is
+ * rejected, SIGHUP one in which no call is answered: waiting watches and connections on which a
+ * call is sent then stay silent for good. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -49,6 +51,7 @@
   uint64_t first_revision; /* changes up to here are discarded */
   uint64_t next_lease;
   gboolean is_unavailable;
+  gboolean is_silent;
 } store = { .revision = 1, .next_lease = 100 };
 
 static void
@@ -141,6 +144,8 @@
 put (const char *key, const char *value, uint64_t lease)
 {
   const Item *known = g_hash_table_lookup (store.items, key);
+  if (known != NULL && known->lease == lease && strcmp (known->value, value) == 0)
+    return;
   Item *item = g_new0 (Item, 1);
   item->key = g_strdup (key);
   item->value = g_strdup (value);
@@ -363,7 +368,11 @@
             const char *target,
             JsonObject *body)
 {
-  if (store.is_unavailable)
+  if (strcmp (target, "/test/put") == 0 && body != NULL)
+    write_keys (connection, body);
+  else if (store.is_silent)
+    return;
+  else if (store.is_unavailable)
     gg_fake_loop_reply (connection, 503, "");
   else if (g_str_has_prefix (target, "/api/kv-key?"))
     read_key (connection, target);
@@ -373,8 +382,6 @@
     watch_keys (connection, target);
   else if (strcmp (target, "/api/kv-txn") == 0 && body != NULL)
     write_keys (connection, body);
-  else if (strcmp (target, "/test/put") == 0 && body != NULL)
-    write_keys (connection, body);
   else if (strcmp (target, "/api/kv-lease") == 0 && body != NULL)
     open_lease (connection, body);
   else if (g_str_has_prefix (target, "/api/kv-keep/"))
@@ -413,6 +420,14 @@
     }
 }
 
+static void
+toggle_silence (void *data)
+{
+  store.is_silent = !store.is_silent;
+  if (store.is_silent)
+    g_ptr_array_set_size (store.watches, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -426,5 +441,6 @@
   gg_loop_timer_start (store.timer, LEASE_CHECK_MS);
   gg_loop_watch_signal (loop, SIGUSR1, discard_history, NULL);
   gg_loop_watch_signal (loop, SIGUSR2, toggle_outage, NULL);
+  gg_loop_watch_signal (loop, SIGHUP, toggle_silence, NULL);
   return gg_fake_loop_run (store.fake);
 }
--- /dev/null
+++ b/tests/process/test_platform_leaving.c
@@ -0,0 +1,112 @@
+/* Runners that leave after an outage of the store: no router may send a request to one of them
+ * later than the users' bound after its entry is gone, whatever the outage did to the watches. */
+#include "base/clock.h"
+#include "http_client.h"
+#include "prove.h"
+#include "site.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define PLAIN "X-Deadline-Ms: 1500\r\n"
+#define N_ROUTERS 1
+#define TIMEOUT_MS 10000
+/* A request must not reach a runner later than this after its entry is gone. */
+#define DRAIN_MS 2000
+/* For how long requests are sent after that. */
+#define OBSERVED_MS 2500
+/* The bound holds from this long after the end of an outage. */
+#define CONTACT_MS 3000
+/* Longer than the 3 s after which an entry that is not renewed expires. */
+#define OUTAGE_MS 4000
+/* Time for a pending watch to return a change, and to be sent again. */
+#define RENEWAL_MS 900
+/* Time for the layers of the models to be placed, which changes entries. */
+#define SETTLE_MS 2000
+
+static gboolean
+send_everywhere (void *data)
+{
+  Site *site = data;
+  gboolean is_served = TRUE;
+  for (guint i = 0; i < N_ROUTERS; i++)
+    {
+      char *answer = site_call (site, i, "GET", "/lookups/1", PLAIN, "");
+      is_served = answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 200") && is_served;
+      g_free (answer);
+    }
+  return is_served;
+}
+
+static void
+send_for (Site *site, uint64_t ms)
+{
+  uint64_t end_ms = gg_clock_now_ms () + ms;
+  while (gg_clock_now_ms () < end_ms)
+    send_everywhere (site);
+}
+
+/* Counts the requests that reach a runner later than the bound after the removal of its entry. */
+static guint
+count_late_requests (Site *site, SiteRunner *runner)
+{
+  uint64_t removed_ms = gg_clock_now_ms ();
+  gg_process_signal (runner->process, SIGUSR2);
+  send_for (site, DRAIN_MS);
+  guint before = site_count_runs (site, runner->id);
+  while (gg_clock_now_ms () < removed_ms + DRAIN_MS + OBSERVED_MS)
+    send_everywhere (site);
+  return site_count_runs (site, runner->id) - before;
+}
+
+static void
+prove_after_outage (GgProof *proof, int outage_signal)
+{
+  Site *site = site_create (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  SiteRunner *runner = site_find_runner (site, "desk");
+  g_usleep (SETTLE_MS * 1000);
+  /* The watches of the runners return, so they are pending since shortly before the outage. */
+  site_put (site, "servers/other", "not an entry of a runner");
+  g_usleep (RENEWAL_MS * 1000);
+  gg_process_signal (site->store, outage_signal);
+  g_usleep (OUTAGE_MS * 1000);
+  gg_process_signal (site->store, outage_signal);
+  uint64_t end_ms = gg_clock_now_ms () + CONTACT_MS;
+  gg_proof_check (proof, gg_wait_until (send_everywhere, site, TIMEOUT_MS));
+  while (gg_clock_now_ms () < end_ms)
+    send_everywhere (site);
+  guint before = site_count_runs (site, runner->id);
+  send_for (site, RENEWAL_MS);
+  gg_proof_check (proof, site_count_runs (site, runner->id) > before);
+  gg_proof_check (proof, count_late_requests (site, runner) == 0);
+  site_destroy (site);
+}
+
+/* Guards against a grace period for missing entries that begins with the late reply of a watch
+ * instead of the end of the outage, and so covers a runner that leaves seconds after it. */
+static void
+run_store_refused (GgProof *proof)
+{
+  prove_after_outage (proof, SIGUSR2);
+}
+
+/* Guards against a watch that hangs on a connection which went silent in an outage, while another
+ * call to the store has shown its end. */
+static void
+run_store_silent (GgProof *proof)
+{
+  prove_after_outage (proof, SIGHUP);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const GgProofCase cases[] = {
+    { "leaving", "runner-left-after-store-refused", run_store_refused },
+    { "leaving", "runner-left-after-store-silent", run_store_silent },
+  };
+  return gg_prove_main ("platform leaving", cases, G_N_ELEMENTS (cases), argc, argv);
+}
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -28,8 +28,8 @@
   { "south", "small" }, { "south", "small" },
 };
 
-static void
-put (const Site *self, const char *key, const char *value)
+void
+site_put (const Site *self, const char *key, const char *value)
 {
   char *encoded = g_base64_encode ((const guchar *) value, strlen (value));
   char *body = g_strdup_printf ("{\"puts\":[{\"key\":\"%s\",\"value\":\"%s\"}]}", key, encoded);
@@ -64,7 +64,7 @@
       "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
       "\"tenants\":[{\"name\":\"school\",\"api_keys\":[\"%s\"]}]}",
       version, SITE_HOST, SITE_HOST, SITE_HOST, SITE_LAYERS, has_key ? SITE_KEY : "another-key");
-  put (self, "op/config", config);
+  site_put (self, "op/config", config);
   g_free (config);
 }
 
@@ -335,6 +335,15 @@
   return answer;
 }
 
+SiteRunner *
+site_find_runner (Site *self, const char *prefix)
+{
+  for (guint i = 0; i < self->n_runners; i++)
+    if (g_str_has_prefix (self->runners[i].id, prefix))
+      return &self->runners[i];
+  return NULL;
+}
+
 guint
 site_count_runs (const Site *self, const char *prefix)
 {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -73,6 +73,12 @@
 /** As site_call(), with @p text sent verbatim. */
 char *site_send_raw (const Site *self, guint router, const char *text);
 
+/** Writes a key of the store, as an operator or another writer does. */
+void site_put (const Site *self, const char *key, const char *value);
+
+/** Returns the first runner whose id starts with @p prefix; NULL if there is none. */
+SiteRunner *site_find_runner (Site *self, const char *prefix);
+
 /** Returns the number of requests run by all runners whose id starts with @p prefix. */
 guint site_count_runs (const Site *self, const char *prefix);
 
