Begin the grace period for missing entries at the first sign of the store's return

Cause: runners whose entries are missing just after an outage are kept for 2.2 s. The watcher of the runners took the first reply to its own watch for the store's return; a watch without news is silent for up to 10 s, so the period began with the very removal that it must not cover. The log of the failing test has runner_retained for 2,200 ms at the time of the removal, and store_regained watch=runners with pending_ms=3569.

Ruled out: a watch that hung (the followers of the same sources knew within 4 ms), and a choice made earlier (runner_gone comes after request_sent).

Change: there is one outage for the process, seen by all its watches. The configuration's watch, which retries and returns within a second, mostly ends it. The reply to a call that was sent before the outage does not: it would make the outage look short, and the runners whose entries expired in it would be dropped at once. An instance whose watch of the runners was in its pause when the outage began now has the grace period as well.

The core test fails without the condition on the time of sending.

--- a/src/core/outage_grace.c
+++ b/src/core/outage_grace.c
@@ -14,8 +14,10 @@
 }
 
 void
-gg_outage_grace_note_recovery (GgOutageGrace *self, uint64_t now_ms)
+gg_outage_grace_note_recovery (GgOutageGrace *self, uint64_t sent_ms, uint64_t now_ms)
 {
+  if (sent_ms < self->outage_since_ms)
+    return;
   if (self->outage_since_ms != 0 && now_ms - self->outage_since_ms >= MIN_OUTAGE_MS)
     self->grace_until_ms = now_ms + GRACE_MS;
   self->outage_since_ms = 0;
--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -132,6 +132,8 @@
       = MAX (self->router->config_fresh_boot_ms, reply->sent_boot_ms);
   gg_backoff_reset (&self->backoff);
   set_store_lost (self, FALSE);
+  gg_outage_grace_note_recovery (&self->router->outage_grace, reply->sent_boot_ms,
+                                 gg_clock_boot_ms ());
   if (self->is_delegated)
     return;
   if (self->has_started)
@@ -175,6 +177,7 @@
         self->failing_since_boot_ms = self->failed_boot_ms;
       start_retry (self);
       set_store_lost (self, TRUE);
+      gg_outage_grace_note_outage (&self->router->outage_grace, self->failed_boot_ms);
       return;
     }
 }
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -5,6 +5,7 @@
 
 #include "base/settings.h"
 #include "core/fleet.h"
+#include "core/outage_grace.h"
 #include "core/routing_config.h"
 #include "core/send_budget.h"
 #include "loop/client.h"
@@ -36,6 +37,7 @@
                                    * (CLOCK_BOOTTIME); 0 for never. */
   gboolean is_store_unavailable; /**< The store refuses or does not answer. Only the configuration's
                                   * watcher keeps trying; the others wait for its success. */
+  GgOutageGrace outage_grace;    /**< Of the store, as all watches together show. */
   uint64_t key_age_limit_ms;     /**< Requests with a key are refused if the configuration was last
                                   * proven longer ago than this; 0: never. */
   uint64_t started_ms;           /**< When the process started (monotonic). */
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -4,7 +4,6 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
-#include "core/outage_grace.h"
 #include "daemons/routerd/delegated_watch.h"
 #include "daemons/routerd/peer_documents.h"
 #include "ports/directory.h"
@@ -41,7 +40,6 @@
   gboolean is_delegated;    /* a delegate watches */
   GgRunnerChanges *changes; /* since the last listing */
   GgBackoff backoff;
-  GgOutageGrace outage_grace;
   GHashTable *retained_ids;    /* ids of runners with a missing entry, kept in the grace period */
   GgLoopTimer *retained_timer; /* fires at the end of the grace period */
 };
@@ -117,8 +115,8 @@
 static void
 retain_or_remove_runner (GgRunnerWatcher *self, const char *id, uint64_t revision)
 {
-  uint64_t now_ms = gg_clock_now_ms ();
-  if (!gg_outage_grace_is_active (&self->outage_grace, now_ms))
+  uint64_t now_ms = gg_clock_boot_ms ();
+  if (!gg_outage_grace_is_active (&self->router->outage_grace, now_ms))
     {
       remove_runner (self, id, revision);
       return;
@@ -126,8 +124,9 @@
   g_hash_table_add (self->retained_ids, g_strdup (id));
   gg_event_log_add (GG_EVENT_NOTABLE, "runner_retained",
                     "runner=%s revision=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT, id,
-                    (guint64) revision, (guint64) (self->outage_grace.grace_until_ms - now_ms));
-  gg_loop_timer_start (self->retained_timer, self->outage_grace.grace_until_ms - now_ms);
+                    (guint64) revision,
+                    (guint64) (self->router->outage_grace.grace_until_ms - now_ms));
+  gg_loop_timer_start (self->retained_timer, self->router->outage_grace.grace_until_ms - now_ms);
 }
 
 static void
@@ -226,7 +225,8 @@
     case GG_STORE_OK:
     case GG_STORE_ABSENT:
       set_store_lost (self, FALSE, reply->sent_boot_ms);
-      gg_outage_grace_note_recovery (&self->outage_grace, gg_clock_now_ms ());
+      gg_outage_grace_note_recovery (&self->router->outage_grace, reply->sent_boot_ms,
+                                     gg_clock_boot_ms ());
       gg_backoff_reset (&self->backoff);
       if (!self->is_listed && self->first_revision == 0)
         {
@@ -259,7 +259,7 @@
     case GG_STORE_REFUSED:
     case GG_STORE_UNKNOWN:
       set_store_lost (self, TRUE, reply->sent_boot_ms);
-      gg_outage_grace_note_outage (&self->outage_grace, gg_clock_now_ms ());
+      gg_outage_grace_note_outage (&self->router->outage_grace, gg_clock_boot_ms ());
       gg_loop_timer_start (self->timer, gg_backoff_next_ms (&self->backoff, g_random_int ()));
       return;
     }
@@ -392,7 +392,8 @@
       gg_loop_timer_stop (self->timer);
       /* The delegate reaches the store: entries removed from now on don't result from an outage. */
       set_store_lost (self, FALSE, gg_clock_boot_ms ());
-      gg_outage_grace_note_recovery (&self->outage_grace, gg_clock_now_ms ());
+      gg_outage_grace_note_recovery (&self->router->outage_grace, gg_clock_boot_ms (),
+                                     gg_clock_boot_ms ());
     }
 }
 
