Prove the age of the view of the runners by itself, and keep its watch short

A runner that had left was used for up to 12 s when only the reply to the watch of the runners was lost.

Cause: one proof of freshness was taken for two views. The configuration's watch returns every second and its age went into the reports to other instances, which relied on the source for the runners as well; the watch of the runners waited 10 s, plus 2 s of reply timeout, and nothing told how old that view was.

Weighed: one watch for both prefixes (they have no common prefix but the empty one, which brings every lease and instance too); keeping 10 s and relying on evidence from other calls alone (blind to a single lost reply).

Change: the watch of the runners waits one second, so a lost reply is noticed after 3 s at most, which is the time after a fault for which the users' bound does not hold. A source's report states the age of both views, and one whose view of the runners is older than 2.8 s is no longer relied on: the second registered instance watches by itself at once, the others look for another source. No instance stops serving for it.

--- a/src/core/watch_delegation.c
+++ b/src/core/watch_delegation.c
@@ -8,6 +8,8 @@
 /* A status older than this means that the delegate's calls to the store fail or hang: normally it
  * is up to two waits of the delegate's watch old, of one second each. */
 #define MAX_AGE_MS 2300
+/* The same for its view of the runners, which has a pause of half a second between two waits. */
+#define MAX_RUNNERS_AGE_MS 2800
 
 static gboolean
 has_enough_reports (const GgWatchDelegation *self)
@@ -30,7 +32,8 @@
   if (requested_ms > self->last_valid_ms + REPORT_TIMEOUT_MS)
     note_failure (self);
   self->last_status_ms = MAX (self->last_status_ms, requested_ms);
-  if (!status->is_delegate || status->age_ms > MAX_AGE_MS)
+  if (!status->is_delegate || status->age_ms > MAX_AGE_MS
+      || status->runners_age_ms > MAX_RUNNERS_AGE_MS)
     {
       note_failure (self);
       return;
--- a/src/core/watch_delegation.h
+++ b/src/core/watch_delegation.h
@@ -26,7 +26,7 @@
 } GgWatchStatus;
 
 /** Records a status that was requested at @p requested_ms. One that is not valid (not a delegate,
- * or too old) ends the delegation at once. */
+ * or a view that is too old) ends the delegation at once. */
 void gg_watch_delegation_note_status (GgWatchDelegation *self,
                                       const GgWatchStatus *status,
                                       uint64_t requested_ms);
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -10,7 +10,10 @@
 
 #include <string.h>
 
-#define WATCH_MS 10000
+/* Each reply proves that the view was complete when the call was sent. A lost reply looks like a
+ * store without news until the end of this wait and the store's reply timeout, which together are
+ * no longer than the time for which a leaving runner may still be used after a fault. */
+#define WATCH_MS 1000
 /* Each runner rewrites its entry about once a second; a watch without a pause would return for each
  * of these writes. A change is known this much later, well within the time for which a leaving
  * runner keeps serving. */
--- a/tests/core/test_watch_delegation.c
+++ b/tests/core/test_watch_delegation.c
@@ -54,6 +54,21 @@
   CU_ASSERT_FALSE (gg_watch_delegation_has_delegate (&d, 1000 + DETECT_MS));
 }
 
+/* A source whose watch of the runners hangs is as bad as one without the configuration: those that
+ * rely on it would send requests to runners that have left. */
+static void
+test_old_view_of_the_runners (void)
+{
+  const GgWatchStatus recent = { .is_delegate = TRUE, .age_ms = 900, .runners_age_ms = 2500 };
+  const GgWatchStatus old = { .is_delegate = TRUE, .age_ms = 900, .runners_age_ms = 3000 };
+  uint64_t now_ms = 1000;
+  GgWatchDelegation d = make_active (&now_ms);
+  gg_watch_delegation_note_status (&d, &recent, now_ms);
+  CU_ASSERT_TRUE (gg_watch_delegation_is_active (&d, now_ms));
+  gg_watch_delegation_note_status (&d, &old, now_ms);
+  CU_ASSERT_FALSE (gg_watch_delegation_is_active (&d, now_ms));
+}
+
 static void
 test_missing_reports (void)
 {
@@ -108,6 +123,7 @@
     { "delegate that has lost the store", test_delegate_that_has_lost_the_store },
     { "missing reports", test_missing_reports },
     { "invalid reports", test_invalid_reports },
+    { "old view of the runners", test_old_view_of_the_runners },
     { "proven time is never too late", test_proven_time_is_never_too_late },
   };
   return gg_test_run ("watch delegation", cases, G_N_ELEMENTS (cases));
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -3,7 +3,8 @@
  * operators and runners do, also in an outage; a value that is there already is no change. SIGUSR1
  * discards the history (compaction), SIGUSR2 starts or ends an outage in which every call is
  * rejected, SIGHUP one in which no call is answered: waiting watches and connections on which a
- * call is sent then stay silent for good. */
+ * call is sent then stay silent for good. POST /test/lose does the same to the watches of a
+ * "prefix" that wait now. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -362,6 +363,18 @@
   answer_watches ();
 }
 
+/* Leaves the waiting watches of a prefix without an answer. */
+static void
+lose_watches (GgServerConnection *connection, JsonObject *body)
+{
+  const char *prefix = "";
+  gg_json_read_string (body, "prefix", &prefix);
+  for (guint i = store.watches->len; i-- > 0;)
+    if (strcmp (((const Watch *) g_ptr_array_index (store.watches, i))->prefix, prefix) == 0)
+      g_ptr_array_remove_index (store.watches, i);
+  gg_fake_loop_reply (connection, 200, "{}");
+}
+
 static void
 on_request (GgServerConnection *connection,
             const char *method,
@@ -370,6 +383,8 @@
 {
   if (strcmp (target, "/test/put") == 0 && body != NULL)
     write_keys (connection, body);
+  else if (strcmp (target, "/test/lose") == 0 && body != NULL)
+    lose_watches (connection, body);
   else if (store.is_silent)
     return;
   else if (store.is_unavailable)
--- a/tests/process/test_platform_leaving.c
+++ b/tests/process/test_platform_leaving.c
@@ -60,20 +60,20 @@
   return site_count_runs (site, runner->id) - before;
 }
 
+/* Makes the watch of the runners return, so that it is pending since a short time. */
 static void
-prove_after_outage (GgProof *proof, int outage_signal)
+renew_watch (Site *site)
 {
-  Site *site = site_create (N_ROUTERS);
-  if (!gg_proof_check (proof, site != NULL))
-    return;
-  SiteRunner *runner = site_find_runner (site, "desk");
   g_usleep (SETTLE_MS * 1000);
-  /* The watches of the runners return, so they are pending since shortly before the outage. */
   site_put (site, "servers/other", "not an entry of a runner");
   g_usleep (RENEWAL_MS * 1000);
-  gg_process_signal (site->store, outage_signal);
-  g_usleep (OUTAGE_MS * 1000);
-  gg_process_signal (site->store, outage_signal);
+}
+
+/* Withdraws a runner when a fault of the store has been over for CONTACT_MS. */
+static void
+prove_leaving (GgProof *proof, Site *site)
+{
+  SiteRunner *runner = site_find_runner (site, "desk");
   uint64_t end_ms = gg_clock_now_ms () + CONTACT_MS;
   gg_proof_check (proof, gg_wait_until (send_everywhere, site, TIMEOUT_MS));
   while (gg_clock_now_ms () < end_ms)
@@ -82,6 +82,19 @@
   send_for (site, RENEWAL_MS);
   gg_proof_check (proof, site_count_runs (site, runner->id) > before);
   gg_proof_check (proof, count_late_requests (site, runner) == 0);
+}
+
+static void
+prove_after_outage (GgProof *proof, int outage_signal)
+{
+  Site *site = site_create (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  renew_watch (site);
+  gg_process_signal (site->store, outage_signal);
+  g_usleep (OUTAGE_MS * 1000);
+  gg_process_signal (site->store, outage_signal);
+  prove_leaving (proof, site);
   site_destroy (site);
 }
 
@@ -101,12 +114,28 @@
   prove_after_outage (proof, SIGHUP);
 }
 
+/* Guards against a watch of the runners whose reply was lost while all other calls to the store are
+ * answered, so that nothing but its own time limit ends it. */
+static void
+run_reply_lost (GgProof *proof)
+{
+  Site *site = site_create (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  renew_watch (site);
+  gg_proof_check (
+      proof, gg_test_send ("POST", site->store_address, "/test/lose", "{\"prefix\":\"servers/\"}"));
+  prove_leaving (proof, site);
+  site_destroy (site);
+}
+
 int
 main (int argc, char **argv)
 {
   static const GgProofCase cases[] = {
     { "leaving", "runner-left-after-store-refused", run_store_refused },
     { "leaving", "runner-left-after-store-silent", run_store_silent },
+    { "leaving", "runner-left-after-reply-lost", run_reply_lost },
   };
   return gg_prove_main ("platform leaving", cases, G_N_ELEMENTS (cases), argc, argv);
 }
