--- a/tests/process/test_platform_leaving.c
+++ b/tests/process/test_platform_leaving.c
@@ -18,6 +18,8 @@
 #define OBSERVED_MS 2500
 /* The bound holds from this long after the end of an outage. */
 #define CONTACT_MS 3000
+/* Everything must work again this long after a failure. */
+#define RECOVERY_MS 12000
 /* Longer than the 3 s after which an entry that is not renewed expires. */
 #define OUTAGE_MS 4000
 /* Time for a pending watch to return a change, and to be sent again. */
@@ -129,6 +131,34 @@
   site_destroy (site);
 }
 
+static gboolean
+is_leader_elected (void *data)
+{
+  char *output = gg_process_read_output (data);
+  gboolean is_elected = strstr (output, "event=leader_elected") != NULL;
+  g_free (output);
+  return is_elected;
+}
+
+/* Guards against a watch of the registered routers whose reply was lost: the death of the leader
+ * stays unknown until that watch ends, and meanwhile nobody places models. */
+static void
+run_leader_killed (GgProof *proof)
+{
+  Site *site = site_create (2);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  g_usleep (SETTLE_MS * 1000);
+  guint leader = is_leader_elected (site->routers[0].process) ? 0 : 1;
+  GgProcess *other = site->routers[1 - leader].process;
+  gg_proof_check (proof, !is_leader_elected (other));
+  gg_proof_check (proof, gg_test_send ("POST", site->store_address, "/test/lose",
+                                       "{\"prefix\":\"greengage/\"}"));
+  gg_process_signal (site->routers[leader].process, SIGKILL);
+  gg_proof_check (proof, gg_wait_until (is_leader_elected, other, RECOVERY_MS));
+  site_destroy (site);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -136,6 +166,7 @@
     { "leaving", "runner-left-after-store-refused", run_store_refused },
     { "leaving", "runner-left-after-store-silent", run_store_silent },
     { "leaving", "runner-left-after-reply-lost", run_reply_lost },
+    { "layers-once", "leader-killed-after-reply-lost", run_leader_killed },
   };
   return gg_prove_main ("platform leaving", cases, G_N_ELEMENTS (cases), argc, argv);
 }
