Leave reads of the configuration that take long to their end

The fault that is mended here is of the same kind and was found by reading: it is what a store whose reads take longer than a quarter of a second does to a registered instance after an outage.

Cause: a call of the instance's own that had been pending for 250 ms was taken for one that hangs. Each report of a source, three a second and more, cancelled the read and began it anew, and as the new call counted as recent, the document was not fetched from the source either. While reads took 600 ms neither ever ended. The limit was right for a small answer from a fast store and wrong for a large or late one.

Change: a pending call is only replaced if the source's proof shows that the store has answered a call sent after it, and it has received nothing. It no longer keeps the instance from fetching what the source has, and a read from the store does not cancel that fetch: whichever comes first is applied, and an older revision is ignored as before.

--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -225,25 +225,24 @@
   return self->document != NULL ? g_byte_array_ref (self->document) : NULL;
 }
 
-/* Cancels the pending call or pause and reads the configuration at once. */
+/* Cancels the pending call or pause and reads the configuration at once. A document that is being
+ * read from a source is still welcome: it may come first. */
 static void
 read_now (GgConfigWatcher *self)
 {
   gg_store_call_cancel (self->call);
-  gg_loop_fetch_cancel (self->fetch);
-  self->fetch = NULL;
   gg_loop_timer_stop (self->retry_timer);
   self->step = STEP_READ;
   send_call (self);
 }
 
-/* Whether a call is pending that may still be answered soon. An older one may hang on a connection
- * that went dead during an outage, and must not keep this instance from reading a change that the
- * delegate has reported. */
+/* Whether the pending call may hang on a connection that went silent: the store has answered a
+ * later one, and this one has received nothing. A call that only takes long must be left alone,
+ * since beginning it anew would take as long again. */
 static gboolean
-has_recent_call (const GgConfigWatcher *self)
+is_overtaken (const GgConfigWatcher *self, uint64_t proven_boot_ms)
 {
-  return self->call != NULL && gg_clock_boot_ms () - self->sent_boot_ms < OVERDUE_MS;
+  return self->sent_boot_ms < proven_boot_ms && !gg_store_call_has_data (self->call);
 }
 
 void
@@ -282,7 +281,7 @@
   if (revision == self->item_revision)
     self->router->config_fresh_boot_ms = MAX (self->router->config_fresh_boot_ms, proven_boot_ms);
   if (self->router->is_registered && self->is_store_lost && proven_boot_ms > self->failed_boot_ms
-      && !has_recent_call (self))
+      && (self->call == NULL || is_overtaken (self, proven_boot_ms)))
     read_now (self);
 }
 
@@ -323,15 +322,14 @@
     return;
   gg_event_log_add (GG_EVENT_NOTABLE, "document_not_read", "document=config end=%d status=%u",
                     result->end, result->end == GG_FETCH_ANSWERED ? result->status : 0);
-  if (!has_recent_call (self))
+  if (self->call == NULL)
     read_now (self);
 }
 
 void
 gg_config_watcher_note_revision (GgConfigWatcher *self, uint64_t revision, const char *source)
 {
-  if (!self->is_delegated || revision <= self->item_revision || self->fetch != NULL
-      || has_recent_call (self))
+  if (!self->is_delegated || revision <= self->item_revision || self->fetch != NULL)
     return;
   self->fetch
       = gg_peer_document_fetch (self->router, source, GG_PEER_DOCUMENT_CONFIG, on_fetched, self);
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -17,8 +17,8 @@
 #define RENEWALS_PER_LEASE 3
 /* The leader stops sending orders this long before its lease may expire at the store. */
 #define LEASE_MARGIN_MS 500
-/* A lost reply looks like a store without news until the end of this wait: the death of the leader is
- * unknown for that long, beside its lease. */
+/* A lost reply looks like a store without news until the end of this wait: the death of the leader
+ * is unknown for that long, beside its lease. */
 #define WATCH_MS 5000
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -85,5 +85,8 @@
 GgStoreCall *gg_store_renew_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
 GgStoreCall *gg_store_end_lease (GgStore *self, uint64_t lease, GgStoreFunc func, void *data);
 
+/** Whether part of the reply has been received. */
+gboolean gg_store_call_has_data (const GgStoreCall *call);
+
 /** Cancels a call; its function is not called. NULL is allowed. */
 void gg_store_call_cancel (GgStoreCall *call);
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -4,7 +4,7 @@
  * discards the history (compaction), SIGUSR2 starts or ends an outage in which every call is
  * rejected, SIGHUP one in which no call is answered: waiting watches and connections on which a
  * call is sent then stay silent for good. POST /test/lose does the same to the watches of a
- * "prefix" that wait now. */
+ * "prefix" that wait now. POST /test/delay sets the "ms" by which each call is handled late. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -40,6 +40,15 @@
   uint64_t end_ms; /* answered without changes at this time */
 } Watch;
 
+/* A call that is handled late. */
+typedef struct
+{
+  GgServerConnection *connection;
+  char *target;
+  JsonObject *body;
+  uint64_t due_ms;
+} DelayedCall;
+
 static struct
 {
   GgFakeLoop *fake;
@@ -53,6 +62,8 @@
   uint64_t next_lease;
   gboolean is_unavailable;
   gboolean is_silent;
+  GQueue *delayed; /* DelayedCall, in order of arrival */
+  uint64_t delay_ms;
 } store = { .revision = 1, .next_lease = 100 };
 
 static void
@@ -181,10 +192,35 @@
   g_hash_table_remove (store.leases, GUINT_TO_POINTER ((guint) id));
 }
 
+static void handle_call (GgServerConnection *connection, const char *target, JsonObject *body);
+
+static void
+free_delayed_call (void *data)
+{
+  DelayedCall *call = data;
+  g_free (call->target);
+  if (call->body != NULL)
+    json_object_unref (call->body);
+  g_free (call);
+}
+
+static void
+handle_delayed_calls (uint64_t now_ms)
+{
+  DelayedCall *call;
+  while ((call = g_queue_peek_head (store.delayed)) != NULL && call->due_ms <= now_ms)
+    {
+      g_queue_pop_head (store.delayed);
+      handle_call (call->connection, call->target, call->body);
+      free_delayed_call (call);
+    }
+}
+
 static void
 on_tick (void *data)
 {
   uint64_t now_ms = gg_clock_now_ms ();
+  handle_delayed_calls (now_ms);
   GList *leases = g_hash_table_get_values (store.leases);
   for (GList *l = leases; l != NULL; l = l->next)
     if (now_ms >= ((const Lease *) l->data)->end_ms)
@@ -375,6 +411,17 @@
   gg_fake_loop_reply (connection, 200, "{}");
 }
 
+static void
+delay_call (GgServerConnection *connection, const char *target, JsonObject *body)
+{
+  DelayedCall *call = g_new0 (DelayedCall, 1);
+  call->connection = connection;
+  call->target = g_strdup (target);
+  call->body = body != NULL ? json_object_ref (body) : NULL;
+  call->due_ms = gg_clock_now_ms () + store.delay_ms;
+  g_queue_push_tail (store.delayed, call);
+}
+
 static void
 on_request (GgServerConnection *connection,
             const char *method,
@@ -385,9 +432,23 @@
     write_keys (connection, body);
   else if (strcmp (target, "/test/lose") == 0 && body != NULL)
     lose_watches (connection, body);
-  else if (store.is_silent)
+  else if (strcmp (target, "/test/delay") == 0 && body != NULL)
+    {
+      gg_json_read_uint (body, "ms", &store.delay_ms);
+      gg_fake_loop_reply (connection, 200, "{}");
+    }
+  else if (store.delay_ms > 0)
+    delay_call (connection, target, body);
+  else
+    handle_call (connection, target, body);
+}
+
+static void
+handle_call (GgServerConnection *connection, const char *target, JsonObject *body)
+{
+  if (store.is_silent)
     return;
-  else if (store.is_unavailable)
+  if (store.is_unavailable)
     gg_fake_loop_reply (connection, 503, "");
   else if (g_str_has_prefix (target, "/api/kv-key?"))
     read_key (connection, target);
@@ -410,6 +471,15 @@
 static void
 on_disconnected (GgServerConnection *connection)
 {
+  GList *next;
+  for (GList *l = store.delayed->head; l != NULL; l = next)
+    {
+      next = l->next;
+      if (((const DelayedCall *) l->data)->connection != connection)
+        continue;
+      free_delayed_call (l->data);
+      g_queue_delete_link (store.delayed, l);
+    }
   for (guint i = store.watches->len; i-- > 0;)
     if (((const Watch *) g_ptr_array_index (store.watches, i))->connection == connection)
       g_ptr_array_remove_index (store.watches, i);
@@ -450,6 +520,7 @@
   store.history = g_ptr_array_new_with_free_func (free_item);
   store.leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   store.watches = g_ptr_array_new_with_free_func (free_watch);
+  store.delayed = g_queue_new ();
   store.fake = gg_fake_loop_create (argc, argv, on_request, on_disconnected);
   GgLoop *loop = gg_fake_loop_get_loop (store.fake);
   store.timer = gg_loop_timer_create (loop, on_tick, NULL);
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -19,6 +19,9 @@
 /* A router that watches by itself ends two watches or more in this time. */
 #define QUIET_WATCH_MS 2500
 #define OUTAGE_MS 3500
+#define SLOW_READS "{\"ms\":600}"
+/* A configuration must be in force everywhere this long after it was written. */
+#define APPLY_MS 5000
 
 /* All cases share one site; the one that kills all processes is the last. */
 static Site *site;
@@ -256,6 +259,24 @@
   gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
 }
 
+/* Guards against reads of the configuration that are begun anew with each report of a source, since
+ * they take longer than a read of a small document from a fast store: the router that relies on the
+ * source would keep the old configuration for as long as reads are slow. */
+static void
+run_reads_slow_after_outage (GgProof *proof)
+{
+  gg_proof_check (proof, gg_wait_until (has_no_own_watch, NULL, TIMEOUT_MS));
+  gg_process_signal (site->store, SIGUSR2);
+  g_usleep (OUTAGE_MS * 1000);
+  gg_test_send ("POST", site->store_address, "/test/delay", SLOW_READS);
+  gg_process_signal (site->store, SIGUSR2);
+  site_write_config (site, 10, FALSE);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, APPLY_MS));
+  gg_test_send ("POST", site->store_address, "/test/delay", "{\"ms\":0}");
+  site_write_config (site, 11, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
+}
+
 /* A stop during a stream: the stream is served to its end, and the process exits by itself. */
 static void
 run_stop (GgProof *proof)
@@ -301,6 +322,7 @@
     { "config", "platform-history-forgotten", run_history_dropped },
     { "config", "platform-source-frozen", run_delegate_hung },
     { "config", "platform-change-after-outage", run_change_after_outage },
+    { "config", "platform-reads-slow-after-outage", run_reads_slow_after_outage },
     { "graceful-stop", "platform-stop", run_stop },
     { "graceful-stop", "platform-everything-killed", run_everything_killed },
   };
