Read documents that arrive slowly to their end

A configuration that takes longer over a loaded link was cut and asked for again from the start, by all instances that read it.

Change: the limit holds until the first part of the answer and between two parts; the whole answer may take four times as long, so that one that drips still ends.

test_fetch, slow document with progress is read, fails on the code before (timed out with 12 of 24 bytes at most) and passes now; document that drips ends and silent peer times out guard the two other sides. How long a large document takes on a slow link of a large site was not measured.

--- a/src/loop/fetch.c
+++ b/src/loop/fetch.c
@@ -1,5 +1,10 @@
 #include "loop/fetch.h"
 
+#include "base/clock.h"
+
+/* An answer that arrives steadily may take this many times the time limit. */
+#define MAX_TIMEOUTS 4
+
 struct _GgLoopFetch
 {
   GgLoop *loop;
@@ -10,6 +15,8 @@
   uint32_t status;
   GString *body;
   size_t max_body_bytes;
+  uint64_t timeout_ms;
+  uint64_t end_ms;      /* the fetch ends by then, however the answer arrives */
   gboolean is_too_long; /* the body exceeds max_body_bytes */
 };
 
@@ -50,6 +57,15 @@
   return GG_FETCH_LOST;
 }
 
+/* A part of the answer shows that the peer is slow rather than silent. */
+static void
+extend_timeout (GgLoopFetch *self)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  uint64_t left_ms = self->end_ms > now_ms ? self->end_ms - now_ms : 0;
+  gg_loop_timer_start (self->timer, MIN (self->timeout_ms, left_ms));
+}
+
 static gboolean
 on_call (void *data, const GgCallEvent *event)
 {
@@ -59,12 +75,14 @@
     case GG_CALL_HEAD:
       self->status = gg_message_head_get_status (event->head);
       gg_message_head_destroy (event->head);
+      extend_timeout (self);
       break;
     case GG_CALL_BODY:
       if (self->body->len + event->body.size_bytes > self->max_body_bytes)
         self->is_too_long = TRUE;
       else
         g_string_append_len (self->body, event->body.bytes, (gssize) event->body.size_bytes);
+      extend_timeout (self);
       break;
     case GG_CALL_END:
       finish (self, map_end (self, event->end));
@@ -91,6 +109,8 @@
   self->data = data;
   self->max_body_bytes = request->max_body_bytes;
   self->body = g_string_new (NULL);
+  self->timeout_ms = request->timeout_ms;
+  self->end_ms = gg_clock_now_ms () + MAX_TIMEOUTS * request->timeout_ms;
   self->timer = gg_loop_timer_create (loop, on_timeout, self);
   self->call = gg_loop_client_call (client, &request->call, on_call, self);
   gg_loop_timer_start (self->timer, request->timeout_ms);
--- a/src/loop/fetch.h
+++ b/src/loop/fetch.h
@@ -28,7 +28,8 @@
 typedef struct
 {
   GgCallRequest call;
-  uint64_t timeout_ms;   /**< From gg_loop_fetch() to the end of the answer. */
+  uint64_t timeout_ms;   /**< From gg_loop_fetch() to the first part of the answer, and between two
+                          * parts. The whole answer may take four times as long. */
   size_t max_body_bytes; /**< A longer answer counts as lost. */
 } GgFetchRequest;
 
