Log the parts of the prompt when an answer breaks off before its first event

In all 13 crashes of the record some stream had the head of its answer and no event, but the logs could not tell whether these requests share a part of their prompts.

The adapter decodes the parts (all but the last, which belongs to one request), and answer_cut_at_start names the request, the runner and the parts when the runner closed the connection after the head and before the first event. Ends that this instance brought about itself are left out. Nothing is decided on it yet.

--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -58,6 +58,8 @@
   gboolean has_last_id;
   uint64_t last_id; /* of the last complete event forwarded to the caller */
   uint32_t n_events;
+  uint32_t n_events_before;     /* the current send */
+  gboolean is_closed_by_runner; /* the current send, before the end of its answer */
   uint64_t first_event_ms;
   uint64_t last_event_ms;
   uint64_t longest_gap_ms; /* between two events forwarded to the caller */
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -175,11 +175,35 @@
   self->failed_runner = gg_fleet_runner_ref (runner);
 }
 
+/* Whether the runner had begun to answer, but broke off before the first event. */
+static gboolean
+is_cut_at_start (const GgRelay *self, GgSendResult result)
+{
+  return result == GG_SEND_LOST && self->is_closed_by_runner && self->events != NULL
+         && self->answer_fields.status == GG_STATUS_OK && self->n_events == self->n_events_before;
+}
+
+static void
+log_cut_at_start (const GgRelay *self)
+{
+  const GgPromptParts *parts = &self->caller.parts;
+  GString *text = g_string_new (NULL);
+  for (uint32_t i = 0; i < parts->n; i++)
+    g_string_append_printf (text, "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            (guint64) parts->ids[i]);
+  gg_event_log_add (GG_EVENT_NOTABLE, "answer_cut_at_start",
+                    "request=%s runner=%s service=%s parts=%s", self->caller.attempt_id,
+                    self->runner->record.id, self->service->name, text->str);
+  g_string_free (text, TRUE);
+}
+
 void
 gg_relay_end_send (GgRelay *self, GgSendResult result)
 {
   uint64_t now_ms = gg_clock_now_ms ();
   self->call = NULL;
+  if (is_cut_at_start (self, result))
+    log_cut_at_start (self);
   gg_metric_family_add (&sends_ended_total, get_result_name (result), 1);
   if (result != GG_SEND_COMPLETE)
     gg_metric_family_add (&runner_misses_total, self->runner->record.id, 1);
@@ -210,6 +234,7 @@
 static void
 on_send_end (GgRelay *self, GgCallEnd end)
 {
+  self->is_closed_by_runner = end == GG_CALL_BROKEN || end == GG_CALL_COMPLETE;
   switch (end)
     {
     case GG_CALL_COMPLETE:
@@ -339,6 +364,8 @@
                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
+  self->n_events_before = self->n_events;
+  self->is_closed_by_runner = FALSE;
   self->last_activity_ms = now_ms;
   self->rerouted_ms = now_ms;
   /* Fields of an earlier answer must not be taken for this send's answer. */
--- a/src/ports/relay_wire.h
+++ b/src/ports/relay_wire.h
@@ -5,6 +5,7 @@
 
 #include "loop/message_head.h"
 #include "core/layer_path.h"
+#include "core/prompt_parts.h"
 
 #include <glib.h>
 #include <stddef.h>
@@ -20,6 +21,7 @@
   uint32_t prompt_tokens;
   uint32_t max_answer_tokens;
   uint32_t expected_answer_tokens; /**< The caller's estimate, often far off; 0 if none. */
+  GgPromptParts parts;             /**< Of the prompt; none for a plain service. */
   uint64_t last_event_id;          /**< Valid if has_last_event. */
   gboolean has_last_event;         /**< The caller resumes a stream after that event. */
 } GgCallerFields;
--- a/tests/platform/test_relay_wire.c
+++ b/tests/platform/test_relay_wire.c
@@ -41,6 +41,44 @@
   gg_message_head_destroy (head);
 }
 
+/* Guards the evidence against parts that crash runners: the last part belongs to one request alone
+ * and must be left out, and a part that is no number must not be confused with another one. */
+static void
+test_parts (void)
+{
+  static const struct
+  {
+    const char *text;
+    uint32_t n;
+    uint64_t first;
+  } cases[] = {
+    { "5c:800", 0, 0 },
+    { "5c:800,91:410", 1, 0x5c },
+    { "5c1e07a2:800, 91bd3f06:410,e4402b7d:250", 2, 0x5c1e07a2 },
+    { "", 0, 0 },
+    { ",,", 0, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GgCallerFields fields;
+      GgMessageHead *head = gg_message_head_create_request ("POST", "/");
+      gg_message_head_add (head, "X-Prefix-Hash", cases[i].text);
+      gg_relay_wire_read_caller_fields (head, &fields);
+      CU_ASSERT_EQUAL (fields.parts.n, cases[i].n);
+      CU_ASSERT_EQUAL (fields.parts.ids[0], cases[i].first);
+      gg_message_head_destroy (head);
+    }
+  GgCallerFields fields;
+  GgMessageHead *head = gg_message_head_create_request ("POST", "/");
+  gg_message_head_add (head, "X-Prefix-Hash",
+                       "one:1,two:2,ffffffffffffffff:3,10000000000000000:4,5:5");
+  gg_relay_wire_read_caller_fields (head, &fields);
+  CU_ASSERT_EQUAL (fields.parts.n, 4);
+  CU_ASSERT_NOT_EQUAL (fields.parts.ids[0], fields.parts.ids[1]);
+  CU_ASSERT_NOT_EQUAL (fields.parts.ids[2], fields.parts.ids[3]);
+  gg_message_head_destroy (head);
+}
+
 static void
 test_request (void)
 {
@@ -131,11 +169,9 @@
 main (void)
 {
   static const GgTestCase cases[] = {
-    { "caller", test_caller },
-    { "request", test_request },
-    { "runner answer", test_runner_answer },
-    { "report", test_report },
-    { "place order", test_place_order },
+    { "caller", test_caller },   { "parts", test_parts },
+    { "request", test_request }, { "runner answer", test_runner_answer },
+    { "report", test_report },   { "place order", test_place_order },
   };
   return gg_test_run ("relay wire", cases, G_N_ELEMENTS (cases));
 }
