Reproduce a part of prompts that crashes runner after runner

Three routers and stand-in runners that end when they begin to answer a prompt with a certain part; crashed runners start again, deadly and sound requests share all other parts.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -3,7 +3,8 @@
  * Words in the request target inject faults: "refuse" (rejected, not run), "lose" (run, connection
  * reset), "cut" (a stream breaks off in the middle of an event unless the request resumes it),
  * "unsigned" (no response signature), "fail" (status 500 of the service), "forget" (404 to a stream
- * resumption). GET /test/runs returns the number of requests run. SIGUSR1 makes it drain, SIGUSR2
+ * resumption). A prompt with the part "dead" before its last one ends the process when it begins to
+ * answer. GET /test/runs returns the number of requests run. SIGUSR1 makes it drain, SIGUSR2
  * removes its entry; in both cases it goes on serving. */
 #include "base/clock.h"
 #include "base/json.h"
@@ -14,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define N_EVENTS 6
 #define EVENT_MS 10
@@ -48,6 +50,7 @@
   GgLoopTimer *timer;
   uint64_t next;   /* id of the next event */
   gboolean is_cut; /* breaks off in event CUT_AFTER */
+  gboolean is_deadly;
 } Stream;
 
 static void
@@ -216,6 +219,8 @@
 {
   Stream *stream = data;
   char event[64];
+  if (stream->is_deadly)
+    _exit (EXIT_FAILURE);
   if (stream->is_cut && stream->next > CUT_AFTER)
     {
       GgServerConnection *connection = stream->connection;
@@ -252,6 +257,8 @@
   stream->connection = connection;
   stream->next = last + 1;
   stream->is_cut = strstr (target, "cut") != NULL && !is_resumed;
+  const char *parts = gg_message_head_get (request, "X-Prefix-Hash");
+  stream->is_deadly = parts != NULL && strstr (parts, "dead:") != NULL;
   stream->timer = gg_loop_timer_create (gg_fake_loop_get_loop (runner.fake), on_event_due, stream);
   g_hash_table_add (runner.streams, stream);
   gg_loop_timer_start (stream->timer, EVENT_MS);
--- a/tests/support/prove.h
+++ b/tests/support/prove.h
@@ -29,6 +29,7 @@
 typedef struct
 {
   const char *promise; /**< layers-once, own-answer, not-run, at-most-once, leaving,
+                        * crashes-contained,
                         * graceful-stop or config. */
   const char *fault;   /**< Name of the fault or pair of faults, with dashes. */
   void (*run) (GgProof *proof);
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -69,33 +69,56 @@
 }
 
 static void
-start_runner (Site *self, const char *service, const char *data_centre, const char *kind)
+start_process (const Site *self, SiteRunner *runner)
 {
-  SiteRunner *runner = &self->runners[self->n_runners];
   char layers[8];
   g_snprintf (layers, sizeof layers, "%d", SITE_LAYERS);
-  runner->id = g_strdup_printf ("%s-%s-%u", service, data_centre, self->n_runners);
-  runner->address = gg_process_reserve_address ();
   const char *args[] = { "--listen",
                          runner->address,
                          "--id",
                          runner->id,
                          "--service",
-                         service,
+                         runner->service,
                          "--zone",
-                         data_centre,
+                         runner->data_centre,
                          "--store",
                          self->store_address,
                          "--layers",
                          layers,
-                         kind != NULL ? "--kind" : NULL,
-                         kind,
+                         runner->kind != NULL ? "--kind" : NULL,
+                         runner->kind,
                          NULL };
+  gg_process_destroy (runner->process);
   runner->process = gg_process_start ("gg-fake-runner", args);
   gg_process_wait_listening (runner->process, LISTEN_TIMEOUT_MS);
+}
+
+static void
+start_runner (Site *self, const char *service, const char *data_centre, const char *kind)
+{
+  SiteRunner *runner = &self->runners[self->n_runners];
+  runner->id = g_strdup_printf ("%s-%s-%u", service, data_centre, self->n_runners);
+  runner->address = gg_process_reserve_address ();
+  runner->service = service;
+  runner->data_centre = data_centre;
+  runner->kind = kind;
+  start_process (self, runner);
   self->n_runners++;
 }
 
+guint
+site_revive_runners (Site *self)
+{
+  guint n = 0;
+  for (guint i = 0; i < self->n_runners; i++)
+    if (gg_process_wait_exit (self->runners[i].process, 0))
+      {
+        start_process (self, &self->runners[i]);
+        n++;
+      }
+  return n;
+}
+
 void
 site_start_router (Site *self, guint i)
 {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -16,6 +16,9 @@
 {
   char *id;
   char *address;
+  const char *service;
+  const char *data_centre;
+  const char *kind; /* NULL for a plain service */
   GgProcess *process;
 } SiteRunner;
 
@@ -79,6 +82,10 @@
 /** Returns the first runner whose id starts with @p prefix; NULL if there is none. */
 SiteRunner *site_find_runner (Site *self, const char *prefix);
 
+/** Starts runners again whose process has ended.
+ * @return their number. */
+guint site_revive_runners (Site *self);
+
 /** Returns the number of requests run by all runners whose id starts with @p prefix. */
 guint site_count_runs (const Site *self, const char *prefix);
 
