Keep prompts with a part that crashes runners from the runners

Cause: a crash was held against the runner alone. The request went on to another runner, new ones with the same part followed, and each instance saw only a few of the crashes. Class: a query of death.

Ruled out: load (the first crash came on a fleet that was half idle); repeats alone (two or three runners a request can't make 37).

Change: evidence is a runner that closes the connection after the head of an answer and before its first event; in all 13 crashes of the record there was one such stream at least, among up to 93 that broke off. core/prompt_quarantine counts, for each part but the last, the runners that crashed so since an answer to the part last began. Three put a part into quarantine, five if answers to it have begun before; a part that has begun is not suspected while the request has another one that has not, so shared parts, keys and callers aren't barred. Parts that crashed the same runners are refused only together. Requests with a part in quarantine are answered 503 with Retry-After, also from the queue. The leader alone lets one request pass on trial, after two seconds and then after ten minutes, and writes the list to the store, in the folder that the registered instances watch anyway. Deleting the key releases all parts. A request that two runners broke off at its start is not sent a third time.

Not tested: the store away while all instances start again.

--- /dev/null
+++ b/src/core/prompt_quarantine.c
@@ -0,0 +1,439 @@
+#include "core/prompt_quarantine.h"
+
+#include <string.h>
+
+/* One or two crashes under a part also occur by chance, when a runner that fails for another reason
+ * is just beginning an answer. */
+#define CRASHES_IF_NEW 3
+#define CRASHES_IF_BEGUN 5
+/* A suspect without a further crash for this long is forgotten. It is not learned from others when
+ * it is nearly as old, or instances would remind each other of it forever. */
+#define SUSPECT_MS 60000
+#define LEARN_SUSPECT_MS 50000
+/* A part that was in quarantine is kept for this long after its last crash and its release, so that
+ * an instance with an older state learns of the release. */
+#define RELEASED_MS 600000
+/* A request may pass on trial this long after the last crash, the first time and after a trial that
+ * failed; and again after this interval, if the one before was neither answered nor crashed. */
+#define FIRST_TRIAL_AFTER_MS 2000
+#define TRIAL_AFTER_MS 600000
+#define TRIAL_INTERVAL_MS 5000
+/* A quarantine ends without a trial after a day without a crash. */
+#define QUARANTINE_MS (24 * 3600 * 1000)
+/* Parts to which answers have begun are remembered in two generations of this size. */
+#define MAX_BEGUN_PARTS 1024
+
+G_STATIC_ASSERT (sizeof (void *) >= sizeof (uint64_t));
+
+struct _GgPromptQuarantine
+{
+  GArray *parts; /* GgSuspectPart */
+  /* Sets of the ids of parts to which answers have begun here lately. */
+  GHashTable *begun;
+  GHashTable *begun_before;
+  GArray *events; /* GgQuarantineEvent */
+};
+
+GgPromptQuarantine *
+gg_prompt_quarantine_create (void)
+{
+  GgPromptQuarantine *self = g_new0 (GgPromptQuarantine, 1);
+  self->parts = g_array_new (FALSE, TRUE, sizeof (GgSuspectPart));
+  self->events = g_array_new (FALSE, TRUE, sizeof (GgQuarantineEvent));
+  self->begun = g_hash_table_new (NULL, NULL);
+  self->begun_before = g_hash_table_new (NULL, NULL);
+  return self;
+}
+
+void
+gg_prompt_quarantine_destroy (GgPromptQuarantine *self)
+{
+  g_array_unref (self->parts);
+  g_array_unref (self->events);
+  g_hash_table_unref (self->begun);
+  g_hash_table_unref (self->begun_before);
+  g_free (self);
+}
+
+static void *
+get_key (uint64_t id)
+{
+  return (void *) (uintptr_t) id;
+}
+
+static gboolean
+has_begun_here (const GgPromptQuarantine *self, uint64_t id)
+{
+  return g_hash_table_contains (self->begun, get_key (id))
+         || g_hash_table_contains (self->begun_before, get_key (id));
+}
+
+static void
+remember_begun (GgPromptQuarantine *self, uint64_t id)
+{
+  if (g_hash_table_contains (self->begun, get_key (id)))
+    return;
+  if (g_hash_table_size (self->begun) >= MAX_BEGUN_PARTS)
+    {
+      g_hash_table_unref (self->begun_before);
+      self->begun_before = self->begun;
+      self->begun = g_hash_table_new (NULL, NULL);
+    }
+  g_hash_table_add (self->begun, get_key (id));
+}
+
+static GgSuspectPart *
+find_part (const GgPromptQuarantine *self, uint64_t id)
+{
+  for (guint i = 0; i < self->parts->len; i++)
+    {
+      GgSuspectPart *part = &g_array_index (self->parts, GgSuspectPart, i);
+      if (part->id == id)
+        return part;
+    }
+  return NULL;
+}
+
+static uint32_t
+count_crashes (const GgSuspectPart *part)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < part->n_crashes; i++)
+    n += !part->crashes[i].is_absolved;
+  return n;
+}
+
+gboolean
+gg_suspect_part_is_quarantined (const GgSuspectPart *self)
+{
+  return self->n_quarantines > self->n_releases;
+}
+
+static void
+add_event (GgPromptQuarantine *self, GgQuarantineEventKind kind, const GgSuspectPart *part)
+{
+  GgQuarantineEvent event = { .kind = kind, .part = part->id, .n_crashes = count_crashes (part) };
+  g_array_append_val (self->events, event);
+}
+
+/* Finds the part that is worth least: one with few crashes, and the oldest of these; never one in
+ * quarantine. */
+static int
+find_least (const GgPromptQuarantine *self)
+{
+  int least = -1;
+  for (guint i = 0; i < self->parts->len; i++)
+    {
+      const GgSuspectPart *part = &g_array_index (self->parts, GgSuspectPart, i);
+      const GgSuspectPart *best
+          = least >= 0 ? &g_array_index (self->parts, GgSuspectPart, least) : NULL;
+      if (gg_suspect_part_is_quarantined (part))
+        continue;
+      if (best == NULL || count_crashes (part) < count_crashes (best)
+          || (count_crashes (part) == count_crashes (best) && part->crashed_ms < best->crashed_ms))
+        least = (int) i;
+    }
+  return least;
+}
+
+/* Returns the part, added if it is new; NULL if there is no room. */
+static GgSuspectPart *
+get_part (GgPromptQuarantine *self, uint64_t id)
+{
+  GgSuspectPart *known = find_part (self, id);
+  if (known != NULL)
+    return known;
+  if (self->parts->len >= GG_QUARANTINE_MAX_PARTS)
+    {
+      int least = find_least (self);
+      if (least < 0)
+        return NULL;
+      g_array_remove_index (self->parts, (guint) least);
+    }
+  GgSuspectPart part = { .id = id, .has_begun = has_begun_here (self, id) };
+  g_array_append_val (self->parts, part);
+  return find_part (self, id);
+}
+
+/* Returns the crash of a runner, added if it is new and there is room; NULL if there is none.
+ * @param is_absolved whether it is known to be absolved; only one that is not replaces another. */
+static GgPartCrash *
+get_crash (GgSuspectPart *part, uint32_t runner_hash, gboolean is_absolved, gboolean *is_new_out)
+{
+  *is_new_out = FALSE;
+  for (uint32_t i = 0; i < part->n_crashes; i++)
+    if (part->crashes[i].runner_hash == runner_hash)
+      return &part->crashes[i];
+  uint32_t at = part->n_crashes;
+  for (uint32_t i = 0; i < part->n_crashes && at == GG_QUARANTINE_MAX_CRASHES; i++)
+    if (part->crashes[i].is_absolved && !is_absolved)
+      at = i;
+  if (at == GG_QUARANTINE_MAX_CRASHES)
+    return NULL;
+  part->n_crashes = MAX (part->n_crashes, at + 1);
+  part->crashes[at] = (GgPartCrash){ .runner_hash = runner_hash };
+  *is_new_out = TRUE;
+  return &part->crashes[at];
+}
+
+/* Puts a part into quarantine if the evidence suffices. */
+static void
+judge (GgPromptQuarantine *self, GgSuspectPart *part)
+{
+  uint32_t needed = part->has_begun ? CRASHES_IF_BEGUN : CRASHES_IF_NEW;
+  if (gg_suspect_part_is_quarantined (part) || count_crashes (part) < needed)
+    return;
+  part->n_quarantines = part->n_releases + 1;
+  add_event (self, GG_QUARANTINE_QUARANTINED, part);
+}
+
+static void
+absolve (GgPromptQuarantine *self, GgSuspectPart *part)
+{
+  for (uint32_t i = 0; i < part->n_crashes; i++)
+    part->crashes[i].is_absolved = TRUE;
+  if (!gg_suspect_part_is_quarantined (part))
+    return;
+  part->n_releases = part->n_quarantines;
+  add_event (self, GG_QUARANTINE_RELEASED, part);
+}
+
+gboolean
+gg_prompt_quarantine_note_begun (GgPromptQuarantine *self, const GgPromptParts *parts)
+{
+  gboolean is_changed = FALSE;
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      remember_begun (self, parts->ids[i]);
+      GgSuspectPart *part = find_part (self, parts->ids[i]);
+      if (part == NULL)
+        continue;
+      is_changed
+          |= !part->has_begun || count_crashes (part) > 0 || gg_suspect_part_is_quarantined (part);
+      part->has_begun = TRUE;
+      absolve (self, part);
+    }
+  return is_changed;
+}
+
+/* How a part relates to the crash of a runner that began to answer a request with it. */
+typedef enum
+{
+  PART_BEGUN,       /* answers to it have begun before */
+  PART_NEW,         /* none has */
+  PART_QUARANTINED, /* it explains the crash */
+} PartClass;
+
+static PartClass
+classify (const GgPromptQuarantine *self, uint64_t id)
+{
+  const GgSuspectPart *part = find_part (self, id);
+  if (part != NULL && gg_suspect_part_is_quarantined (part))
+    return PART_QUARANTINED;
+  return has_begun_here (self, id) || (part != NULL && part->has_begun) ? PART_BEGUN : PART_NEW;
+}
+
+gboolean
+gg_prompt_quarantine_note_crash (GgPromptQuarantine *self,
+                                 const GgPromptParts *parts,
+                                 uint32_t runner_hash,
+                                 uint64_t now_ms)
+{
+  PartClass suspected = PART_BEGUN;
+  gboolean is_changed = FALSE;
+  for (uint32_t i = 0; i < parts->n; i++)
+    suspected = MAX (suspected, classify (self, parts->ids[i]));
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      if (classify (self, parts->ids[i]) != suspected)
+        continue;
+      gboolean is_new = FALSE;
+      GgSuspectPart *part = get_part (self, parts->ids[i]);
+      if (part == NULL || (get_crash (part, runner_hash, FALSE, &is_new) != NULL && !is_new))
+        continue;
+      part->crashed_ms = now_ms;
+      is_changed = TRUE;
+      add_event (self, GG_QUARANTINE_SUSPECTED, part);
+    }
+  /* Judged after all have the crash, so that parts that can't be told apart stay so. */
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      GgSuspectPart *part = find_part (self, parts->ids[i]);
+      if (part != NULL)
+        judge (self, part);
+    }
+  return is_changed;
+}
+
+static gboolean
+has_part (const GgPromptParts *parts, uint64_t id)
+{
+  for (uint32_t i = 0; i < parts->n; i++)
+    if (parts->ids[i] == id)
+      return TRUE;
+  return FALSE;
+}
+
+/* Whether each crash under @p part also was one under @p other. */
+static gboolean
+is_explained_by (const GgSuspectPart *part, const GgSuspectPart *other)
+{
+  for (uint32_t i = 0; i < part->n_crashes; i++)
+    {
+      gboolean is_shared = FALSE;
+      for (uint32_t k = 0; k < other->n_crashes; k++)
+        is_shared |= other->crashes[k].runner_hash == part->crashes[i].runner_hash;
+      if (!is_shared)
+        return FALSE;
+    }
+  return part->n_crashes > 0;
+}
+
+/* Whether the crashes may be due to another part in quarantine, which the request does not have. */
+static gboolean
+is_in_doubt (const GgPromptQuarantine *self, const GgSuspectPart *part, const GgPromptParts *parts)
+{
+  for (guint i = 0; i < self->parts->len; i++)
+    {
+      const GgSuspectPart *other = &g_array_index (self->parts, GgSuspectPart, i);
+      if (gg_suspect_part_is_quarantined (other) && !has_part (parts, other->id)
+          && is_explained_by (part, other))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+is_trial_due (const GgSuspectPart *part, uint64_t now_ms)
+{
+  /* The outcome of a trial by another instance is not known for certain: it counts as failed. */
+  gboolean is_open = part->tried_ms != 0 && part->crashed_ms < part->tried_ms;
+  if (is_open)
+    return now_ms >= part->tried_ms + TRIAL_INTERVAL_MS;
+  return now_ms >= part->crashed_ms + (part->n_trials == 0 ? FIRST_TRIAL_AFTER_MS : TRIAL_AFTER_MS);
+}
+
+gboolean
+gg_prompt_quarantine_is_refused (GgPromptQuarantine *self,
+                                 const GgPromptParts *parts,
+                                 gboolean may_try,
+                                 uint64_t now_ms,
+                                 uint64_t *part_out)
+{
+  GgSuspectPart *tried = NULL;
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      GgSuspectPart *part = find_part (self, parts->ids[i]);
+      if (part == NULL || !gg_suspect_part_is_quarantined (part) || is_in_doubt (self, part, parts))
+        continue;
+      if (!may_try || !is_trial_due (part, now_ms))
+        {
+          *part_out = part->id;
+          return TRUE;
+        }
+      tried = part;
+    }
+  if (tried != NULL)
+    {
+      tried->tried_ms = now_ms;
+      tried->n_trials++;
+      add_event (self, GG_QUARANTINE_TRIED, tried);
+    }
+  return FALSE;
+}
+
+static gboolean
+merge_crashes (GgSuspectPart *part, const GgSuspectPart *other)
+{
+  gboolean is_changed = FALSE;
+  for (uint32_t i = 0; i < other->n_crashes; i++)
+    {
+      gboolean is_new = FALSE;
+      GgPartCrash *crash
+          = get_crash (part, other->crashes[i].runner_hash, other->crashes[i].is_absolved, &is_new);
+      if (crash == NULL)
+        continue;
+      is_changed |= is_new || (other->crashes[i].is_absolved && !crash->is_absolved);
+      crash->is_absolved |= other->crashes[i].is_absolved;
+      /* Known crashes keep their time, which would grow by the delay with each report. */
+      if (is_new)
+        part->crashed_ms = MAX (part->crashed_ms, other->crashed_ms);
+    }
+  return is_changed;
+}
+
+gboolean
+gg_prompt_quarantine_merge (GgPromptQuarantine *self, const GgSuspectPart *other, uint64_t now_ms)
+{
+  GgSuspectPart *part = find_part (self, other->id);
+  if (part == NULL && other->n_quarantines == 0 && now_ms > other->crashed_ms + LEARN_SUSPECT_MS)
+    return FALSE;
+  gboolean is_changed = part == NULL;
+  part = get_part (self, other->id);
+  if (part == NULL)
+    return FALSE;
+  gboolean was_quarantined = gg_suspect_part_is_quarantined (part);
+  /* An answer to it may have begun here and at no other instance. */
+  gboolean has_begun = part->has_begun || other->has_begun || has_begun_here (self, other->id);
+  is_changed |= has_begun != other->has_begun || has_begun != part->has_begun;
+  is_changed |= other->n_quarantines > part->n_quarantines || other->n_releases > part->n_releases;
+  part->has_begun = has_begun;
+  if (part->crashed_ms == 0)
+    part->crashed_ms = other->crashed_ms;
+  is_changed |= merge_crashes (part, other);
+  part->n_quarantines = MAX (part->n_quarantines, other->n_quarantines);
+  part->n_releases = MAX (part->n_releases, other->n_releases);
+  part->n_trials = MAX (part->n_trials, other->n_trials);
+  /* Quarantined by an instance that did not know that answers to it have begun. */
+  if (gg_suspect_part_is_quarantined (part) && has_begun && count_crashes (part) < CRASHES_IF_BEGUN)
+    {
+      part->n_releases = part->n_quarantines;
+      is_changed = TRUE;
+    }
+  if (gg_suspect_part_is_quarantined (part) != was_quarantined)
+    add_event (self, was_quarantined ? GG_QUARANTINE_RELEASED : GG_QUARANTINE_QUARANTINED, part);
+  judge (self, part);
+  return is_changed;
+}
+
+void
+gg_prompt_quarantine_release_all (GgPromptQuarantine *self)
+{
+  for (guint i = 0; i < self->parts->len; i++)
+    absolve (self, &g_array_index (self->parts, GgSuspectPart, i));
+}
+
+static uint64_t
+get_lifetime_ms (const GgSuspectPart *part)
+{
+  if (gg_suspect_part_is_quarantined (part))
+    return QUARANTINE_MS;
+  return part->n_quarantines > 0 ? RELEASED_MS : SUSPECT_MS;
+}
+
+void
+gg_prompt_quarantine_expire (GgPromptQuarantine *self, uint64_t now_ms)
+{
+  for (guint i = self->parts->len; i-- > 0;)
+    {
+      const GgSuspectPart *part = &g_array_index (self->parts, GgSuspectPart, i);
+      if (now_ms > part->crashed_ms + get_lifetime_ms (part))
+        g_array_remove_index (self->parts, i);
+    }
+}
+
+const GArray *
+gg_prompt_quarantine_get_parts (const GgPromptQuarantine *self)
+{
+  return self->parts;
+}
+
+gboolean
+gg_prompt_quarantine_take_event (GgPromptQuarantine *self, GgQuarantineEvent *event_out)
+{
+  if (self->events->len == 0)
+    return FALSE;
+  *event_out = g_array_index (self->events, GgQuarantineEvent, 0);
+  g_array_remove_index (self->events, 0);
+  return TRUE;
+}
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
+#include "daemons/routerd/quarantine_exchange.h"
 
 #include <math.h>
 #include <string.h>
@@ -303,6 +304,8 @@
 {
   if (strcmp (item->key, LEADER_KEY) == 0)
     apply_leader (self, item);
+  else if (strcmp (item->key, gg_quarantine_exchange_get_key ()) == 0)
+    gg_quarantine_exchange_apply_item (self->router->quarantine_exchange, item);
   else if (!g_str_has_prefix (item->key, INSTANCE_PREFIX))
     return;
   else if (item->value == NULL)
--- /dev/null
+++ b/src/daemons/routerd/quarantine_exchange.h
@@ -0,0 +1,33 @@
+/** @file
+ * Shares with the other instances which parts of prompts crash runners (core/prompt_quarantine.h),
+ * and keeps those in quarantine in the store, so that they are known after a restart of all. */
+#pragma once
+
+#include "core/prompt_quarantine.h"
+#include "daemons/routerd/membership.h"
+
+GgQuarantineExchange *gg_quarantine_exchange_create (GgRouter *router, GgMembership *membership);
+void gg_quarantine_exchange_destroy (GgQuarantineExchange *self);
+
+/** Records that an answer to a request has begun. */
+void gg_quarantine_exchange_note_begun (GgQuarantineExchange *self, const GgPromptParts *parts);
+
+/** Records that a runner crashed when it began to answer a request. */
+void gg_quarantine_exchange_note_crash (GgQuarantineExchange *self,
+                                        const GgPromptParts *parts,
+                                        const GgRunnerRecord *runner);
+
+/** Whether a request must not be sent to a runner, since a part of its prompt is in quarantine. */
+gboolean gg_quarantine_exchange_is_refused (GgQuarantineExchange *self, const GgPromptParts *parts);
+
+/** Handles a datagram of a peer.
+ * @return FALSE if it is no report of suspected parts. */
+gboolean
+gg_quarantine_exchange_receive (GgQuarantineExchange *self, char *bytes, size_t size_bytes);
+
+/** Returns the key of the store under which the parts in quarantine are kept, in the folder of the
+ * router's keys that registered instances watch. */
+const char *gg_quarantine_exchange_get_key (void);
+
+/** Applies that key as read from the store. One that is removed releases all parts. */
+void gg_quarantine_exchange_apply_item (GgQuarantineExchange *self, const GgStoreItem *item);
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -117,6 +117,9 @@
   GgStreamEvent event;
   while (gg_event_buffer_next (self->events, &event))
     {
+      if (!self->has_begun && self->service->model != NULL)
+        gg_quarantine_exchange_note_begun (self->router->quarantine_exchange, &self->caller.parts);
+      self->has_begun = TRUE;
       /* A second run may repeat events of the first one. */
       if (event.has_id && self->has_last_id && event.id <= self->last_id)
         continue;
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -6,6 +6,7 @@
 #include "core/attempt.h"
 #include "core/event_buffer.h"
 #include "core/layer_path.h"
+#include "daemons/routerd/quarantine_exchange.h"
 #include "daemons/routerd/relay.h"
 #include "ports/relay_wire.h"
 
@@ -19,6 +20,8 @@
  * the reason concerns this instance only, so that another one can serve it at once. */
 #define GG_RETRY_AFTER_FULL_MS 1000
 #define GG_RETRY_AFTER_LOCAL_MS 50
+/* A part that is in quarantine mostly stays so for minutes. */
+#define GG_RETRY_AFTER_QUARANTINED_MS 60000
 
 struct _GgRelay
 {
@@ -58,7 +61,8 @@
   gboolean has_last_id;
   uint64_t last_id; /* of the last complete event forwarded to the caller */
   uint32_t n_events;
-  uint32_t n_events_before;     /* the current send */
+  uint32_t n_cuts_at_start;     /* sends that the runner broke off between head and first event */
+  gboolean has_begun;           /* the current send has brought an event */
   gboolean is_closed_by_runner; /* the current send, before the end of its answer */
   uint64_t first_event_ms;
   uint64_t last_event_ms;
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -25,6 +25,9 @@
  * while layers are moved: this many are retried at once. Then the request is queued, so that the
  * view is updated before the next send. */
 #define MAX_IMMEDIATE_RETRIES 2
+/* A request whose runner has broken off so many times just before the first event is not sent
+ * again: it is likely to be the reason. */
+#define MAX_CUTS_AT_START 2
 /* Above this fraction of its memory a runner may lack capacity for a request, since the instances
  * know each other's requests with a delay. */
 #define NEARLY_FULL_FRACTION 0.8
@@ -68,6 +71,8 @@
 static gboolean
 may_retry (GgRelay *self, GgSendResult result)
 {
+  if (self->n_cuts_at_start >= MAX_CUTS_AT_START)
+    return FALSE;
   /* A send that did not reach its runner caused no load there, so the retry needs no budget. */
   if (result == GG_SEND_UNSENT)
     return TRUE;
@@ -180,11 +185,11 @@
 is_cut_at_start (const GgRelay *self, GgSendResult result)
 {
   return result == GG_SEND_LOST && self->is_closed_by_runner && self->events != NULL
-         && self->answer_fields.status == GG_STATUS_OK && self->n_events == self->n_events_before;
+         && self->answer_fields.status == GG_STATUS_OK && !self->has_begun;
 }
 
 static void
-log_cut_at_start (const GgRelay *self)
+note_cut_at_start (GgRelay *self)
 {
   const GgPromptParts *parts = &self->caller.parts;
   GString *text = g_string_new (NULL);
@@ -195,6 +200,9 @@
                     "request=%s runner=%s service=%s parts=%s", self->caller.attempt_id,
                     self->runner->record.id, self->service->name, text->str);
   g_string_free (text, TRUE);
+  self->n_cuts_at_start++;
+  gg_quarantine_exchange_note_crash (self->router->quarantine_exchange, parts,
+                                     &self->runner->record);
 }
 
 void
@@ -203,7 +211,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   self->call = NULL;
   if (is_cut_at_start (self, result))
-    log_cut_at_start (self);
+    note_cut_at_start (self);
   gg_metric_family_add (&sends_ended_total, get_result_name (result), 1);
   if (result != GG_SEND_COMPLETE)
     gg_metric_family_add (&runner_misses_total, self->runner->record.id, 1);
@@ -222,8 +230,10 @@
   GgAttemptAction action = gg_attempt_decide (&self->attempt, result);
   if (action == GG_ATTEMPT_RETRY && !may_retry (self, result))
     {
-      gg_event_log_add (GG_EVENT_NOTABLE, "repeat_denied", "request=%s reason=budget service=%s",
-                        self->caller.attempt_id, self->service->name);
+      gg_event_log_add (GG_EVENT_NOTABLE, "repeat_denied", "request=%s reason=%s service=%s",
+                        self->caller.attempt_id,
+                        self->n_cuts_at_start >= MAX_CUTS_AT_START ? "cut_at_start" : "budget",
+                        self->service->name);
       action = gg_attempt_decide_without_retry (&self->attempt, result);
     }
   if (action == GG_ATTEMPT_RETRY)
@@ -364,7 +374,7 @@
                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
-  self->n_events_before = self->n_events;
+  self->has_begun = FALSE;
   self->is_closed_by_runner = FALSE;
   self->last_activity_ms = now_ms;
   self->rerouted_ms = now_ms;
@@ -485,9 +495,37 @@
   send_reroute_order (self);
 }
 
+/* Whether a part of the prompt is in quarantine. */
+static gboolean
+is_quarantined (const GgRelay *self)
+{
+  return self->service->model != NULL
+         && gg_quarantine_exchange_is_refused (self->router->quarantine_exchange,
+                                               &self->caller.parts);
+}
+
+/* Ends a request that must not be sent to a runner any more. */
+static void
+end_quarantined (GgRelay *self)
+{
+  if (self->is_head_sent)
+    gg_relay_abort_answer (self, "part_quarantined");
+  else if (self->attempt.n_possible_runs > 0)
+    gg_relay_fail (self, GG_STATUS_BAD_GATEWAY, "part_quarantined");
+  else
+    gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "part_quarantined",
+                     GG_RETRY_AFTER_QUARANTINED_MS);
+}
+
 gboolean
 gg_relay_retry_dispatch (GgRelay *self)
 {
+  if (is_quarantined (self))
+    {
+      self->is_queued = FALSE;
+      end_quarantined (self);
+      return TRUE;
+    }
   if (choose_runner (self) != GG_PATH_FOUND)
     return FALSE;
   self->is_queued = FALSE;
@@ -510,6 +548,11 @@
 void
 gg_relay_dispatch (GgRelay *self)
 {
+  if (is_quarantined (self))
+    {
+      end_quarantined (self);
+      return;
+    }
   if (self->attempt.n_not_run <= MAX_IMMEDIATE_RETRIES && choose_runner (self) == GG_PATH_FOUND)
     {
       send_request (self);
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -20,6 +20,7 @@
 typedef struct _GgRequestQueue GgRequestQueue;
 typedef struct _GgStallDetector GgStallDetector;
 typedef struct _GgDelegatedWatch GgDelegatedWatch;
+typedef struct _GgQuarantineExchange GgQuarantineExchange;
 
 typedef struct
 {
@@ -46,7 +47,8 @@
   GgRequestQueue *request_queue;
   GgStallDetector *stall_detector;
   GgDelegatedWatch *delegated_watch; /**< NULL until its components are created. */
-  GgDatagramSocket *peer_socket;     /**< To and from the other instances. */
+  GgQuarantineExchange *quarantine_exchange;
+  GgDatagramSocket *peer_socket; /**< To and from the other instances. */
   GgLoopServer *caller_server;
   gboolean has_runner_list; /**< The runners have been listed at least once. */
   gboolean is_registered;   /**< This instance is registered in the store, or is about to be. */
