Take a stream that ends before its first event for a lost answer

A runner that crashes between the head and the first event of such a stream closes it in order, and it was passed on as a complete answer without events, and taken for no evidence against a part of the prompt.

Change: only a stream that the caller, or this instance, resumes may have nothing left. A stream that ends inside an event was taken for lost before.

own-answer platform-stream-empty fails on the code before (200) and passes. Not tested with a real unframed answer: the stand-ins frame their streams; test_client covers answers without a length.

--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -158,6 +158,9 @@
     return GG_SEND_LOST;
   if (self->is_streaming && gg_event_buffer_get_partial_bytes (self->events) > 0)
     return GG_SEND_LOST;
+  /* Only a stream that is resumed may have nothing left. */
+  if (self->is_streaming && !self->has_begun && !self->has_last_id)
+    return GG_SEND_LOST;
   return GG_SEND_COMPLETE;
 }
 
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -2,10 +2,11 @@
  * an order assigns them; without, a plain service. It registers in the store (--store) as --id.
  * Words in the request target inject faults: "refuse" (rejected, not run), "lose" (run, connection
  * reset), "cut" (a stream breaks off in the middle of an event unless the request resumes it),
- * "unsigned" (no response signature), "fail" (status 500 of the service), "forget" (404 to a stream
- * resumption). A prompt with the part "dead" before its last one ends the process when it begins to
- * answer. GET /test/runs returns the number of requests run. SIGUSR1 makes it drain, SIGUSR2
- * removes its entry; in both cases it goes on serving. */
+ * "empty" (a stream ends before its first event), "unsigned" (no response signature), "fail"
+ * (status 500 of the service), "forget" (404 to a stream resumption). A prompt with the part "dead"
+ * before its last one ends the process when it begins to answer. GET /test/runs returns the number
+ * of requests run. SIGUSR1 makes it drain, SIGUSR2 removes its entry; in both cases it goes on
+ * serving. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -253,6 +254,11 @@
   gg_message_head_add (head, "Content-Type", "text/event-stream");
   gg_server_connection_begin (connection, head);
   gg_message_head_destroy (head);
+  if (strstr (target, "empty") != NULL)
+    {
+      gg_server_connection_end (connection);
+      return;
+    }
   Stream *stream = g_new0 (Stream, 1);
   stream->connection = connection;
   stream->next = last + 1;
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -72,6 +72,16 @@
   g_free (answer);
 }
 
+/* Guards against a stream that ends before its first event being passed on as a complete answer, as
+ * one does whose runner crashes when it begins and whose answer ends with its connection. */
+static void
+run_stream_empty (GgProof *proof)
+{
+  char *answer = site_call (site, 0, "POST", "/drafts/empty", STREAM, "");
+  gg_proof_check (proof, answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 502"));
+  g_free (answer);
+}
+
 /* A booking can't be repeated: it runs once even if its answer is lost or is an error, and not at
  * all if the runners refuse it. */
 static void
@@ -314,6 +324,7 @@
   static const GgProofCase cases[] = {
     { "own-answer", "platform-streaming", run_streaming },
     { "own-answer", "platform-stream-forgotten", run_stream_unknown },
+    { "own-answer", "platform-stream-empty", run_stream_empty },
     { "at-most-once", "platform-bookings", run_bookings },
     { "own-answer", "platform-lookups", run_lookups },
     { "not-run", "platform-own-answers", run_own_answers },
