--- a/tests/process/test_platform_crashing_part.c
+++ b/tests/process/test_platform_crashing_part.c
@@ -18,6 +18,7 @@
 #define MAX_LATER_CRASHES 3
 #define ATTACK_MS 12000
 #define ROUND_MS 60
+#define AWAY_MS 3000
 #define TIMEOUT_MS 15000
 
 typedef struct
@@ -135,12 +136,82 @@
   site_destroy (site);
 }
 
+/* Guards against a router that starts again while the store is away, and has to find out anew what
+ * the others know. */
+static void
+run_crashing_part_and_store_away (GgProof *proof)
+{
+  Tally tally = { 0 };
+  Site *site = site_create (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  attack (site, &tally, ATTACK_MS / 2);
+  gg_process_signal (site->store, SIGUSR2);
+  gg_process_signal (site->routers[0].process, SIGKILL);
+  gg_process_wait_exit (site->routers[0].process, TIMEOUT_MS);
+  site_start_router (site, 0);
+  attack (site, &tally, AWAY_MS);
+  gg_process_signal (site->store, SIGUSR2);
+  gg_proof_check (proof, gg_wait_until (is_served_everywhere, site, TIMEOUT_MS));
+  attack (site, &tally, ATTACK_MS / 2);
+  if (tally.n_later_crashes > MAX_LATER_CRASHES)
+    gg_proof_fail (proof, "%u runners crashed, %u of them too late", tally.n_crashes,
+                   tally.n_later_crashes);
+  site_destroy (site);
+}
+
+/* Whether every router has logged an event. */
+static gboolean
+has_logged_everywhere (const Site *site, const char *event)
+{
+  for (guint i = 0; i < N_ROUTERS; i++)
+    {
+      char *output = gg_process_read_output (site->routers[i].process);
+      gboolean is_logged = strstr (output, event) != NULL;
+      g_free (output);
+      if (!is_logged)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+is_quarantined_everywhere (void *site)
+{
+  return has_logged_everywhere (site, "event=part_quarantined");
+}
+
+static gboolean
+is_released_everywhere (void *site)
+{
+  return has_logged_everywhere (site, "event=part_released");
+}
+
+/* Guards against a quarantine that operators can't end after a fix of the engine. */
+static void
+run_release_by_operator (GgProof *proof)
+{
+  Tally tally = { 0 };
+  Site *site = site_create (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  attack (site, &tally, ATTACK_MS / 2);
+  gg_proof_check (proof, gg_wait_until (is_quarantined_everywhere, site, CONTACT_MS));
+  g_usleep (CONTACT_MS * 1000); /* the leader has written the list */
+  gg_proof_check (proof, gg_test_send ("POST", site->store_address, "/test/put",
+                                       "{\"deletes\":[\"greengage/quarantine\"]}"));
+  gg_proof_check (proof, gg_wait_until (is_released_everywhere, site, CONTACT_MS));
+  site_destroy (site);
+}
+
 int
 main (int argc, char **argv)
 {
   static const GgProofCase cases[] = {
     { "crashes-contained", "crashing-part", run_crashing_part },
     { "crashes-contained", "crashing-part-and-restart", run_crashing_part_and_restart },
+    { "crashes-contained", "crashing-part-and-store-away", run_crashing_part_and_store_away },
+    { "crashes-contained", "release-by-operator", run_release_by_operator },
   };
   return gg_prove_main ("platform crashing part", cases, G_N_ELEMENTS (cases), argc, argv);
 }
