--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -31,6 +31,8 @@
   { "no_room_to_repeat", "a send was lost and no runner was free to repeat it" },
   { "no_runner_took_it", "each runner that was tried refused it; their entries may lag behind what "
                          "they were ordered to hold, or they are leaving" },
+  { "part_quarantined", "a part of its prompt crashes runners: see answer_cut_at_start and "
+                        "part_quarantined lines" },
   { "answer_lost",
     "it was sent, and the answer was lost, truncated or not signed; it may have run" },
   { "stream_lost", "its stream was cut and could not go on elsewhere" },
