Use the terms of the field for the quarantine and for calls that time out

No name that leaves the process has changed.

One change of behaviour on the way: the early trial is allowed once for each quarantine of a part, not once for ever, so that a shared part which is suspected by coincidence a second time is not kept from callers for ten minutes. test_prompt_quarantine, coincidence, has that case: it fails on the code before (refused at 7,500).

--- a/src/adapters/rpc/quarantine_report.c
+++ b/src/adapters/rpc/quarantine_report.c
@@ -31,15 +31,15 @@
 static gboolean
 code_crashes (XDR *xdr, GgSuspectPart *part)
 {
-  uint32_t absolved = 0;
+  uint32_t cleared = 0;
   for (uint32_t i = 0; i < part->n_crashes; i++)
-    absolved |= (part->crashes[i].is_absolved ? 1U : 0U) << i;
+    cleared |= (part->crashes[i].is_cleared ? 1U : 0U) << i;
   if (!xdr_uint32_t (xdr, &part->n_crashes) || part->n_crashes > GG_QUARANTINE_MAX_CRASHES
-      || !xdr_uint32_t (xdr, &absolved))
+      || !xdr_uint32_t (xdr, &cleared))
     return FALSE;
   for (uint32_t i = 0; i < part->n_crashes; i++)
     {
-      part->crashes[i].is_absolved = (absolved >> i & 1) != 0;
+      part->crashes[i].is_cleared = (cleared >> i & 1) != 0;
       if (!xdr_uint32_t (xdr, &part->crashes[i].runner_hash))
         return FALSE;
     }
@@ -49,7 +49,7 @@
 static gboolean
 code_part (XDR *xdr, GgSuspectPart *part, uint64_t now_ms)
 {
-  return xdr_uint64_t (xdr, &part->id) && code_flag (xdr, &part->has_begun)
+  return xdr_uint64_t (xdr, &part->id) && code_flag (xdr, &part->was_served)
          && code_crashes (xdr, part) && xdr_uint32_t (xdr, &part->n_quarantines)
          && xdr_uint32_t (xdr, &part->n_releases) && xdr_uint32_t (xdr, &part->n_trials)
          && code_time (xdr, &part->crashed_ms, now_ms);
--- a/src/adapters/rpc/quarantine_report.h
+++ b/src/adapters/rpc/quarantine_report.h
@@ -1,6 +1,5 @@
 /** @file
- * Datagram in which an instance tells others which parts of prompts it suspects, or keeps from
- * runners (XDR). */
+ * Datagram with the parts of prompts that an instance suspects or has in quarantine (XDR). */
 #pragma once
 
 #include "core/prompt_quarantine.h"
--- a/src/core/prompt_quarantine.c
+++ b/src/core/prompt_quarantine.c
@@ -2,35 +2,35 @@
 
 #include <string.h>
 
-/* One or two crashes under a part also occur by chance, when a runner that fails for another reason
- * is just beginning an answer. */
-#define CRASHES_IF_NEW 3
-#define CRASHES_IF_BEGUN 5
-/* A suspect without a further crash for this long is forgotten. It is not learned from others when
- * it is nearly as old, or instances would remind each other of it forever. */
+/* One or two crashes per part also occur by coincidence, when a runner that fails for another
+ * reason has just sent the head of an answer. */
+#define MIN_CRASHES_IF_UNSERVED 3
+#define MIN_CRASHES_IF_SERVED 5
+/* A suspect without a further crash for this long is dropped. One that is nearly as old is not
+ * accepted from other instances, which would otherwise pass it on to each other forever. */
 #define SUSPECT_MS 60000
-#define LEARN_SUSPECT_MS 50000
+#define MAX_MERGED_AGE_MS 50000
 /* A part that was in quarantine is kept for this long after its last crash and its release, so that
- * an instance with an older state learns of the release. */
+ * the release reaches an instance with an older state. */
 #define RELEASED_MS 600000
-/* A request may pass on trial this long after the last crash, the first time and after a trial that
- * failed; and again after this interval, if the one before was neither answered nor crashed. */
+/* A trial is allowed this long after the last crash, the first time and after a failed trial; and
+ * again after the interval if the trial before has had no outcome. */
 #define FIRST_TRIAL_AFTER_MS 2000
 #define TRIAL_AFTER_MS 600000
 #define TRIAL_INTERVAL_MS 5000
 /* A quarantine ends without a trial after a day without a crash. */
 #define QUARANTINE_MS (24 * 3600 * 1000)
-/* Parts to which answers have begun are remembered in two generations of this size. */
-#define MAX_BEGUN_PARTS 1024
+/* Parts that were served are kept in two generations of this size. */
+#define MAX_SERVED_PARTS 1024
 
 G_STATIC_ASSERT (sizeof (void *) >= sizeof (uint64_t));
 
 struct _GgPromptQuarantine
 {
   GArray *parts; /* GgSuspectPart */
-  /* Sets of the ids of parts to which answers have begun here lately. */
-  GHashTable *begun;
-  GHashTable *begun_before;
+  /* Sets of the ids of parts that this instance has served lately. */
+  GHashTable *served;
+  GHashTable *served_before;
   GArray *events; /* GgQuarantineEvent */
 };
 
@@ -40,8 +40,8 @@
   GgPromptQuarantine *self = g_new0 (GgPromptQuarantine, 1);
   self->parts = g_array_new (FALSE, TRUE, sizeof (GgSuspectPart));
   self->events = g_array_new (FALSE, TRUE, sizeof (GgQuarantineEvent));
-  self->begun = g_hash_table_new (NULL, NULL);
-  self->begun_before = g_hash_table_new (NULL, NULL);
+  self->served = g_hash_table_new (NULL, NULL);
+  self->served_before = g_hash_table_new (NULL, NULL);
   return self;
 }
 
@@ -50,8 +50,8 @@
 {
   g_array_unref (self->parts);
   g_array_unref (self->events);
-  g_hash_table_unref (self->begun);
-  g_hash_table_unref (self->begun_before);
+  g_hash_table_unref (self->served);
+  g_hash_table_unref (self->served_before);
   g_free (self);
 }
 
@@ -62,24 +62,24 @@
 }
 
 static gboolean
-has_begun_here (const GgPromptQuarantine *self, uint64_t id)
+was_served_here (const GgPromptQuarantine *self, uint64_t id)
 {
-  return g_hash_table_contains (self->begun, get_key (id))
-         || g_hash_table_contains (self->begun_before, get_key (id));
+  return g_hash_table_contains (self->served, get_key (id))
+         || g_hash_table_contains (self->served_before, get_key (id));
 }
 
 static void
-remember_begun (GgPromptQuarantine *self, uint64_t id)
+remember_served (GgPromptQuarantine *self, uint64_t id)
 {
-  if (g_hash_table_contains (self->begun, get_key (id)))
+  if (g_hash_table_contains (self->served, get_key (id)))
     return;
-  if (g_hash_table_size (self->begun) >= MAX_BEGUN_PARTS)
+  if (g_hash_table_size (self->served) >= MAX_SERVED_PARTS)
     {
-      g_hash_table_unref (self->begun_before);
-      self->begun_before = self->begun;
-      self->begun = g_hash_table_new (NULL, NULL);
+      g_hash_table_unref (self->served_before);
+      self->served_before = self->served;
+      self->served = g_hash_table_new (NULL, NULL);
     }
-  g_hash_table_add (self->begun, get_key (id));
+  g_hash_table_add (self->served, get_key (id));
 }
 
 static GgSuspectPart *
@@ -99,7 +99,7 @@
 {
   uint32_t n = 0;
   for (uint32_t i = 0; i < part->n_crashes; i++)
-    n += !part->crashes[i].is_absolved;
+    n += !part->crashes[i].is_cleared;
   return n;
 }
 
@@ -150,15 +150,15 @@
         return NULL;
       g_array_remove_index (self->parts, (guint) least);
     }
-  GgSuspectPart part = { .id = id, .has_begun = has_begun_here (self, id) };
+  GgSuspectPart part = { .id = id, .was_served = was_served_here (self, id) };
   g_array_append_val (self->parts, part);
   return find_part (self, id);
 }
 
 /* Returns the crash of a runner, added if it is new and there is room; NULL if there is none.
- * @param is_absolved whether it is known to be absolved; only one that is not replaces another. */
+ * @param is_cleared whether it is known to be cleared; only one that is not replaces another. */
 static GgPartCrash *
-get_crash (GgSuspectPart *part, uint32_t runner_hash, gboolean is_absolved, gboolean *is_new_out)
+get_crash (GgSuspectPart *part, uint32_t runner_hash, gboolean is_cleared, gboolean *is_new_out)
 {
   *is_new_out = FALSE;
   for (uint32_t i = 0; i < part->n_crashes; i++)
@@ -166,7 +166,7 @@
       return &part->crashes[i];
   uint32_t at = part->n_crashes;
   for (uint32_t i = 0; i < part->n_crashes && at == GG_QUARANTINE_MAX_CRASHES; i++)
-    if (part->crashes[i].is_absolved && !is_absolved)
+    if (part->crashes[i].is_cleared && !is_cleared)
       at = i;
   if (at == GG_QUARANTINE_MAX_CRASHES)
     return NULL;
@@ -176,11 +176,11 @@
   return &part->crashes[at];
 }
 
-/* Puts a part into quarantine if the evidence suffices. */
+/* Quarantines a part if there is enough evidence. */
 static void
-judge (GgPromptQuarantine *self, GgSuspectPart *part)
+update_quarantine (GgPromptQuarantine *self, GgSuspectPart *part)
 {
-  uint32_t needed = part->has_begun ? CRASHES_IF_BEGUN : CRASHES_IF_NEW;
+  uint32_t needed = part->was_served ? MIN_CRASHES_IF_SERVED : MIN_CRASHES_IF_UNSERVED;
   if (gg_suspect_part_is_quarantined (part) || count_crashes (part) < needed)
     return;
   part->n_quarantines = part->n_releases + 1;
@@ -188,10 +188,10 @@
 }
 
 static void
-absolve (GgPromptQuarantine *self, GgSuspectPart *part)
+clear_part (GgPromptQuarantine *self, GgSuspectPart *part)
 {
   for (uint32_t i = 0; i < part->n_crashes; i++)
-    part->crashes[i].is_absolved = TRUE;
+    part->crashes[i].is_cleared = TRUE;
   if (!gg_suspect_part_is_quarantined (part))
     return;
   part->n_releases = part->n_quarantines;
@@ -199,28 +199,29 @@
 }
 
 gboolean
-gg_prompt_quarantine_note_begun (GgPromptQuarantine *self, const GgPromptParts *parts)
+gg_prompt_quarantine_note_served (GgPromptQuarantine *self, const GgPromptParts *parts)
 {
   gboolean is_changed = FALSE;
   for (uint32_t i = 0; i < parts->n; i++)
     {
-      remember_begun (self, parts->ids[i]);
+      remember_served (self, parts->ids[i]);
       GgSuspectPart *part = find_part (self, parts->ids[i]);
       if (part == NULL)
         continue;
       is_changed
-          |= !part->has_begun || count_crashes (part) > 0 || gg_suspect_part_is_quarantined (part);
-      part->has_begun = TRUE;
-      absolve (self, part);
+          |= !part->was_served || count_crashes (part) > 0 || gg_suspect_part_is_quarantined (part);
+      part->was_served = TRUE;
+      clear_part (self, part);
     }
   return is_changed;
 }
 
-/* How a part relates to the crash of a runner that began to answer a request with it. */
+/* State of a part of a request whose runner crashed; only those in the last state that occurs are
+ * suspects. */
 typedef enum
 {
-  PART_BEGUN,       /* answers to it have begun before */
-  PART_NEW,         /* none has */
+  PART_SERVED,      /* at some time */
+  PART_UNSERVED,    /* never, as far as is known */
   PART_QUARANTINED, /* it explains the crash */
 } PartClass;
 
@@ -230,7 +231,8 @@
   const GgSuspectPart *part = find_part (self, id);
   if (part != NULL && gg_suspect_part_is_quarantined (part))
     return PART_QUARANTINED;
-  return has_begun_here (self, id) || (part != NULL && part->has_begun) ? PART_BEGUN : PART_NEW;
+  return was_served_here (self, id) || (part != NULL && part->was_served) ? PART_SERVED
+                                                                          : PART_UNSERVED;
 }
 
 gboolean
@@ -239,7 +241,7 @@
                                  uint32_t runner_hash,
                                  uint64_t now_ms)
 {
-  PartClass suspected = PART_BEGUN;
+  PartClass suspected = PART_SERVED;
   gboolean is_changed = FALSE;
   for (uint32_t i = 0; i < parts->n; i++)
     suspected = MAX (suspected, classify (self, parts->ids[i]));
@@ -255,12 +257,12 @@
       is_changed = TRUE;
       add_event (self, GG_QUARANTINE_SUSPECTED, part);
     }
-  /* Judged after all have the crash, so that parts that can't be told apart stay so. */
+  /* Only after all parts have the crash, so that ambiguous ones have the same crashes. */
   for (uint32_t i = 0; i < parts->n; i++)
     {
       GgSuspectPart *part = find_part (self, parts->ids[i]);
       if (part != NULL)
-        judge (self, part);
+        update_quarantine (self, part);
     }
   return is_changed;
 }
@@ -291,7 +293,7 @@
 
 /* Whether the crashes may be due to another part in quarantine, which the request does not have. */
 static gboolean
-is_in_doubt (const GgPromptQuarantine *self, const GgSuspectPart *part, const GgPromptParts *parts)
+is_ambiguous (const GgPromptQuarantine *self, const GgSuspectPart *part, const GgPromptParts *parts)
 {
   for (guint i = 0; i < self->parts->len; i++)
     {
@@ -310,7 +312,9 @@
   gboolean is_open = part->tried_ms != 0 && part->crashed_ms < part->tried_ms;
   if (is_open)
     return now_ms >= part->tried_ms + TRIAL_INTERVAL_MS;
-  return now_ms >= part->crashed_ms + (part->n_trials == 0 ? FIRST_TRIAL_AFTER_MS : TRIAL_AFTER_MS);
+  return now_ms
+         >= part->crashed_ms
+                + (part->n_trials < part->n_quarantines ? FIRST_TRIAL_AFTER_MS : TRIAL_AFTER_MS);
 }
 
 gboolean
@@ -324,7 +328,8 @@
   for (uint32_t i = 0; i < parts->n; i++)
     {
       GgSuspectPart *part = find_part (self, parts->ids[i]);
-      if (part == NULL || !gg_suspect_part_is_quarantined (part) || is_in_doubt (self, part, parts))
+      if (part == NULL || !gg_suspect_part_is_quarantined (part)
+          || is_ambiguous (self, part, parts))
         continue;
       if (!may_try || !is_trial_due (part, now_ms))
         {
@@ -336,7 +341,7 @@
   if (tried != NULL)
     {
       tried->tried_ms = now_ms;
-      tried->n_trials++;
+      tried->n_trials = MAX (tried->n_trials + 1, tried->n_quarantines);
       add_event (self, GG_QUARANTINE_TRIED, tried);
     }
   return FALSE;
@@ -350,11 +355,11 @@
     {
       gboolean is_new = FALSE;
       GgPartCrash *crash
-          = get_crash (part, other->crashes[i].runner_hash, other->crashes[i].is_absolved, &is_new);
+          = get_crash (part, other->crashes[i].runner_hash, other->crashes[i].is_cleared, &is_new);
       if (crash == NULL)
         continue;
-      is_changed |= is_new || (other->crashes[i].is_absolved && !crash->is_absolved);
-      crash->is_absolved |= other->crashes[i].is_absolved;
+      is_changed |= is_new || (other->crashes[i].is_cleared && !crash->is_cleared);
+      crash->is_cleared |= other->crashes[i].is_cleared;
       /* Known crashes keep their time, which would grow by the delay with each report. */
       if (is_new)
         part->crashed_ms = MAX (part->crashed_ms, other->crashed_ms);
@@ -366,33 +371,34 @@
 gg_prompt_quarantine_merge (GgPromptQuarantine *self, const GgSuspectPart *other, uint64_t now_ms)
 {
   GgSuspectPart *part = find_part (self, other->id);
-  if (part == NULL && other->n_quarantines == 0 && now_ms > other->crashed_ms + LEARN_SUSPECT_MS)
+  if (part == NULL && other->n_quarantines == 0 && now_ms > other->crashed_ms + MAX_MERGED_AGE_MS)
     return FALSE;
   gboolean is_changed = part == NULL;
   part = get_part (self, other->id);
   if (part == NULL)
     return FALSE;
   gboolean was_quarantined = gg_suspect_part_is_quarantined (part);
-  /* An answer to it may have begun here and at no other instance. */
-  gboolean has_begun = part->has_begun || other->has_begun || has_begun_here (self, other->id);
-  is_changed |= has_begun != other->has_begun || has_begun != part->has_begun;
+  /* This instance may be the only one that has served it. */
+  gboolean was_served = part->was_served || other->was_served || was_served_here (self, other->id);
+  is_changed |= was_served != other->was_served || was_served != part->was_served;
   is_changed |= other->n_quarantines > part->n_quarantines || other->n_releases > part->n_releases;
-  part->has_begun = has_begun;
+  part->was_served = was_served;
   if (part->crashed_ms == 0)
     part->crashed_ms = other->crashed_ms;
   is_changed |= merge_crashes (part, other);
   part->n_quarantines = MAX (part->n_quarantines, other->n_quarantines);
   part->n_releases = MAX (part->n_releases, other->n_releases);
   part->n_trials = MAX (part->n_trials, other->n_trials);
-  /* Quarantined by an instance that did not know that answers to it have begun. */
-  if (gg_suspect_part_is_quarantined (part) && has_begun && count_crashes (part) < CRASHES_IF_BEGUN)
+  /* Quarantined by an instance that did not know that it was served. */
+  if (gg_suspect_part_is_quarantined (part) && was_served
+      && count_crashes (part) < MIN_CRASHES_IF_SERVED)
     {
       part->n_releases = part->n_quarantines;
       is_changed = TRUE;
     }
   if (gg_suspect_part_is_quarantined (part) != was_quarantined)
     add_event (self, was_quarantined ? GG_QUARANTINE_RELEASED : GG_QUARANTINE_QUARANTINED, part);
-  judge (self, part);
+  update_quarantine (self, part);
   return is_changed;
 }
 
@@ -400,7 +406,7 @@
 gg_prompt_quarantine_release_all (GgPromptQuarantine *self)
 {
   for (guint i = 0; i < self->parts->len; i++)
-    absolve (self, &g_array_index (self->parts, GgSuspectPart, i));
+    clear_part (self, &g_array_index (self->parts, GgSuspectPart, i));
 }
 
 static uint64_t
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -1,22 +1,24 @@
 /** @file
- * Finds the part of prompts that crashes the runners which begin to answer it (a query of death),
- * and keeps requests with it from them.
+ * Detects the part of prompts that crashes each runner which starts to answer it (a query of
+ * death), and has requests with it refused.
  *
- * Evidence is a runner that closed the connection after the head of an answer and before its first
- * event. Each part of such a request is a suspect; a part of a request whose answer begins is
- * absolved of the crashes known so far. Requests share parts, so a part that has begun anywhere is
- * not suspected while the request has another one that has not. Three runners that crashed under a
- * part put it into quarantine, five if answers to it have begun before.
+ * A part counts as served when the first event of an answer to it arrives. Evidence against a part
+ * is a runner that closed the connection after the head of an answer and before its first event.
+ * Each part of such a request is a suspect, and is cleared of the crashes known so far when it is
+ * served. Requests share parts, so a part that was served at some time is no suspect while the
+ * request has another one that was not. Three crashed runners quarantine a part, five if it was
+ * served before.
  *
- * Soon after that one request is let pass on trial, since a part that many share may have been
- * hit by chance, when several runners failed together; if it crashes its runner too, the next trial
- * comes ten minutes later.
+ * Soon after that one request is allowed as a trial: a part that many requests share may have been
+ * suspected by coincidence, when several runners failed together. If the trial crashes its runner
+ * as well, the next one is allowed ten minutes later.
  *
- * Parts that crashed the same runners can't be told apart: a request is only refused if it has all
- * of them, and one that lacks some of them shows which it was.
+ * Parts that are suspected of the same crashes are ambiguous: a request is only refused if it has
+ * all of them. The outcome of one that has some of them resolves the ambiguity.
  *
- * The state is merged between instances in any order and any number of times: crashes are united,
- * absolution, beginnings and releases stay. Times are CLOCK_BOOTTIME in ms. */
+ * The state is merged between instances in any order and any number of times: the set of crashes,
+ * the marks on them and the counters of quarantines and releases only grow. Times are
+ * CLOCK_BOOTTIME in ms. */
 #pragma once
 
 #include "core/prompt_parts.h"
@@ -32,30 +34,29 @@
 typedef struct
 {
   uint32_t runner_hash; /**< Of the runner's id and start. */
-  gboolean is_absolved; /**< An answer to the part has begun since. */
+  gboolean is_cleared;  /**< The part was served since. */
 } GgPartCrash;
 
 /** What is known of a part. */
 typedef struct
 {
   uint64_t id;
-  gboolean has_begun; /**< An answer to it has begun at some time. */
+  gboolean was_served; /**< At some time, by some instance. */
   uint32_t n_crashes;
   GgPartCrash crashes[GG_QUARANTINE_MAX_CRASHES];
   uint32_t n_quarantines; /**< It is in quarantine if this is more than n_releases. */
   uint32_t n_releases;
-  uint32_t n_trials;   /**< Requests that were let pass on trial. */
+  uint32_t n_trials;   /**< At least n_quarantines once a trial was allowed in the latest one. */
   uint64_t crashed_ms; /**< Time of the latest crash that added evidence. */
-  uint64_t tried_ms;   /**< When this instance last let a request pass on trial; 0 for never. Not
-                        * merged. */
+  uint64_t tried_ms;   /**< When this instance last allowed a trial; 0 for never. Not merged. */
 } GgSuspectPart;
 
 typedef enum
 {
   GG_QUARANTINE_SUSPECTED,   /**< A crash was added. */
   GG_QUARANTINE_QUARANTINED, /**< Requests with the part are refused from now on. */
-  GG_QUARANTINE_TRIED,       /**< One request is let pass on trial. */
-  GG_QUARANTINE_RELEASED,    /**< An answer to the part has begun, or an operator released it. */
+  GG_QUARANTINE_TRIED,       /**< One request is allowed as a trial. */
+  GG_QUARANTINE_RELEASED,    /**< The part was served, or released by an operator. */
 } GgQuarantineEventKind;
 
 /** A change, for the log. */
@@ -63,7 +64,7 @@
 {
   GgQuarantineEventKind kind;
   uint64_t part;
-  uint32_t n_crashes; /**< That are not absolved. */
+  uint32_t n_crashes; /**< That are not cleared. */
 } GgQuarantineEvent;
 
 typedef struct _GgPromptQuarantine GgPromptQuarantine;
@@ -71,11 +72,11 @@
 GgPromptQuarantine *gg_prompt_quarantine_create (void);
 void gg_prompt_quarantine_destroy (GgPromptQuarantine *self);
 
-/** Records that an answer to a request has begun.
+/** Records that the first event of an answer to a request has arrived.
  * @return whether other instances should know. */
-gboolean gg_prompt_quarantine_note_begun (GgPromptQuarantine *self, const GgPromptParts *parts);
+gboolean gg_prompt_quarantine_note_served (GgPromptQuarantine *self, const GgPromptParts *parts);
 
-/** Records that a runner crashed when it began to answer a request.
+/** Records that a runner crashed between the head and the first event of an answer.
  * @return whether other instances should know. */
 gboolean gg_prompt_quarantine_note_crash (GgPromptQuarantine *self,
                                           const GgPromptParts *parts,
@@ -83,8 +84,7 @@
                                           uint64_t now_ms);
 
 /** Whether a request must not be sent to a runner.
- * @param may_try this instance is the one that may let a single request pass on trial when one
- *   is due.
+ * @param may_try whether this instance may allow a trial when one is due.
  * @param part_out set to the part that is in quarantine if so. */
 gboolean gg_prompt_quarantine_is_refused (GgPromptQuarantine *self,
                                           const GgPromptParts *parts,
@@ -100,7 +100,7 @@
 /** Releases all parts. */
 void gg_prompt_quarantine_release_all (GgPromptQuarantine *self);
 
-/** Forgets suspects without a recent crash. */
+/** Drops suspects without a recent crash. */
 void gg_prompt_quarantine_expire (GgPromptQuarantine *self, uint64_t now_ms);
 
 /** Returns the parts that are suspected, in quarantine or released lately: GgSuspectPart, valid
--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -236,9 +236,9 @@
   send_call (self);
 }
 
-/* Whether the pending call may hang on a connection that went silent: the store has answered a
- * later one, and this one has received nothing. A call that only takes long must be left alone,
- * since beginning it anew would take as long again. */
+/* Whether the connection of the pending call may be dead: the store has answered a later call, and
+ * this one has received nothing. A call that only takes long must not be repeated, since that would
+ * take as long again. */
 static gboolean
 is_overtaken (const GgConfigWatcher *self, uint64_t proven_boot_ms)
 {
--- a/src/daemons/routerd/quarantine_exchange.c
+++ b/src/daemons/routerd/quarantine_exchange.c
@@ -130,9 +130,9 @@
 }
 
 void
-gg_quarantine_exchange_note_begun (GgQuarantineExchange *self, const GgPromptParts *parts)
+gg_quarantine_exchange_note_served (GgQuarantineExchange *self, const GgPromptParts *parts)
 {
-  note_change (self, gg_prompt_quarantine_note_begun (self->quarantine, parts));
+  note_change (self, gg_prompt_quarantine_note_served (self->quarantine, parts));
 }
 
 void
--- a/src/daemons/routerd/quarantine_exchange.h
+++ b/src/daemons/routerd/quarantine_exchange.h
@@ -9,10 +9,10 @@
 GgQuarantineExchange *gg_quarantine_exchange_create (GgRouter *router, GgMembership *membership);
 void gg_quarantine_exchange_destroy (GgQuarantineExchange *self);
 
-/** Records that an answer to a request has begun. */
-void gg_quarantine_exchange_note_begun (GgQuarantineExchange *self, const GgPromptParts *parts);
+/** Records that the first event of an answer to a request has arrived. */
+void gg_quarantine_exchange_note_served (GgQuarantineExchange *self, const GgPromptParts *parts);
 
-/** Records that a runner crashed when it began to answer a request. */
+/** Records that a runner crashed between the head and the first event of an answer. */
 void gg_quarantine_exchange_note_crash (GgQuarantineExchange *self,
                                         const GgPromptParts *parts,
                                         const GgRunnerRecord *runner);
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -117,9 +117,9 @@
   GgStreamEvent event;
   while (gg_event_buffer_next (self->events, &event))
     {
-      if (!self->has_begun && self->service->model != NULL)
-        gg_quarantine_exchange_note_begun (self->router->quarantine_exchange, &self->caller.parts);
-      self->has_begun = TRUE;
+      if (!self->has_event && self->service->model != NULL)
+        gg_quarantine_exchange_note_served (self->router->quarantine_exchange, &self->caller.parts);
+      self->has_event = TRUE;
       /* A second run may repeat events of the first one. */
       if (event.has_id && self->has_last_id && event.id <= self->last_id)
         continue;
@@ -159,7 +159,7 @@
   if (self->is_streaming && gg_event_buffer_get_partial_bytes (self->events) > 0)
     return GG_SEND_LOST;
   /* Only a stream that is resumed may have nothing left. */
-  if (self->is_streaming && !self->has_begun && !self->has_last_id)
+  if (self->is_streaming && !self->has_event && !self->has_last_id)
     return GG_SEND_LOST;
   return GG_SEND_COMPLETE;
 }
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -62,7 +62,7 @@
   uint64_t last_id; /* of the last complete event forwarded to the caller */
   uint32_t n_events;
   uint32_t n_cuts_at_start;     /* sends that the runner broke off between head and first event */
-  gboolean has_begun;           /* the current send has brought an event */
+  gboolean has_event;           /* the current send has brought an event */
   gboolean is_closed_by_runner; /* the current send, before the end of its answer */
   uint64_t first_event_ms;
   uint64_t last_event_ms;
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -185,7 +185,7 @@
 is_cut_at_start (const GgRelay *self, GgSendResult result)
 {
   return result == GG_SEND_LOST && self->is_closed_by_runner && self->events != NULL
-         && self->answer_fields.status == GG_STATUS_OK && !self->has_begun;
+         && self->answer_fields.status == GG_STATUS_OK && !self->has_event;
 }
 
 static void
@@ -374,7 +374,7 @@
                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
-  self->has_begun = FALSE;
+  self->has_event = FALSE;
   self->is_closed_by_runner = FALSE;
   self->last_activity_ms = now_ms;
   self->rerouted_ms = now_ms;
--- a/tests/adapters/test_quarantine_report.c
+++ b/tests/adapters/test_quarantine_report.c
@@ -10,7 +10,7 @@
   for (guint i = 0; i < n; i++)
     {
       GgSuspectPart part = { .id = 0xfedcba9876543210 + i,
-                             .has_begun = i % 2 == 0,
+                             .was_served = i % 2 == 0,
                              .n_crashes = GG_QUARANTINE_MAX_CRASHES,
                              .n_quarantines = 3,
                              .n_releases = 2,
@@ -39,7 +39,7 @@
       const GgSuspectPart *sent = &g_array_index (parts, GgSuspectPart, i);
       const GgSuspectPart *part = &g_array_index (got, GgSuspectPart, i);
       CU_ASSERT_EQUAL (part->id, sent->id);
-      CU_ASSERT_EQUAL (part->has_begun, sent->has_begun);
+      CU_ASSERT_EQUAL (part->was_served, sent->was_served);
       CU_ASSERT_EQUAL (part->n_quarantines, 3);
       CU_ASSERT_EQUAL (part->n_releases, 2);
       CU_ASSERT_EQUAL (part->n_trials, 1);
@@ -48,7 +48,7 @@
       for (uint32_t k = 0; k < part->n_crashes; k++)
         {
           CU_ASSERT_EQUAL (part->crashes[k].runner_hash, sent->crashes[k].runner_hash);
-          CU_ASSERT_EQUAL (part->crashes[k].is_absolved, sent->crashes[k].is_absolved);
+          CU_ASSERT_EQUAL (part->crashes[k].is_cleared, sent->crashes[k].is_cleared);
         }
     }
   g_array_unref (parts);
--- a/tests/core/test_prompt_quarantine.c
+++ b/tests/core/test_prompt_quarantine.c
@@ -37,17 +37,17 @@
 }
 
 static void
-begin (GgPromptQuarantine *q, uint64_t a, uint64_t b)
+serve (GgPromptQuarantine *q, uint64_t a, uint64_t b)
 {
   GgPromptParts parts = make_parts (a, b, 0);
-  gg_prompt_quarantine_note_begun (q, &parts);
+  gg_prompt_quarantine_note_served (q, &parts);
 }
 
 static void
-test_third_crash_quarantines_the_part_that_never_begins (void)
+test_third_crash_quarantines_the_part_that_is_never_served (void)
 {
   GgPromptQuarantine *q = gg_prompt_quarantine_create ();
-  begin (q, SHARED, 0);
+  serve (q, SHARED, 0);
   crash (q, SHARED, DEADLY, 1, 1000);
   crash (q, SHARED, DEADLY, 2, 1100);
   crash (q, SHARED, DEADLY, 2, 1200); /* the same runner again */
@@ -59,25 +59,26 @@
   gg_prompt_quarantine_destroy (q);
 }
 
-/* Runners crash for other reasons, and some request is always just beginning. */
+/* Runners crash for other reasons, and some request has just had the head of its answer. */
 static void
-test_part_that_begins_is_absolved (void)
+test_served_part_is_cleared (void)
 {
   GgPromptQuarantine *q = gg_prompt_quarantine_create ();
-  begin (q, SHARED, 8);
+  serve (q, SHARED, 8);
   for (uint32_t runner = 1; runner <= 20; runner++)
     {
       crash (q, SHARED, 0, runner, 1000 + runner);
       CU_ASSERT_FALSE (is_refused (q, SHARED, 8, 1000 + runner));
       if (runner % 4 == 0)
-        begin (q, SHARED, 8);
+        serve (q, SHARED, 8);
     }
   gg_prompt_quarantine_destroy (q);
 }
 
-/* Just after a start no answer has begun yet, so a shared part and the deadly one look alike. */
+/* Just after a start no part was served yet, so a shared part and the deadly one have the same
+ * crashes. */
 static void
-test_parts_that_cannot_be_told_apart (void)
+test_ambiguous_parts (void)
 {
   GgPromptQuarantine *q = gg_prompt_quarantine_create ();
   for (uint32_t runner = 1; runner <= 3; runner++)
@@ -88,7 +89,7 @@
   crash (q, 7, DEADLY, 4, 1000);
   CU_ASSERT_TRUE (is_refused (q, 9, DEADLY, 1000));
   CU_ASSERT_FALSE (is_refused (q, SHARED, 8, 1000));
-  begin (q, SHARED, 8);
+  serve (q, SHARED, 8);
   CU_ASSERT_TRUE (is_refused (q, SHARED, DEADLY, 1000));
   gg_prompt_quarantine_destroy (q);
 }
@@ -98,7 +99,7 @@
 test_part_of_others_is_not_quarantined (void)
 {
   GgPromptQuarantine *q = gg_prompt_quarantine_create ();
-  begin (q, SHARED, 0);
+  serve (q, SHARED, 0);
   for (uint32_t runner = 1; runner <= 30; runner++)
     crash (q, SHARED, DEADLY + runner % 10, runner, 1000);
   CU_ASSERT_FALSE (is_refused (q, SHARED, 8, 1000));
@@ -114,7 +115,7 @@
   uint64_t now_ms = 1000;
   GgPromptParts parts = make_parts (SHARED, DEADLY, 0);
   GgPromptQuarantine *q = gg_prompt_quarantine_create ();
-  begin (q, SHARED, 0);
+  serve (q, SHARED, 0);
   for (uint32_t runner = 1; runner <= 3; runner++)
     crash (q, SHARED, DEADLY, runner, now_ms);
   CU_ASSERT_TRUE (gg_prompt_quarantine_is_refused (q, &parts, TRUE, now_ms + 100, &part));
@@ -128,15 +129,15 @@
   CU_ASSERT_TRUE (gg_prompt_quarantine_is_refused (q, &parts, TRUE, now_ms, &part));
   now_ms += 6 * MINUTE_MS;
   CU_ASSERT_FALSE (gg_prompt_quarantine_is_refused (q, &parts, TRUE, now_ms, &part));
-  begin (q, SHARED, DEADLY);
+  serve (q, SHARED, DEADLY);
   CU_ASSERT_FALSE (gg_prompt_quarantine_is_refused (q, &parts, FALSE, now_ms, &part));
   gg_prompt_quarantine_destroy (q);
 }
 
-/* Runners that fail together just after a start, when no answer has begun yet, hit a part that many
- * share. */
+/* Runners that fail together just after a start, when no part was served yet, cause suspicion of a
+ * part that many requests share. */
 static void
-test_part_that_was_hit_by_chance (void)
+test_coincidence (void)
 {
   uint64_t part = 0;
   GgPromptParts parts = make_parts (SHARED, 8, 0);
@@ -145,8 +146,13 @@
     crash (q, SHARED, 0x1000 + runner, runner, 1000);
   CU_ASSERT_TRUE (is_refused (q, SHARED, 8, 1500));
   CU_ASSERT_FALSE (gg_prompt_quarantine_is_refused (q, &parts, TRUE, 3500, &part));
-  begin (q, SHARED, 8);
+  serve (q, SHARED, 8);
   CU_ASSERT_FALSE (is_refused (q, SHARED, 9, 3600));
+  /* The same once more, later. */
+  for (uint32_t runner = 11; runner <= 16; runner++)
+    crash (q, SHARED, 0, runner, 5000);
+  CU_ASSERT_TRUE (is_refused (q, SHARED, 8, 5500));
+  CU_ASSERT_FALSE (gg_prompt_quarantine_is_refused (q, &parts, TRUE, 7500, &part));
   gg_prompt_quarantine_destroy (q);
 }
 
@@ -179,7 +185,7 @@
   for (uint32_t i = 0; i < 5000; i++)
     {
       crash (q, 0x10000 + i, 0, 100 + i, 2000 + i);
-      begin (q, 0x20000 + i, 0);
+      serve (q, 0x20000 + i, 0);
     }
   CU_ASSERT_EQUAL (gg_prompt_quarantine_get_parts (q)->len, GG_QUARANTINE_MAX_PARTS);
   CU_ASSERT_TRUE (is_refused (q, DEADLY, 0, 3000));
@@ -271,7 +277,7 @@
     return;
   if (!is_deadly)
     {
-      gg_prompt_quarantine_note_begun (q, &parts);
+      gg_prompt_quarantine_note_served (q, &parts);
       return;
     }
   d->n_crashes++;
@@ -282,7 +288,7 @@
     report (d, at);
 }
 
-/* A rack that goes dark, whose runners are beginning sound answers. */
+/* Runners of a rack that fail together, each between the head and the first event of an answer. */
 static void
 lose_runners (Deployment *d)
 {
@@ -366,13 +372,13 @@
 main (int argc, char **argv)
 {
   static const GgTestCase cases[] = {
-    { "third crash quarantines the part that never begins",
-      test_third_crash_quarantines_the_part_that_never_begins },
-    { "part that begins is absolved", test_part_that_begins_is_absolved },
-    { "parts that can't be told apart", test_parts_that_cannot_be_told_apart },
+    { "third crash quarantines the part that is never served",
+      test_third_crash_quarantines_the_part_that_is_never_served },
+    { "served part is cleared", test_served_part_is_cleared },
+    { "ambiguous parts", test_ambiguous_parts },
     { "part of others is not quarantined", test_part_of_others_is_not_quarantined },
     { "trial", test_trial },
-    { "part that was hit by chance", test_part_that_was_hit_by_chance },
+    { "coincidence", test_coincidence },
     { "release by an operator spreads", test_release_by_an_operator_spreads },
     { "memory is bounded", test_memory_is_bounded },
     { "many instances", test_many_instances },
