Keep a part that crashes runners by itself from staying ambiguous

Each request with the deadly part and without the other one would have crashed one more runner.

Change: a quarantined part that crashes a runner without the parts with which it was ambiguous is confirmed; the mark is merged, reported and stored with the rest.

test_prompt_quarantine, ambiguous parts with many crashes, fails on the code before (the part is still let pass, here and at an instance that merges it) and passes.

--- a/src/adapters/rpc/quarantine_report.c
+++ b/src/adapters/rpc/quarantine_report.c
@@ -5,14 +5,18 @@
 /* Distinguishes this kind of datagram and its version from anything else that may arrive at the
  * port. */
 #define MAGIC 0x67677131U
+#define FLAG_SERVED 1U
+#define FLAG_CONFIRMED 2U
 
 static gboolean
-code_flag (XDR *xdr, gboolean *flag)
+code_flags (XDR *xdr, GgSuspectPart *part)
 {
-  uint32_t number = *flag ? 1 : 0;
-  if (!xdr_uint32_t (xdr, &number))
+  uint32_t flags
+      = (part->was_served ? FLAG_SERVED : 0U) | (part->is_confirmed ? FLAG_CONFIRMED : 0U);
+  if (!xdr_uint32_t (xdr, &flags))
     return FALSE;
-  *flag = number != 0;
+  part->was_served = (flags & FLAG_SERVED) != 0;
+  part->is_confirmed = (flags & FLAG_CONFIRMED) != 0;
   return TRUE;
 }
 
@@ -49,10 +53,9 @@
 static gboolean
 code_part (XDR *xdr, GgSuspectPart *part, uint64_t now_ms)
 {
-  return xdr_uint64_t (xdr, &part->id) && code_flag (xdr, &part->was_served)
-         && code_crashes (xdr, part) && xdr_uint32_t (xdr, &part->n_quarantines)
-         && xdr_uint32_t (xdr, &part->n_releases) && xdr_uint32_t (xdr, &part->n_trials)
-         && code_time (xdr, &part->crashed_ms, now_ms);
+  return xdr_uint64_t (xdr, &part->id) && code_flags (xdr, part) && code_crashes (xdr, part)
+         && xdr_uint32_t (xdr, &part->n_quarantines) && xdr_uint32_t (xdr, &part->n_releases)
+         && xdr_uint32_t (xdr, &part->n_trials) && code_time (xdr, &part->crashed_ms, now_ms);
 }
 
 size_t
--- a/src/core/prompt_quarantine.c
+++ b/src/core/prompt_quarantine.c
@@ -235,38 +235,6 @@
                                                                           : PART_UNSERVED;
 }
 
-gboolean
-gg_prompt_quarantine_note_crash (GgPromptQuarantine *self,
-                                 const GgPromptParts *parts,
-                                 uint32_t runner_hash,
-                                 uint64_t now_ms)
-{
-  PartClass suspected = PART_SERVED;
-  gboolean is_changed = FALSE;
-  for (uint32_t i = 0; i < parts->n; i++)
-    suspected = MAX (suspected, classify (self, parts->ids[i]));
-  for (uint32_t i = 0; i < parts->n; i++)
-    {
-      if (classify (self, parts->ids[i]) != suspected)
-        continue;
-      gboolean is_new = FALSE;
-      GgSuspectPart *part = get_part (self, parts->ids[i]);
-      if (part == NULL || (get_crash (part, runner_hash, FALSE, &is_new) != NULL && !is_new))
-        continue;
-      part->crashed_ms = now_ms;
-      is_changed = TRUE;
-      add_event (self, GG_QUARANTINE_SUSPECTED, part);
-    }
-  /* Only after all parts have the crash, so that ambiguous ones have the same crashes. */
-  for (uint32_t i = 0; i < parts->n; i++)
-    {
-      GgSuspectPart *part = find_part (self, parts->ids[i]);
-      if (part != NULL)
-        update_quarantine (self, part);
-    }
-  return is_changed;
-}
-
 static gboolean
 has_part (const GgPromptParts *parts, uint64_t id)
 {
@@ -295,6 +263,8 @@
 static gboolean
 is_ambiguous (const GgPromptQuarantine *self, const GgSuspectPart *part, const GgPromptParts *parts)
 {
+  if (part->is_confirmed)
+    return FALSE;
   for (guint i = 0; i < self->parts->len; i++)
     {
       const GgSuspectPart *other = &g_array_index (self->parts, GgSuspectPart, i);
@@ -305,6 +275,41 @@
   return FALSE;
 }
 
+gboolean
+gg_prompt_quarantine_note_crash (GgPromptQuarantine *self,
+                                 const GgPromptParts *parts,
+                                 uint32_t runner_hash,
+                                 uint64_t now_ms)
+{
+  PartClass suspected = PART_SERVED;
+  gboolean is_changed = FALSE;
+  for (uint32_t i = 0; i < parts->n; i++)
+    suspected = MAX (suspected, classify (self, parts->ids[i]));
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      if (classify (self, parts->ids[i]) != suspected)
+        continue;
+      gboolean is_new = FALSE;
+      GgSuspectPart *part = get_part (self, parts->ids[i]);
+      gboolean was_ambiguous
+          = part != NULL && suspected == PART_QUARANTINED && is_ambiguous (self, part, parts);
+      if (part == NULL || (get_crash (part, runner_hash, FALSE, &is_new) != NULL && !is_new))
+        continue;
+      part->is_confirmed |= was_ambiguous;
+      part->crashed_ms = now_ms;
+      is_changed = TRUE;
+      add_event (self, GG_QUARANTINE_SUSPECTED, part);
+    }
+  /* Only after all parts have the crash, so that ambiguous ones have the same crashes. */
+  for (uint32_t i = 0; i < parts->n; i++)
+    {
+      GgSuspectPart *part = find_part (self, parts->ids[i]);
+      if (part != NULL)
+        update_quarantine (self, part);
+    }
+  return is_changed;
+}
+
 static gboolean
 is_trial_due (const GgSuspectPart *part, uint64_t now_ms)
 {
@@ -381,6 +386,8 @@
   /* This instance may be the only one that has served it. */
   gboolean was_served = part->was_served || other->was_served || was_served_here (self, other->id);
   is_changed |= was_served != other->was_served || was_served != part->was_served;
+  is_changed |= other->is_confirmed && !part->is_confirmed;
+  part->is_confirmed |= other->is_confirmed;
   is_changed |= other->n_quarantines > part->n_quarantines || other->n_releases > part->n_releases;
   part->was_served = was_served;
   if (part->crashed_ms == 0)
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -41,7 +41,8 @@
 typedef struct
 {
   uint64_t id;
-  gboolean was_served; /**< At some time, by some instance. */
+  gboolean was_served;   /**< At some time, by some instance. */
+  gboolean is_confirmed; /**< It crashed a runner without the parts with which it was ambiguous. */
   uint32_t n_crashes;
   GgPartCrash crashes[GG_QUARANTINE_MAX_CRASHES];
   uint32_t n_quarantines; /**< It is in quarantine if this is more than n_releases. */
--- a/src/daemons/routerd/quarantine_exchange.c
+++ b/src/daemons/routerd/quarantine_exchange.c
@@ -176,8 +176,8 @@
   return is_valid;
 }
 
-/* Prints the parts in quarantine, one a line: identifier, number of quarantines and of trials, and
- * the runners that crashed. */
+/* Prints the parts in quarantine, one a line: identifier, numbers of quarantines and trials,
+ * whether it is confirmed, and the runners that crashed. */
 static char *
 print_parts (const GgQuarantineExchange *self)
 {
@@ -188,8 +188,8 @@
       const GgSuspectPart *part = &g_array_index (parts, GgSuspectPart, i);
       if (!gg_suspect_part_is_quarantined (part))
         continue;
-      g_string_append_printf (text, "%" G_GINT64_MODIFIER "x %u %u", (guint64) part->id,
-                              part->n_quarantines, part->n_trials);
+      g_string_append_printf (text, "%" G_GINT64_MODIFIER "x %u %u %d", (guint64) part->id,
+                              part->n_quarantines, part->n_trials, part->is_confirmed);
       for (uint32_t k = 0; k < part->n_crashes; k++)
         g_string_append_printf (text, " %x", part->crashes[k].runner_hash);
       g_string_append_c (text, '\n');
@@ -205,13 +205,14 @@
   char **fields = g_strsplit (line, " ", -1);
   guint n = g_strv_length (fields);
   *out = (GgSuspectPart){ .crashed_ms = now_ms };
-  if (n >= 3)
+  if (n >= 4)
     {
       out->id = g_ascii_strtoull (fields[0], NULL, 16);
       out->n_quarantines = (uint32_t) g_ascii_strtoull (fields[1], NULL, 10);
       out->n_trials = (uint32_t) g_ascii_strtoull (fields[2], NULL, 10);
+      out->is_confirmed = g_ascii_strtoull (fields[3], NULL, 10) != 0;
     }
-  for (guint i = 3; i < n && out->n_crashes < GG_QUARANTINE_MAX_CRASHES; i++)
+  for (guint i = 4; i < n && out->n_crashes < GG_QUARANTINE_MAX_CRASHES; i++)
     out->crashes[out->n_crashes++].runner_hash = (uint32_t) g_ascii_strtoull (fields[i], NULL, 16);
   g_strfreev (fields);
   return out->n_quarantines > 0;
--- a/tests/adapters/test_quarantine_report.c
+++ b/tests/adapters/test_quarantine_report.c
@@ -11,6 +11,7 @@
     {
       GgSuspectPart part = { .id = 0xfedcba9876543210 + i,
                              .was_served = i % 2 == 0,
+                             .is_confirmed = i % 3 == 0,
                              .n_crashes = GG_QUARANTINE_MAX_CRASHES,
                              .n_quarantines = 3,
                              .n_releases = 2,
@@ -40,6 +41,7 @@
       const GgSuspectPart *part = &g_array_index (got, GgSuspectPart, i);
       CU_ASSERT_EQUAL (part->id, sent->id);
       CU_ASSERT_EQUAL (part->was_served, sent->was_served);
+      CU_ASSERT_EQUAL (part->is_confirmed, sent->is_confirmed);
       CU_ASSERT_EQUAL (part->n_quarantines, 3);
       CU_ASSERT_EQUAL (part->n_releases, 2);
       CU_ASSERT_EQUAL (part->n_trials, 1);
--- a/tests/core/test_prompt_quarantine.c
+++ b/tests/core/test_prompt_quarantine.c
@@ -94,6 +94,28 @@
   gg_prompt_quarantine_destroy (q);
 }
 
+/* More crashes than are kept of a part must not leave it ambiguous: each request without the other
+ * part would crash one more runner. */
+static void
+test_ambiguous_parts_with_many_crashes (void)
+{
+  GgPromptQuarantine *q = gg_prompt_quarantine_create ();
+  GgPromptQuarantine *other = gg_prompt_quarantine_create ();
+  for (uint32_t runner = 1; runner <= 2 * GG_QUARANTINE_MAX_CRASHES; runner++)
+    crash (q, SHARED, DEADLY, runner, 1000);
+  CU_ASSERT_FALSE (is_refused (q, 7, DEADLY, 1000));
+  crash (q, 7, DEADLY, 100, 1000);
+  CU_ASSERT_TRUE (is_refused (q, 9, DEADLY, 1000));
+  CU_ASSERT_FALSE (is_refused (q, SHARED, 8, 1000));
+  const GArray *parts = gg_prompt_quarantine_get_parts (q);
+  for (guint i = 0; i < parts->len; i++)
+    gg_prompt_quarantine_merge (other, &g_array_index (parts, GgSuspectPart, i), 1000);
+  CU_ASSERT_TRUE (is_refused (other, 9, DEADLY, 1000));
+  CU_ASSERT_FALSE (is_refused (other, SHARED, 8, 1000));
+  gg_prompt_quarantine_destroy (q);
+  gg_prompt_quarantine_destroy (other);
+}
+
 /* Someone with a deadly part must not have the part of others refused by sending both. */
 static void
 test_part_of_others_is_not_quarantined (void)
@@ -376,6 +398,7 @@
       test_third_crash_quarantines_the_part_that_is_never_served },
     { "served part is cleared", test_served_part_is_cleared },
     { "ambiguous parts", test_ambiguous_parts },
+    { "ambiguous parts with many crashes", test_ambiguous_parts_with_many_crashes },
     { "part of others is not quarantined", test_part_of_others_is_not_quarantined },
     { "trial", test_trial },
     { "coincidence", test_coincidence },
