--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -14,8 +14,8 @@
  * store without news until the end of this wait and the store's reply timeout, which together are
  * no longer than the time for which a leaving runner may still be used after a fault. */
 #define WATCH_MS 1000
-/* Each runner rewrites its entry about once a second; a watch without a pause would return for each
- * of these writes. A change is known this much later, well within the time for which a leaving
+/* Entries often change together, as at a start or a release; a watch without a pause would return
+ * for each of them. A change is known this much later, well within the time for which a leaving
  * runner keeps serving. */
 #define WATCH_PAUSE_MS 500
 #define RETRY_MS 100
