Keep to the rate limits of runners with permits from one allocator

What callers saw: nothing at first; a runner in need got up to twice the requests that it had named, from all instances together, and would fail them next.

Cause: nothing acted on the limit. A limit is a bound on the sum over all instances, which none of them sees: divided into shares, 1 a second among 9 instances is exceeded by the first burst or left unused, and among 295 it is no rate.

Ruled out: that shares were kept but added up to too much, and that only repeats were beyond the limit: the rates of each instance were those of before.

Change: one instance for each data centre, the first registered one, hands out permits at the rate of each limit; each send takes one. A successor waits until earlier permits have expired, and one without a valid lease goes on only while others ask it. Evidence of a limit is merged by the allocator alone, first hand, so that it can't refresh itself by going round. An answer without a limit ends it only if its request was sent later. Requests that wait ask one runner at a time, and what no permit can come for in time is refused at once, with a time that follows from the limits.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -76,6 +76,7 @@
   if (self == NULL || --self->refs > 0)
     return;
   gg_runner_record_clear (&self->record);
+  g_free (self->limit);
   g_free (self);
 }
 
@@ -86,6 +87,19 @@
          && now_ms >= self->paused_until_ms && now_ms >= self->avoided_until_ms;
 }
 
+gboolean
+gg_fleet_runner_has_permit (const GgFleetRunner *self, uint64_t boot_ms)
+{
+  return self->limit == NULL || gg_rate_limit_may_send (self->limit, boot_ms);
+}
+
+void
+gg_fleet_runner_take_permit (GgFleetRunner *self, uint64_t boot_ms)
+{
+  if (self->limit != NULL)
+    gg_rate_limit_take (self->limit, boot_ms);
+}
+
 void
 gg_fleet_runner_assign_range (GgFleetRunner *self, const GgLayerRange *range, uint64_t now_ms)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -3,6 +3,8 @@
  * failures. */
 #pragma once
 
+#include "core/rate_limit.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -70,6 +72,7 @@
   uint32_t peer_misses;        /**< Recent misses that other instances report. */
   uint64_t avoided_until_ms;   /**< Due to peer_misses, no new work before then (monotonic). */
   uint64_t paused_until_ms;    /**< After a refusal, no new work before then (monotonic). */
+  GgRateLimit *limit;          /**< NULL if the runner has never named one. */
 };
 
 GgFleetRunner *gg_fleet_runner_ref (GgFleetRunner *self);
@@ -82,6 +85,12 @@
 /** Returns whether the runner may receive new work. */
 gboolean gg_fleet_runner_is_usable (const GgFleetRunner *self, uint64_t now_ms);
 
+/** Returns whether the runner's rate limit allows a send now (CLOCK_BOOTTIME). */
+gboolean gg_fleet_runner_has_permit (const GgFleetRunner *self, uint64_t boot_ms);
+
+/** Takes a permit for a send, if the runner has a rate limit. */
+void gg_fleet_runner_take_permit (GgFleetRunner *self, uint64_t boot_ms);
+
 /** Records the range that the runner was ordered to load. Layers that it is to unload receive no
  * new work from then on, even while its entry still shows them. */
 void gg_fleet_runner_assign_range (GgFleetRunner *self, const GgLayerRange *range, uint64_t now_ms);
--- a/src/core/layer_path.c
+++ b/src/core/layer_path.c
@@ -17,6 +17,10 @@
 /* Factor on the cost of a path in another data centre: its load is known from older reports, and
  * all other data centres see the same free capacity there. */
 #define REMOTE_FACTOR 1.6
+/* Factor on the cost of a runner whose rate limit is in force, as a later hop. The limit counts
+ * what the instances send to the runner, which is first hops; but a runner that names one is in
+ * need, so other runners are preferred. */
+#define LIMITED_HOP_FACTOR 2.0
 /* Random part of a runner's cost, different for each request: instances that have received the same
  * report would otherwise all choose the same runners until the next one. */
 #define JITTER 0.3
@@ -34,7 +38,8 @@
   GgFleetRunner *runner;
   GgLayerRange range; /* for which it may receive new work */
   const GgAccelerator *accelerator;
-  double spread; /* factor on its cost, by its memory use */
+  double spread;       /* factor on its cost, by its memory use */
+  gboolean has_permit; /* its rate limit allows that a request is sent to it */
 } Candidate;
 
 double
@@ -95,6 +100,7 @@
       if (data_centre != NULL && strcmp (record->data_centre, data_centre) != 0)
         continue;
       Candidate candidate = { .runner = runner, .range = range };
+      candidate.has_permit = gg_fleet_runner_has_permit (runner, query->boot_ms);
       candidate.accelerator = gg_engine_model_find_accelerator (query->model, record->accelerator);
       if (candidate.accelerator == NULL)
         continue;
@@ -119,6 +125,8 @@
         + gg_engine_model_get_reading_ms (query->model, candidate->accelerator, n_layers,
                                           n_requests);
   double cost_ms = busy_ms * candidate->spread;
+  if (start->runner != NULL && runner->limit != NULL && gg_rate_limit_is_in_force (runner->limit))
+    cost_ms *= LIMITED_HOP_FACTOR;
   if (start->runner != NULL)
     cost_ms += HOP_MS
                + gg_engine_model_get_delay_ms (query->model, start->runner->record.data_centre,
@@ -152,7 +160,7 @@
       const Candidate *candidate = &candidates[i];
       const GgLayerRange *range = &candidate->range;
       if (at < range->first_layer || at >= range->end_layer || (at == 0 && !has_slot (candidate))
-          || is_used (nodes, at, candidate->runner))
+          || (at == 0 && !candidate->has_permit) || is_used (nodes, at, candidate->runner))
         continue;
       for (uint32_t end = at + 1; end <= range->end_layer; end++)
         {
--- a/src/core/layer_path.h
+++ b/src/core/layer_path.h
@@ -26,7 +26,8 @@
 typedef enum
 {
   GG_PATH_FOUND,
-  GG_PATH_FULL, /**< Usable runners cover all layers, but some range has no free capacity. */
+  GG_PATH_FULL, /**< Usable runners cover all layers, but those of some range have no free capacity,
+                 * or no first one's rate limit allows a request now. */
   GG_PATH_NONE, /**< Some layer is not held by any usable runner. */
 } GgPathResult;
 
@@ -41,6 +42,7 @@
   const GgPathHop *first_hop;    /**< The hop that the path must start with, or NULL. */
   uint32_t random;               /**< Differs between requests. */
   uint64_t now_ms;
+  uint64_t boot_ms; /**< The same time by CLOCK_BOOTTIME. */
 } GgPathQuery;
 
 /** Chooses the path with the lowest predicted token time. Paths inside one data centre are
--- a/src/core/plain_choice.c
+++ b/src/core/plain_choice.c
@@ -35,7 +35,14 @@
   for (guint i = 0; i < gg_fleet_get_size (query->fleet); i++)
     {
       const GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
-      if (!may_serve (query, runner) || runner == query->excluded)
+      if (!may_serve (query, runner))
+        continue;
+      if (!gg_fleet_runner_has_permit (runner, query->boot_ms))
+        {
+          *is_full_out = TRUE;
+          continue;
+        }
+      if (runner == query->excluded)
         continue;
       double load = get_load (query, runner);
       if (load > MAX_QUEUE_FACTOR)
@@ -63,7 +70,7 @@
   for (guint i = 0; i < gg_fleet_get_size (query->fleet); i++)
     {
       GgFleetRunner *runner = gg_fleet_get (query->fleet, i);
-      if (!may_serve (query, runner))
+      if (!may_serve (query, runner) || !gg_fleet_runner_has_permit (runner, query->boot_ms))
         continue;
       if (runner == query->excluded)
         fallback = runner;
--- /dev/null
+++ b/src/daemons/routerd/limit_exchange.c
@@ -0,0 +1,605 @@
+#include "daemons/routerd/limit_exchange.h"
+
+#include "adapters/rpc/limit_message.h"
+#include "adapters/rpc/load_report.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/event_log.h"
+#include "base/metric_family.h"
+#include "core/limit_allocator.h"
+#include "daemons/routerd/delegated_watch.h"
+
+#include <string.h>
+
+/* Interval of the requests, at random within these bounds: instances that asked in step would be
+ * served in the same order each time. */
+#define MIN_INTERVAL_MS 120
+#define MAX_INTERVAL_MS 180
+/* Interval while no runner has named a limit. */
+#define IDLE_INTERVAL_MS 500
+/* A request that finds no permit is sent sooner. */
+#define URGENT_MS 20
+/* Interval of the allocator's notices, which replace those that were lost. */
+#define NOTICE_MS 300
+#define STATUS_MULTIPLE_CHOICES 300
+/* Evidence that only confirms a limit is reported this often. */
+#define CONFIRM_MS 1000
+/* An allocator without a valid lease goes on while others ask it, as during an outage of the store:
+ * they know of no other one. */
+#define ASKED_MS 1500
+/* After a pause of this length another instance may have taken the place of this one. */
+#define SUSPENDED_MS 1500
+/* Number of the latest requests whose replies are accepted. */
+#define MAX_PENDING_REQUESTS 32
+#define MILLI 1000.0
+#define MS_PER_S 1000.0
+
+typedef struct
+{
+  uint64_t number; /* 0 for none */
+  uint64_t sent_ms;
+} PendingRequest;
+
+/* The allocator of a data centre's runners. */
+typedef struct
+{
+  char *address; /* NULL for none */
+  uint64_t since_ms;
+} Allocator;
+
+struct _GgLimitExchange
+{
+  GgRouter *router;
+  const GgMembership *membership;
+  GgLimitAllocator *allocator;
+  GHashTable *allocators; /* data centre -> Allocator */
+  GgLoopTimer *timer;
+  GgLoopTimer *notice_timer;
+  gboolean has_limits;   /* some runner has named a limit */
+  gboolean is_notifying; /* the notice timer runs */
+  gboolean is_urgent;    /* the timer runs for URGENT_MS */
+  uint64_t ticked_ms;
+  uint64_t asked_until_ms; /* another instance has asked this one shortly before */
+  uint64_t last_number;
+  PendingRequest pending[MAX_PENDING_REQUESTS];
+};
+
+static GgCounter limited_runners
+    = GG_GAUGE ("greengage_router_limited_runners", "Runners whose rate limit is in force");
+static GgMetricFamily permits_total = GG_COUNTER_FAMILY (
+    "greengage_router_permits_total", "Permits received for runners with a rate limit", "runner");
+static GgCounter granted_total
+    = GG_COUNTER ("greengage_router_permits_granted_total", "Permits handed out as allocator");
+
+static uint32_t
+get_hash (const GgFleetRunner *runner)
+{
+  return gg_load_report_hash (runner->record.id, runner->record.started_ms);
+}
+
+static GgFleetRunner *
+find_runner (const GgLimitExchange *self, uint32_t hash)
+{
+  GgFleet *fleet = self->router->fleet;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    if (get_hash (gg_fleet_get (fleet, i)) == hash)
+      return gg_fleet_get (fleet, i);
+  return NULL;
+}
+
+static GgRateLimit *
+get_limit (GgLimitExchange *self, GgFleetRunner *runner)
+{
+  if (runner->limit == NULL)
+    runner->limit = g_new0 (GgRateLimit, 1);
+  self->has_limits = TRUE;
+  return runner->limit;
+}
+
+static void
+log_change (const GgFleetRunner *runner, const char *origin)
+{
+  const GgLimitEvidence *evidence = gg_rate_limit_get (runner->limit);
+  gg_event_log_add (GG_EVENT_NOTABLE, evidence->is_limited ? "runner_limited" : "runner_unlimited",
+                    "runner=%s limit=%.3f origin=%s age_ms=%" G_GUINT64_FORMAT, runner->record.id,
+                    evidence->limit_milli / MILLI, origin,
+                    (guint64) (gg_clock_boot_ms () - evidence->time_ms));
+}
+
+/* Returns the address of the instance that allocates the permits of a data centre's runners; NULL
+ * if none is known. */
+static const char *
+choose_allocator (const GgLimitExchange *self, const char *data_centre)
+{
+  const GgRoster *roster = gg_membership_get_roster (self->membership);
+  const GPtrArray *ranked = gg_roster_get_ranked (roster, data_centre);
+  const GPtrArray *names = gg_roster_get_data_centres (roster);
+  if (ranked == NULL && names->len > 0)
+    ranked = gg_roster_get_ranked (roster, g_ptr_array_index (names, 0));
+  return ranked != NULL ? ((const GgPeer *) g_ptr_array_index (ranked, 0))->address : NULL;
+}
+
+static void
+free_allocator (void *data)
+{
+  Allocator *allocator = data;
+  g_free (allocator->address);
+  g_free (allocator);
+}
+
+static void
+update_allocator (const GgLimitExchange *self, const char *data_centre, Allocator *allocator)
+{
+  const char *address = choose_allocator (self, data_centre);
+  if (g_strcmp0 (allocator->address, address) == 0)
+    return;
+  g_free (allocator->address);
+  allocator->address = g_strdup (address);
+  allocator->since_ms = gg_clock_boot_ms ();
+}
+
+static const Allocator *
+find_allocator (GgLimitExchange *self, const char *data_centre)
+{
+  Allocator *allocator = g_hash_table_lookup (self->allocators, data_centre);
+  if (allocator == NULL)
+    {
+      allocator = g_new0 (Allocator, 1);
+      g_hash_table_insert (self->allocators, g_strdup (data_centre), allocator);
+    }
+  update_allocator (self, data_centre, allocator);
+  return allocator;
+}
+
+/* Whether this instance hands out the permits of a runner. */
+static gboolean
+is_allocating (GgLimitExchange *self, const GgFleetRunner *runner, uint64_t now_ms)
+{
+  const Allocator *allocator = find_allocator (self, runner->record.data_centre);
+  return g_strcmp0 (allocator->address, gg_membership_get_address (self->membership)) == 0
+         && now_ms >= allocator->since_ms + GG_LIMIT_TAKEOVER_MS
+         && (gg_membership_has_lease (self->membership) || now_ms < self->asked_until_ms);
+}
+
+/* Follows the allocators, and starts anew after a suspension of this machine. */
+static void
+update_allocators (GgLimitExchange *self, uint64_t now_ms)
+{
+  gboolean was_suspended = now_ms > self->ticked_ms + SUSPENDED_MS;
+  GHashTableIter iter;
+  void *key;
+  void *value;
+  if (was_suspended)
+    gg_limit_allocator_empty (self->allocator, now_ms);
+  g_hash_table_iter_init (&iter, self->allocators);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      Allocator *allocator = value;
+      update_allocator (self, key, allocator);
+      if (was_suspended)
+        allocator->since_ms = now_ms;
+    }
+  self->ticked_ms = now_ms;
+}
+
+static void
+send_message (const GgLimitExchange *self, const char *address, GgLimitMessage *message)
+{
+  char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
+  size_t size_bytes = gg_limit_message_encode (message, gg_clock_boot_ms (), bytes, sizeof bytes);
+  g_assert (size_bytes > 0);
+  gg_datagram_socket_send (self->router->peer_socket, address, bytes, size_bytes);
+}
+
+typedef struct
+{
+  const GgLimitExchange *exchange;
+  GgLimitMessage *message;
+} Forward;
+
+static void
+forward_to_member (void *data, const char *address)
+{
+  const Forward *forward = data;
+  send_message (forward->exchange, address, forward->message);
+}
+
+static void
+send_to_members (GgLimitExchange *self, GgLimitMessage *message)
+{
+  Forward forward = { self, message };
+  gg_delegated_watch_foreach_member (self->router->delegated_watch, forward_to_member, &forward);
+}
+
+static void
+send_notice (GgLimitExchange *self, GgLimitMessage *message)
+{
+  const GPtrArray *peers = gg_roster_get_others (gg_membership_get_roster (self->membership));
+  for (guint i = 0; i < peers->len; i++)
+    send_message (self, ((const GgPeer *) g_ptr_array_index (peers, i))->address, message);
+  send_to_members (self, message);
+  g_array_set_size (message->entries, 0);
+}
+
+/* Tells all instances of the limits for which this one hands out permits. */
+static void
+send_notices (GgLimitExchange *self, uint64_t now_ms)
+{
+  GArray *limits = g_array_new (FALSE, FALSE, sizeof (GgAllocatedLimit));
+  GgLimitMessage message;
+  gg_limit_message_init (&message, GG_LIMIT_MESSAGE_NOTICE,
+                         gg_membership_get_address (self->membership));
+  gg_limit_allocator_list (self->allocator, limits);
+  for (guint i = 0; i < limits->len; i++)
+    {
+      const GgAllocatedLimit *limit = &g_array_index (limits, GgAllocatedLimit, i);
+      const GgFleetRunner *runner = find_runner (self, limit->runner_hash);
+      GgLimitEntry entry = { .runner_hash = limit->runner_hash, .evidence = limit->evidence };
+      if (runner == NULL || !is_allocating (self, runner, now_ms))
+        continue;
+      g_array_append_val (message.entries, entry);
+      if (message.entries->len == GG_LIMIT_MESSAGE_MAX_ENTRIES)
+        send_notice (self, &message);
+    }
+  if (message.entries->len > 0)
+    send_notice (self, &message);
+  gg_limit_message_clear (&message);
+  g_array_unref (limits);
+}
+
+static void
+on_notice_timer (void *data)
+{
+  GgLimitExchange *self = data;
+  uint64_t now_ms = gg_clock_boot_ms ();
+  gg_limit_allocator_expire (self->allocator, now_ms);
+  self->is_notifying = !gg_limit_allocator_is_empty (self->allocator);
+  if (!self->is_notifying)
+    return;
+  send_notices (self, now_ms);
+  gg_loop_timer_start (self->notice_timer, NOTICE_MS);
+}
+
+/* Handles one entry of a request, of this instance too.
+ * @param entry set to the reply. */
+static void
+serve_entry (GgLimitExchange *self,
+             const GgFleetRunner *runner,
+             const char *sender,
+             GgLimitEntry *entry,
+             uint64_t now_ms)
+{
+  uint32_t hash = entry->runner_hash;
+  gboolean is_changed = entry->evidence.time_ms != 0
+                        && gg_limit_allocator_note (self->allocator, hash, &entry->evidence,
+                                                    entry->is_first_hand, now_ms);
+  uint32_t n = 0;
+  if (is_allocating (self, runner, now_ms))
+    n = gg_limit_allocator_grant (self->allocator, hash, g_str_hash (sender), entry->n_permits,
+                                  now_ms);
+  gg_counter_add (&granted_total, n);
+  *entry = (GgLimitEntry){ .runner_hash = hash,
+                           .evidence = gg_limit_allocator_get (self->allocator, hash),
+                           .n_permits = n };
+  if (is_changed || (!self->is_notifying && !gg_limit_allocator_is_empty (self->allocator)))
+    {
+      self->is_notifying = TRUE;
+      gg_loop_timer_start (self->notice_timer, 0);
+    }
+}
+
+/* Applies what the allocator says of a runner. */
+static void
+apply_entry (GgLimitExchange *self, const GgLimitEntry *entry, uint64_t permits_until_ms)
+{
+  GgFleetRunner *runner = find_runner (self, entry->runner_hash);
+  if (runner == NULL || entry->evidence.time_ms == 0
+      || (runner->limit == NULL && !entry->evidence.is_limited))
+    return;
+  GgRateLimit *limit = get_limit (self, runner);
+  if (gg_rate_limit_note_told (limit, &entry->evidence))
+    log_change (runner, "peer");
+  if (entry->n_permits == 0)
+    return;
+  gg_rate_limit_add_permits (limit, entry->n_permits, permits_until_ms);
+  gg_metric_family_add (&permits_total, runner->record.id, entry->n_permits);
+}
+
+/* Fills in what is to be reported and asked for a runner.
+ * @return FALSE if that is nothing. */
+static gboolean
+fill_entry (const GgFleetRunner *runner, GgLimitEntry *entry_out, uint64_t now_ms)
+{
+  GgRateLimit *limit = runner->limit;
+  const GgLimitEvidence *evidence = gg_rate_limit_get (limit);
+  gboolean is_first_hand = evidence == &limit->own;
+  gboolean is_news = is_first_hand && evidence->time_ms > limit->reported_ms
+                     && (!evidence->is_limited || now_ms > limit->reported_ms + CONFIRM_MS);
+  *entry_out = (GgLimitEntry){ .runner_hash = get_hash (runner),
+                               .evidence = *evidence,
+                               .is_first_hand = is_first_hand,
+                               .n_permits = gg_rate_limit_get_need (limit, now_ms) };
+  if (!is_news && entry_out->n_permits == 0)
+    return FALSE;
+  if (is_first_hand)
+    limit->reported_ms = evidence->time_ms;
+  return TRUE;
+}
+
+/* Reports to one allocator, and asks it for permits. */
+static void
+ask (GgLimitExchange *self, const char *address, GgLimitMessage *message, uint64_t now_ms)
+{
+  if (strcmp (address, gg_membership_get_address (self->membership)) == 0)
+    for (guint i = 0; i < message->entries->len; i++)
+      {
+        GgLimitEntry *entry = &g_array_index (message->entries, GgLimitEntry, i);
+        const GgFleetRunner *runner = find_runner (self, entry->runner_hash);
+        serve_entry (self, runner, address, entry, now_ms);
+        apply_entry (self, entry, now_ms + GG_PERMIT_MS);
+      }
+  else
+    {
+      message->number = ++self->last_number;
+      self->pending[message->number % MAX_PENDING_REQUESTS]
+          = (PendingRequest){ message->number, now_ms };
+      send_message (self, address, message);
+    }
+  g_array_set_size (message->entries, 0);
+}
+
+static void
+ask_all (GgLimitExchange *self, uint64_t now_ms)
+{
+  GgFleet *fleet = self->router->fleet;
+  GHashTable *messages = g_hash_table_new (g_str_hash, g_str_equal); /* address -> message */
+  guint n_limited = 0;
+  GHashTableIter iter;
+  void *key;
+  void *value;
+  self->has_limits = FALSE;
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      GgLimitEntry entry;
+      if (runner->limit == NULL)
+        continue;
+      self->has_limits = TRUE;
+      n_limited += gg_rate_limit_is_in_force (runner->limit);
+      const char *address = find_allocator (self, runner->record.data_centre)->address;
+      if (address == NULL || !fill_entry (runner, &entry, now_ms))
+        continue;
+      GgLimitMessage *message = g_hash_table_lookup (messages, address);
+      if (message == NULL)
+        {
+          message = g_new0 (GgLimitMessage, 1);
+          gg_limit_message_init (message, GG_LIMIT_MESSAGE_REQUEST,
+                                 gg_membership_get_address (self->membership));
+          g_hash_table_insert (messages, (void *) address, message);
+        }
+      g_array_append_val (message->entries, entry);
+      if (message->entries->len == GG_LIMIT_MESSAGE_MAX_ENTRIES)
+        ask (self, address, message, now_ms);
+    }
+  g_hash_table_iter_init (&iter, messages);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      GgLimitMessage *message = value;
+      if (message->entries->len > 0)
+        ask (self, key, message, now_ms);
+      gg_limit_message_clear (message);
+      g_free (message);
+    }
+  g_hash_table_unref (messages);
+  gg_counter_set (&limited_runners, n_limited);
+}
+
+static void
+on_timer (void *data)
+{
+  GgLimitExchange *self = data;
+  uint64_t now_ms = gg_clock_boot_ms ();
+  self->is_urgent = FALSE;
+  update_allocators (self, now_ms);
+  if (self->has_limits)
+    ask_all (self, now_ms);
+  uint64_t interval_ms = IDLE_INTERVAL_MS;
+  if (self->has_limits)
+    interval_ms = (uint64_t) g_random_int_range (MIN_INTERVAL_MS, MAX_INTERVAL_MS);
+  gg_loop_timer_start (self->timer, interval_ms);
+}
+
+static void
+ask_soon (GgLimitExchange *self)
+{
+  if (self->is_urgent)
+    return;
+  self->is_urgent = TRUE;
+  gg_loop_timer_start (self->timer, URGENT_MS);
+}
+
+void
+gg_limit_exchange_note_answer (GgLimitExchange *self,
+                               GgFleetRunner *runner,
+                               const GgRunnerAnswerFields *fields,
+                               uint64_t sent_boot_ms)
+{
+  if (fields->is_misdirected)
+    return; /* another runner has answered */
+  if (fields->is_rate_limit_malformed)
+    gg_event_log_add (GG_EVENT_NOTABLE, "runner_limit_malformed", "runner=%s valid=%d",
+                      runner->record.id, fields->has_rate_limit);
+  GgLimitEvidence evidence = { .is_limited = fields->has_rate_limit,
+                               .limit_milli = fields->rate_limit_milli,
+                               .time_ms = sent_boot_ms };
+  if (evidence.is_limited)
+    evidence.time_ms = gg_clock_boot_ms ();
+  else if (runner->limit == NULL || fields->is_rate_limit_malformed || !fields->is_signed
+           || fields->status >= STATUS_MULTIPLE_CHOICES)
+    return;
+  if (gg_rate_limit_note_own (get_limit (self, runner), &evidence))
+    {
+      runner->limit->reported_ms = 0;
+      log_change (runner, "answer");
+      ask_soon (self);
+    }
+}
+
+static gboolean
+is_limited (const GgFleetRunner *runner, const char *service)
+{
+  return runner->limit != NULL && gg_rate_limit_is_in_force (runner->limit)
+         && strcmp (runner->record.service, service) == 0;
+}
+
+void
+gg_limit_exchange_note_demand (GgLimitExchange *self, const char *service, const char *data_centre)
+{
+  GgFleet *fleet = self->router->fleet;
+  uint64_t now_ms = gg_clock_boot_ms ();
+  for (guint i = 0; i < gg_fleet_get_size (fleet) && self->has_limits; i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      const char *centre = runner->record.data_centre;
+      if (is_limited (runner, service)
+          && (strcmp (centre, data_centre) == 0 || strcmp (centre, self->router->data_centre) == 0))
+        gg_rate_limit_note_demand (runner->limit, now_ms);
+    }
+}
+
+void
+gg_limit_exchange_note_waiting (GgLimitExchange *self, const char *service, uint32_t random)
+{
+  GgFleet *fleet = self->router->fleet;
+  GPtrArray *limited = g_ptr_array_new ();
+  for (guint i = 0; i < gg_fleet_get_size (fleet) && self->has_limits; i++)
+    if (is_limited (gg_fleet_get (fleet, i), service))
+      g_ptr_array_add (limited, gg_fleet_get (fleet, i));
+  if (limited->len > 0)
+    {
+      const GgFleetRunner *runner = g_ptr_array_index (limited, random % limited->len);
+      gg_rate_limit_note_waiting (runner->limit, gg_clock_boot_ms ());
+      ask_soon (self);
+    }
+  g_ptr_array_unref (limited);
+}
+
+uint64_t
+gg_limit_exchange_get_wait_ms (const GgLimitExchange *self, const char *service)
+{
+  const GgFleet *fleet = self->router->fleet;
+  uint64_t now_ms = gg_clock_now_ms ();
+  double sum = 0; /* requests per second, of all instances */
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      gboolean is_first_hop
+          = runner->record.accelerator == NULL
+            || (runner->record.range.first_layer == 0 && runner->record.range.end_layer > 0);
+      if (strcmp (runner->record.service, service) != 0 || !is_first_hop
+          || !gg_fleet_runner_is_usable (runner, now_ms))
+        continue;
+      if (runner->limit == NULL || !gg_rate_limit_is_in_force (runner->limit))
+        return 0;
+      sum += MAX (gg_rate_limit_get (runner->limit)->limit_milli, 1) / MILLI;
+    }
+  return sum > 0 ? (uint64_t) (MS_PER_S * MAX (self->router->n_instances, 1) / sum) : 0;
+}
+
+static void
+handle_request (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
+{
+  self->asked_until_ms = now_ms + ASKED_MS;
+  for (guint i = 0; i < message->entries->len; i++)
+    {
+      GgLimitEntry *entry = &g_array_index (message->entries, GgLimitEntry, i);
+      const GgFleetRunner *runner = find_runner (self, entry->runner_hash);
+      if (runner != NULL)
+        {
+          serve_entry (self, runner, message->sender, entry, now_ms);
+          GgLimitEntry known = { .runner_hash = entry->runner_hash, .evidence = entry->evidence };
+          apply_entry (self, &known, 0);
+        }
+      else
+        entry->n_permits = 0;
+    }
+  char *address = g_strdup (message->sender);
+  message->kind = GG_LIMIT_MESSAGE_REPLY;
+  send_message (self, address, message);
+  g_free (address);
+}
+
+static void
+handle_reply (GgLimitExchange *self, const GgLimitMessage *message)
+{
+  PendingRequest *request = &self->pending[message->number % MAX_PENDING_REQUESTS];
+  if (message->number == 0 || request->number != message->number)
+    return; /* a repeated or very late reply */
+  uint64_t until_ms = request->sent_ms + GG_PERMIT_MS;
+  *request = (PendingRequest){ 0 };
+  for (guint i = 0; i < message->entries->len; i++)
+    apply_entry (self, &g_array_index (message->entries, GgLimitEntry, i), until_ms);
+}
+
+static void
+handle_notice (GgLimitExchange *self, GgLimitMessage *message)
+{
+  for (guint i = 0; i < message->entries->len; i++)
+    {
+      GgLimitEntry *entry = &g_array_index (message->entries, GgLimitEntry, i);
+      entry->n_permits = 0;
+      apply_entry (self, entry, 0);
+    }
+  if (gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED)
+    send_to_members (self, message);
+}
+
+gboolean
+gg_limit_exchange_receive (GgLimitExchange *self, char *bytes, size_t size_bytes)
+{
+  uint64_t now_ms = gg_clock_boot_ms ();
+  GgLimitMessage message;
+  if (!gg_limit_message_decode (bytes, size_bytes, now_ms, &message))
+    return FALSE;
+  switch (message.kind)
+    {
+    case GG_LIMIT_MESSAGE_REQUEST:
+      handle_request (self, &message, now_ms);
+      break;
+    case GG_LIMIT_MESSAGE_REPLY:
+      handle_reply (self, &message);
+      break;
+    case GG_LIMIT_MESSAGE_NOTICE:
+      handle_notice (self, &message);
+      break;
+    }
+  gg_limit_message_clear (&message);
+  return TRUE;
+}
+
+GgLimitExchange *
+gg_limit_exchange_create (GgRouter *router, const GgMembership *membership)
+{
+  GgLimitExchange *self = g_new0 (GgLimitExchange, 1);
+  self->router = router;
+  self->membership = membership;
+  self->allocator = gg_limit_allocator_create ();
+  self->allocators = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_allocator);
+  self->ticked_ms = gg_clock_boot_ms ();
+  /* Since when this instance allocates for its own data centre is known from the start on. */
+  find_allocator (self, router->data_centre);
+  self->timer = gg_loop_timer_create (router->loop, on_timer, self);
+  self->notice_timer = gg_loop_timer_create (router->loop, on_notice_timer, self);
+  gg_loop_timer_start (self->timer, MIN_INTERVAL_MS);
+  return self;
+}
+
+void
+gg_limit_exchange_destroy (GgLimitExchange *self)
+{
+  gg_loop_timer_destroy (self->timer);
+  gg_loop_timer_destroy (self->notice_timer);
+  gg_limit_allocator_destroy (self->allocator);
+  g_hash_table_unref (self->allocators);
+  g_free (self);
+}
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -234,6 +234,12 @@
   return self->fencing_number != 0 && !self->is_leaving && is_lease_valid (self);
 }
 
+gboolean
+gg_membership_has_lease (const GgMembership *self)
+{
+  return self->is_joined && !self->is_leaving && is_lease_valid (self);
+}
+
 uint64_t
 gg_membership_get_fencing_number (const GgMembership *self)
 {
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -35,6 +35,9 @@
 /** Resigns from leading, since a runner has seen a higher fencing token. */
 void gg_membership_resign (GgMembership *self);
 
+/** Whether this instance is registered under a lease that has not expired. */
+gboolean gg_membership_has_lease (const GgMembership *self);
+
 /** Returns the address at which this instance receives datagrams of its peers. */
 const char *gg_membership_get_address (const GgMembership *self);
 
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/event_log.h"
+#include "daemons/routerd/limit_exchange.h"
 #include "daemons/routerd/problem.h"
 
 #include <string.h>
@@ -184,6 +185,8 @@
       gg_message_head_destroy (head);
       return FALSE;
     }
+  gg_limit_exchange_note_answer (self->router->limit_exchange, self->runner, &fields,
+                                 self->sent_boot_ms);
   gboolean is_stream = fields.status == GG_STATUS_OK && fields.is_signed && is_event_stream (head)
                        && self->route->kind == GG_REQUEST_STREAMING;
   if (self->is_head_sent && is_stream)
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -46,6 +46,7 @@
   GgFleetRunner *failed_runner; /* the runner of the last send that failed */
   GgLayerPath path;
   uint64_t sent_ms;
+  uint64_t sent_boot_ms;     /* the same time by CLOCK_BOOTTIME */
   uint64_t last_activity_ms; /* last bytes of the answer received, or sent or rerouted since */
   uint64_t rerouted_ms;      /* sent or rerouted last */
   GgLoopCall *reroute_call;  /* the order to change the path, NULL if none */
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -5,6 +5,8 @@
 #include "base/event_log.h"
 #include "base/metric_family.h"
 #include "core/plain_choice.h"
+#include "core/wait_order.h"
+#include "daemons/routerd/limit_exchange.h"
 #include "daemons/routerd/stall_detector.h"
 #include "daemons/routerd/request_queue.h"
 
@@ -28,6 +30,11 @@
 /* A request whose runner has broken off so many times just before the first event is not sent
  * again: it is likely to be the reason. */
 #define MAX_CUTS_AT_START 2
+/* A request that waits asks for a permit of another runner after this time. */
+#define PERMIT_TRY_MS 500
+/* Longest time to come back that is named for the rate limits of runners, which may end any time.
+ */
+#define RETRY_AFTER_MAX_MS 10000
 /* Above this fraction of its memory a runner may lack capacity for a request, since the instances
  * know each other's requests with a delay. */
 #define NEARLY_FULL_FRACTION 0.8
@@ -302,33 +309,34 @@
                         .tokens = get_expected_tokens (self),
                         .excluded = self->failed_runner,
                         .random = self->random,
-                        .now_ms = now_ms };
+                        .now_ms = now_ms,
+                        .boot_ms = gg_clock_boot_ms () };
   return query;
 }
 
-/* Finds runners and reserves their capacity.
- * @return GG_PATH_FULL if there are some, but none has capacity now. */
 static GgPathResult
-choose_runner (GgRelay *self)
+choose_path (GgRelay *self, uint64_t now_ms)
+{
+  GgPathQuery query = build_path_query (self, now_ms);
+  GgPathResult result = gg_layer_path_choose (&query, &self->path);
+  if (result != GG_PATH_FOUND)
+    return result;
+  self->has_path = TRUE;
+  gg_layer_path_reserve (&self->path);
+  self->runner = gg_fleet_runner_ref (self->path.hops[0].runner);
+  gg_stall_detector_add (self->router->stall_detector, self);
+  return GG_PATH_FOUND;
+}
+
+static GgPathResult
+choose_plain_runner (GgRelay *self, uint64_t now_ms)
 {
-  uint64_t now_ms = gg_clock_now_ms ();
-  if (self->service->model != NULL)
-    {
-      GgPathQuery query = build_path_query (self, now_ms);
-      GgPathResult result = gg_layer_path_choose (&query, &self->path);
-      if (result != GG_PATH_FOUND)
-        return result;
-      self->has_path = TRUE;
-      gg_layer_path_reserve (&self->path);
-      self->runner = gg_fleet_runner_ref (self->path.hops[0].runner);
-      gg_stall_detector_add (self->router->stall_detector, self);
-      return GG_PATH_FOUND;
-    }
   GgPlainQuery query = { .fleet = self->router->fleet,
                          .service = self->service->name,
                          .data_centre = self->router->data_centre,
                          .excluded = self->failed_runner,
                          .now_ms = now_ms,
+                         .boot_ms = gg_clock_boot_ms (),
                          .random = self->random };
   gboolean is_full = FALSE;
   GgFleetRunner *runner = gg_plain_choose_runner (&query, &is_full);
@@ -339,6 +347,30 @@
   return GG_PATH_FOUND;
 }
 
+/* Finds runners and reserves their capacity.
+ * @return GG_PATH_FULL if there are some, but none has capacity now. */
+static GgPathResult
+choose_runner (GgRelay *self)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  GgPathResult result = self->service->model != NULL ? choose_path (self, now_ms)
+                                                     : choose_plain_runner (self, now_ms);
+  GgLimitExchange *exchange = self->router->limit_exchange;
+  if (result == GG_PATH_FOUND)
+    {
+      gg_fleet_runner_take_permit (self->runner, gg_clock_boot_ms ());
+      gg_limit_exchange_note_demand (exchange, self->service->name,
+                                     self->runner->record.data_centre);
+    }
+  else if (result == GG_PATH_FULL)
+    {
+      uint64_t waited_ms = now_ms - self->received_ms;
+      gg_limit_exchange_note_waiting (exchange, self->service->name,
+                                      self->random + (uint32_t) (waited_ms / PERMIT_TRY_MS));
+    }
+  return result;
+}
+
 /* Prints the runners of the path for the log, "RUNNER:FIRST-END,...". */
 static char *
 print_path (const GgRelay *self)
@@ -374,6 +406,7 @@
                             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                             .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS };
   self->sent_ms = now_ms;
+  self->sent_boot_ms = gg_clock_boot_ms ();
   self->has_event = FALSE;
   self->is_closed_by_runner = FALSE;
   self->last_activity_ms = now_ms;
@@ -533,6 +566,15 @@
   return TRUE;
 }
 
+/* Returns when a request that found no room is likely to be served. */
+static uint64_t
+get_retry_after_ms (const GgRelay *self)
+{
+  uint64_t wait_ms
+      = gg_limit_exchange_get_wait_ms (self->router->limit_exchange, self->service->name);
+  return CLAMP (wait_ms, GG_RETRY_AFTER_FULL_MS, RETRY_AFTER_MAX_MS);
+}
+
 void
 gg_relay_reject_queued (GgRelay *self)
 {
@@ -542,7 +584,19 @@
   else if (self->attempt.n_possible_runs > 0)
     gg_relay_fail (self, GG_STATUS_BAD_GATEWAY, "no_room_to_repeat");
   else
-    gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "no_room", GG_RETRY_AFTER_FULL_MS);
+    gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "no_room", get_retry_after_ms (self));
+}
+
+/* Queues the request, unless it would hardly be served in time. Where rate limits are the reason,
+ * one request may wait, so that a permit that comes is used. */
+static gboolean
+enter_queue (GgRelay *self, uint64_t limit_wait_ms)
+{
+  GgRequestQueue *queue = self->router->request_queue;
+  guint n_waiting = gg_request_queue_get_size (queue);
+  if (n_waiting > 0 && limit_wait_ms * (n_waiting + 1) > gg_wait_order_get_max_wait_ms ())
+    return FALSE;
+  return gg_request_queue_add (queue, self);
 }
 
 void
@@ -561,12 +615,16 @@
   /* A failed runner is suspended for a while anyway; after the wait any runner may be tried. */
   gg_fleet_runner_unref (self->failed_runner);
   self->failed_runner = NULL;
-  self->is_queued = gg_request_queue_add (self->router->request_queue, self);
+  uint64_t limit_wait_ms
+      = gg_limit_exchange_get_wait_ms (self->router->limit_exchange, self->service->name);
+  self->is_queued = enter_queue (self, limit_wait_ms);
   gg_event_log_add (GG_EVENT_ORDINARY, "request_waits",
-                    "request=%s entered=%d waiting=%u misses=%u fleet=%" G_GUINT64_FORMAT,
+                    "request=%s entered=%d waiting=%u misses=%u limit_wait_ms=%" G_GUINT64_FORMAT
+                    " fleet=%" G_GUINT64_FORMAT,
                     self->caller.attempt_id, self->is_queued,
                     gg_request_queue_get_size (self->router->request_queue),
-                    self->attempt.n_not_run, (guint64) gg_fleet_get_revision (self->router->fleet));
+                    self->attempt.n_not_run, (guint64) limit_wait_ms,
+                    (guint64) gg_fleet_get_revision (self->router->fleet));
   if (!self->is_queued)
     gg_relay_reject_queued (self);
 }
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -21,6 +21,7 @@
 typedef struct _GgStallDetector GgStallDetector;
 typedef struct _GgDelegatedWatch GgDelegatedWatch;
 typedef struct _GgQuarantineExchange GgQuarantineExchange;
+typedef struct _GgLimitExchange GgLimitExchange;
 
 typedef struct
 {
@@ -48,6 +49,7 @@
   GgStallDetector *stall_detector;
   GgDelegatedWatch *delegated_watch; /**< NULL until its components are created. */
   GgQuarantineExchange *quarantine_exchange;
+  GgLimitExchange *limit_exchange;
   GgDatagramSocket *peer_socket; /**< To and from the other instances. */
   GgLoopServer *caller_server;
   gboolean has_runner_list; /**< The runners have been listed at least once. */
--- a/tests/core/test_layer_path.c
+++ b/tests/core/test_layer_path.c
@@ -34,7 +34,8 @@
                         .service = FIXTURE_SERVICE,
                         .data_centre = data_centre,
                         .tokens = tokens,
-                        .now_ms = NOW_MS };
+                        .now_ms = NOW_MS,
+                        .boot_ms = NOW_MS };
   return gg_layer_path_choose (&query, path);
 }
 
@@ -71,6 +72,42 @@
   destroy (&f);
 }
 
+static void
+limit_runner (const Fixture *f, const char *id, uint32_t n_permits)
+{
+  GgFleetRunner *runner = gg_fleet_find (f->fleet, id);
+  GgLimitEvidence named = { .is_limited = TRUE, .limit_milli = 1000, .time_ms = NOW_MS };
+  if (runner->limit == NULL)
+    runner->limit = g_new0 (GgRateLimit, 1);
+  gg_rate_limit_note_own (runner->limit, &named);
+  gg_rate_limit_add_permits (runner->limit, n_permits, NOW_MS + 1);
+}
+
+/* Guards against a request that is sent to a runner beyond its rate limit, and against layers that
+ * count as missing since the limit of their runner is used up. */
+static void
+test_first_hop_needs_a_permit (void)
+{
+  Fixture f = create ();
+  fixture_add_runners (f.fleet, "north", "a100", 3);
+  fixture_set_range (f.fleet, "north-a100-0", 0, 36);
+  fixture_set_range (f.fleet, "north-a100-1", 30, 62);
+  fixture_set_range (f.fleet, "north-a100-2", 50, 80);
+  GgLayerPath path;
+  limit_runner (&f, "north-a100-1", 0); /* a later hop needs none */
+  CU_ASSERT_EQUAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  gg_layer_path_clear (&path);
+  limit_runner (&f, "north-a100-0", 0);
+  CU_ASSERT_EQUAL (choose (&f, "north", 900, &path), GG_PATH_FULL);
+  limit_runner (&f, "north-a100-0", 1);
+  GgFleetRunner *first = gg_fleet_find (f.fleet, "north-a100-0");
+  gg_rate_limit_add_permits (first->limit, 1, NOW_MS + 1);
+  CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
+  CU_ASSERT_PTR_EQUAL (path.hops[0].runner, first);
+  gg_layer_path_clear (&path);
+  destroy (&f);
+}
+
 static void
 test_missing_layer_means_no_path (void)
 {
@@ -227,6 +264,7 @@
 {
   static const GgTestCase cases[] = {
     { "overlapping ranges are cut", test_overlapping_ranges_are_cut },
+    { "first hop needs a permit", test_first_hop_needs_a_permit },
     { "missing layer means no path", test_missing_layer_means_no_path },
     { "leaving and suspended runners are skipped", test_leaving_and_suspended_runners_are_skipped },
     { "other data centre serves", test_other_data_centre_serves },
--- a/tests/core/test_plain_choice.c
+++ b/tests/core/test_plain_choice.c
@@ -24,9 +24,12 @@
 static GgPlainQuery
 make_query (const GgFleet *fleet, uint32_t random)
 {
-  return (GgPlainQuery){
-    .fleet = fleet, .service = "desk", .data_centre = "karongi", .now_ms = NOW_MS, .random = random
-  };
+  return (GgPlainQuery){ .fleet = fleet,
+                         .service = "desk",
+                         .data_centre = "karongi",
+                         .now_ms = NOW_MS,
+                         .boot_ms = NOW_MS,
+                         .random = random };
 }
 
 static const char *
@@ -102,12 +105,35 @@
   gg_fleet_destroy (fleet);
 }
 
+/* Guards against a look-up that is sent to a runner beyond its rate limit, also as the last resort
+ * after a failure, and against one that is refused as if there were no runner. */
+static void
+test_rate_limit (void)
+{
+  GgFleet *fleet = gg_fleet_create ();
+  GgFleetRunner *a = put (fleet, "a", "desk", "karongi", 0);
+  put (fleet, "b", "desk", "rusizi", 3);
+  GgLimitEvidence named = { .is_limited = TRUE, .limit_milli = 1000, .time_ms = NOW_MS };
+  GgPlainQuery query = make_query (fleet, 1);
+  a->limit = g_new0 (GgRateLimit, 1);
+  gg_rate_limit_note_own (a->limit, &named);
+  CU_ASSERT_STRING_EQUAL (choose (&query), "b");
+  gg_fleet_remove (fleet, "b");
+  CU_ASSERT_STRING_EQUAL (choose (&query), "(full)");
+  query.excluded = a;
+  CU_ASSERT_STRING_EQUAL (choose (&query), "(full)");
+  gg_rate_limit_add_permits (a->limit, 1, NOW_MS + 1);
+  CU_ASSERT_STRING_EQUAL (choose (&query), "a");
+  gg_fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
   static const GgTestCase cases[] = {
     { "least load nearby", test_least_load_nearby },
     { "excluded and full", test_excluded_and_full },
+    { "rate limit", test_rate_limit },
     { "equal runners are chosen equally", test_equal_runners_are_chosen_equally },
   };
   return gg_test_run ("plain choice", cases, G_N_ELEMENTS (cases));
--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -5,7 +5,8 @@
  * "empty" (a stream ends before its first event), "unsigned" (no response signature), "fail"
  * (status 500 of the service), "forget" (404 to a stream resumption). A prompt with the part "dead"
  * before its last one ends the process when it begins to answer. GET /test/runs returns the number
- * of requests run. SIGUSR1 makes it drain, SIGUSR2 removes its entry; in both cases it goes on
+ * of requests run. GET /test/limit/TEXT names TEXT as the rate limit in each answer from then on,
+ * none if it is empty. SIGUSR1 makes it drain, SIGUSR2 removes its entry; in both cases it goes on
  * serving. */
 #include "base/clock.h"
 #include "base/json.h"
@@ -23,6 +24,7 @@
 #define LOAD_MS 30
 #define REGISTER_MS 500
 #define CUT_AFTER 3
+#define LIMIT_TARGET "/test/limit/"
 
 static struct
 {
@@ -42,6 +44,7 @@
   gboolean is_busy;
   gboolean is_leaving;
   gboolean is_withdrawn; /* its entry is removed */
+  char *limit;           /* named in each answer; NULL for none */
   GHashTable *streams;   /* set of Stream */
 } runner;
 
@@ -204,6 +207,8 @@
     gg_message_head_add (head, "X-Attempt-Id", attempt);
   if (strstr (target, "unsigned") == NULL)
     gg_message_head_add (head, "X-Response-Signature", "signed");
+  if (runner.limit != NULL)
+    gg_message_head_add (head, "Server-Limit", runner.limit);
   return head;
 }
 
@@ -336,6 +341,14 @@
     handle_order (connection, body);
   else if (strcmp (target, "/api/report") == 0)
     report (connection);
+  else if (g_str_has_prefix (target, LIMIT_TARGET))
+    {
+      g_free (runner.limit);
+      runner.limit = target[strlen (LIMIT_TARGET)] != '\0'
+                         ? g_strdup (target + strlen (LIMIT_TARGET))
+                         : NULL;
+      gg_fake_loop_reply (connection, 200, "");
+    }
   else if (strcmp (target, "/test/runs") == 0)
     {
       g_snprintf (text, sizeof text, "%u", (guint) runner.n_runs);
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -347,12 +347,12 @@
            const char *fields,
            const char *body)
 {
-  static guint n_attempts;
+  static int n_attempts;
   char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
                                 "Authorization: Bearer %s\r\nX-Attempt-Id: attempt-%u\r\n%s"
                                 "Content-Length: %zu\r\n\r\n%s",
-                                method, target, SITE_HOST, SITE_KEY, ++n_attempts, fields,
-                                strlen (body), body);
+                                method, target, SITE_HOST, SITE_KEY,
+                                g_atomic_int_add (&n_attempts, 1), fields, strlen (body), body);
   char *answer = site_send_raw (self, router, text);
   g_free (text);
   return answer;
@@ -367,6 +367,17 @@
   return NULL;
 }
 
+void
+site_set_limit (const Site *self, const char *prefix, const char *limit)
+{
+  char *target = g_strconcat ("/test/limit/", limit, NULL);
+  for (guint i = 0; i < self->n_runners; i++)
+    if (g_str_has_prefix (self->runners[i].id, prefix)
+        && !gg_test_send ("GET", self->runners[i].address, target, NULL))
+      fprintf (stderr, "site: can't set the limit of %s\n", self->runners[i].id);
+  g_free (target);
+}
+
 guint
 site_count_runs (const Site *self, const char *prefix)
 {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -82,6 +82,10 @@
 /** Returns the first runner whose id starts with @p prefix; NULL if there is none. */
 SiteRunner *site_find_runner (Site *self, const char *prefix);
 
+/** Makes all runners whose id starts with @p prefix name a rate limit in their answers; none if
+ * @p limit is empty. */
+void site_set_limit (const Site *self, const char *prefix, const char *limit);
+
 /** Starts runners again whose process has ended.
  * @return their number. */
 guint site_revive_runners (Site *self);
