Order the store's changes by era and revision

What callers saw: after a restore of the store from a copy, 404 on a route that had been added, answers by a configuration that had been replaced seconds before, a withdrawn key that worked, and requests at a runner that had left.

Cause: a position in the log of the store was taken for a position in time. The store gives out revisions again after a restore and says so in Store-Era, which nothing read. Reports, documents and items with a revision not above the known one were dropped, a watch from a revision of the time before skipped what came in between, two leaders had one fencing token, and what only the store held (registration, lease, leader's key, quarantined parts) was not written again.

Ruled out: that the instances relied on an outdated proof (config_age_ms was small); that the sources' watches missed the writes (they applied version 14 within 70 ms, the members never did).

Change: the store's client joins era and revision into one position; all comparisons and the fencing token use it. Members follow by the reports that they get. Replies of an ended era count as none. On a restore each instance reads everything anew, registers under a new lease and no longer leads; no leader is elected for the time of a lease. A configuration that is known to be newer than the store's stays in force and is what a source gives to others.

The store's stand-in has eras now.

--- a/src/daemons/routerd/config_watcher.c
+++ b/src/daemons/routerd/config_watcher.c
@@ -86,6 +86,14 @@
   g_byte_array_prepend (self->document, (const guint8 *) &revision_be, sizeof revision_be);
 }
 
+/* States that the document holds what is to be used as of a revision. */
+static void
+label_document (GgConfigWatcher *self, uint64_t revision)
+{
+  uint64_t revision_be = GUINT64_TO_BE (revision);
+  memcpy (self->document->data, &revision_be, sizeof revision_be);
+}
+
 static void
 apply_item (GgConfigWatcher *self, const GgStoreItem *item)
 {
@@ -101,8 +109,15 @@
       log_unreadable (item->revision, error);
       return;
     }
+  gboolean is_older = self->router->config != NULL
+                      && gg_routing_config_get_version (config)
+                             < gg_routing_config_get_version (self->router->config);
   gg_router_apply_config (self->router, config);
-  if (is_new || self->document == NULL)
+  /* A store that was restored may hold an older version for a while. Others are to get the newest
+   * one that is known. */
+  if (is_older && self->document != NULL)
+    label_document (self, item->revision);
+  else if (!is_older && (is_new || self->document == NULL))
     keep_document (self, item->revision, item->value);
   gg_delegated_watch_notify (self->router->delegated_watch);
 }
@@ -208,6 +223,26 @@
   send_call (data);
 }
 
+/* Cancels the pending call or pause and reads the configuration at once. A document that is being
+ * read from a source is still welcome: it may come first. */
+static void
+read_now (GgConfigWatcher *self)
+{
+  gg_store_call_cancel (self->call);
+  gg_loop_timer_stop (self->retry_timer);
+  self->step = STEP_READ;
+  send_call (self);
+}
+
+/* Reads the configuration of the restored store, unless a delegate does. */
+static void
+on_store_restored (void *data)
+{
+  GgConfigWatcher *self = data;
+  if (!self->is_delegated || self->call != NULL)
+    read_now (self);
+}
+
 GgConfigWatcher *
 gg_config_watcher_create (GgRouter *router)
 {
@@ -216,6 +251,7 @@
   self->backoff = (GgBackoff) GG_BACKOFF_INIT (RETRY_MS, RETRY_MAX_MS);
   self->retry_timer = gg_loop_timer_create (router->loop, on_retry, self);
   self->is_delegated = TRUE;
+  gg_store_add_restored_func (router->store, on_store_restored, self);
   return self;
 }
 
@@ -225,17 +261,6 @@
   return self->document != NULL ? g_byte_array_ref (self->document) : NULL;
 }
 
-/* Cancels the pending call or pause and reads the configuration at once. A document that is being
- * read from a source is still welcome: it may come first. */
-static void
-read_now (GgConfigWatcher *self)
-{
-  gg_store_call_cancel (self->call);
-  gg_loop_timer_stop (self->retry_timer);
-  self->step = STEP_READ;
-  send_call (self);
-}
-
 /* Whether the connection of the pending call may be dead: the store has answered a later call, and
  * this one has received nothing. A call that only takes long must not be repeated, since that would
  * take as long again. */
--- a/src/daemons/routerd/delegated_watch.c
+++ b/src/daemons/routerd/delegated_watch.c
@@ -309,6 +309,7 @@
       clear_request (request);
     }
   update_delegation (self);
+  gg_membership_note_position (self->membership, report->config_revision);
   const char *source = gg_source_choice_get_source (self->choice);
   /* The documents are read from the source, so only its own reports state what it has. */
   if (self->is_delegated && source != NULL && report->status.is_delegate
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "core/backoff.h"
+#include "core/store_position.h"
 #include "daemons/routerd/quarantine_exchange.h"
 
 #include <math.h>
@@ -69,6 +70,7 @@
   gboolean has_listed_once; /* the list was read at least once */
   gboolean is_registering;  /* the list is read in order to register if it is still needed */
   uint64_t refreshed_ms;
+  uint64_t restored_boot_ms; /* when this instance learned that the store was restored; 0: never */
 
   GgStoreCall *lease_call; /* opens, renews or ends the lease, or writes own_key */
   GgStoreCall *watch_call;
@@ -280,6 +282,14 @@
 campaign (void *data)
 {
   GgMembership *self = data;
+  uint64_t now_ms = gg_clock_boot_ms ();
+  /* The key of the leader may be missing from the copy while it still leads: its lease lasts this
+   * long after the last renewal, which was before the restore. */
+  if (self->restored_boot_ms != 0 && now_ms < self->restored_boot_ms + LEASE_MS)
+    {
+      gg_loop_timer_start (self->campaign_timer, self->restored_boot_ms + LEASE_MS - now_ms);
+      return;
+    }
   if (self->leader_revision != 0 || self->leader_call != NULL || !self->is_joined
       || !is_lease_valid (self) || self->is_leaving)
     return;
@@ -486,6 +496,37 @@
     self->watch_call = gg_store_list (self->router->store, PREFIX, "", on_watched, self);
 }
 
+/* What this process has written since the copy is gone, and leases of the time before may be: it
+ * registers anew, and no longer leads. */
+static void
+on_store_restored (void *data)
+{
+  GgMembership *self = data;
+  self->restored_boot_ms = gg_clock_boot_ms ();
+  gg_quarantine_exchange_note_restored (self->router->quarantine_exchange);
+  gg_store_call_cancel (self->leader_call);
+  self->leader_call = NULL;
+  if (self->role == GG_ROLE_MEMBER || self->is_leaving)
+    return;
+  gg_store_call_cancel (self->lease_call);
+  gg_store_call_cancel (self->watch_call);
+  self->lease_call = NULL;
+  gg_loop_timer_stop (self->lease_timer);
+  gg_loop_timer_stop (self->watch_timer);
+  drop_lease (self, "restored");
+  self->is_listed = FALSE;
+  open_or_renew_lease (self);
+  watch (self);
+}
+
+void
+gg_membership_note_position (GgMembership *self, uint64_t position)
+{
+  if (self->fencing_number != 0
+      && gg_store_position_get_era (position) > gg_store_get_era (self->router->store))
+    gg_membership_resign (self);
+}
+
 const char *
 gg_membership_get_address (const GgMembership *self)
 {
@@ -579,6 +620,7 @@
   self->campaign_timer = gg_loop_timer_create (router->loop, campaign, self);
   self->role_timer = gg_loop_timer_create (router->loop, on_role_timer, self);
   gg_loop_timer_start (self->watch_timer, get_start_delay_ms (self));
+  gg_store_add_restored_func (router->store, on_store_restored, self);
   return self;
 }
 
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -32,6 +32,10 @@
  * instance does not lead. */
 uint64_t gg_membership_get_fencing_number (const GgMembership *self);
 
+/** Resigns from leading if a peer knows a position of a later era of the store than this instance.
+ */
+void gg_membership_note_position (GgMembership *self, uint64_t position);
+
 /** Resigns from leading, since a runner has seen a higher fencing token. */
 void gg_membership_resign (GgMembership *self);
 
--- a/src/daemons/routerd/quarantine_exchange.c
+++ b/src/daemons/routerd/quarantine_exchange.c
@@ -250,6 +250,15 @@
   note_change (self, is_changed);
 }
 
+void
+gg_quarantine_exchange_note_restored (GgQuarantineExchange *self)
+{
+  gg_store_call_cancel (self->write_call);
+  self->write_call = NULL;
+  self->revision = 0;
+  g_clear_pointer (&self->stored, g_free);
+}
+
 static void
 on_written (void *data, const GgStoreReply *reply)
 {
--- a/src/daemons/routerd/quarantine_exchange.h
+++ b/src/daemons/routerd/quarantine_exchange.h
@@ -29,5 +29,9 @@
  * router's keys that registered instances watch. */
 const char *gg_quarantine_exchange_get_key (void);
 
+/** Forgets what the store holds, since it was restored from a copy: the leader writes again what is
+ * missing there. */
+void gg_quarantine_exchange_note_restored (GgQuarantineExchange *self);
+
 /** Applies that key as read from the store. One that is removed releases all parts. */
 void gg_quarantine_exchange_apply_item (GgQuarantineExchange *self, const GgStoreItem *item);
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -289,6 +289,25 @@
     send_call (self);
 }
 
+/* Lists all entries, whatever call or pause is pending. */
+static void
+list_again (GgRunnerWatcher *self)
+{
+  gg_store_call_cancel (self->call);
+  gg_loop_timer_stop (self->timer);
+  start_listing (self);
+  send_call (self);
+}
+
+/* Lists the entries of the restored store, unless a delegate does. */
+static void
+on_store_restored (void *data)
+{
+  GgRunnerWatcher *self = data;
+  if (!self->is_delegated || self->call != NULL)
+    list_again (self);
+}
+
 static void
 list_from_store (GgRunnerWatcher *self)
 {
@@ -453,6 +472,7 @@
   self->retained_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->changes = gg_runner_changes_create ();
   self->retained_timer = gg_loop_timer_create (router->loop, on_grace_ended, self);
+  gg_store_add_restored_func (router->store, on_store_restored, self);
   self->last_key = g_strdup ("");
   self->is_delegated = TRUE;
   return self;
--- a/src/loop/fetch.c
+++ b/src/loop/fetch.c
@@ -14,6 +14,7 @@
   void *data;
   uint32_t status;
   GString *body;
+  GgMessageHead *head; /* of the answer; NULL before it */
   size_t max_body_bytes;
   uint64_t timeout_ms;
   uint64_t end_ms;      /* the fetch ends by then, however the answer arrives */
@@ -26,15 +27,18 @@
   GgLoopFetch *self = data;
   gg_loop_timer_destroy (self->timer);
   g_string_free (self->body, TRUE);
+  gg_message_head_destroy (self->head);
   g_free (self);
 }
 
 static void
 finish (GgLoopFetch *self, GgFetchEnd end)
 {
-  const GgFetchResult result = {
-    .end = end, .status = self->status, .body = self->body->str, .body_bytes = self->body->len
-  };
+  const GgFetchResult result = { .end = end,
+                                 .status = self->status,
+                                 .head = self->head,
+                                 .body = self->body->str,
+                                 .body_bytes = self->body->len };
   self->call = NULL;
   gg_loop_timer_stop (self->timer);
   gg_loop_defer (self->loop, free_fetch, self);
@@ -74,7 +78,8 @@
     {
     case GG_CALL_HEAD:
       self->status = gg_message_head_get_status (event->head);
-      gg_message_head_destroy (event->head);
+      gg_message_head_destroy (self->head);
+      self->head = event->head;
       extend_timeout (self);
       break;
     case GG_CALL_BODY:
--- a/src/loop/fetch.h
+++ b/src/loop/fetch.h
@@ -18,8 +18,9 @@
 typedef struct
 {
   GgFetchEnd end;
-  uint32_t status;  /**< This and the fields below are valid for GG_FETCH_ANSWERED only. */
-  const char *body; /**< NUL-terminated; valid during the call. */
+  uint32_t status;           /**< This and the fields below are valid for GG_FETCH_ANSWERED only. */
+  const GgMessageHead *head; /**< Valid during the call, as is the body. */
+  const char *body;          /**< NUL-terminated. */
   size_t body_bytes;
 } GgFetchResult;
 
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -17,7 +17,9 @@
   GG_STORE_OK,
   GG_STORE_ABSENT,    /**< The key or lease does not exist. */
   GG_STORE_CONFLICT,  /**< The condition does not hold; nothing was written. */
-  GG_STORE_COMPACTED, /**< A watch starts at a revision whose history the store has dropped. */
+  GG_STORE_COMPACTED, /**< A watch starts at, or a check names, a position that is not in the
+                       * store's history: it was dropped, or lost when the store was restored from a
+                       * copy. */
   GG_STORE_REFUSED,   /**< The store did nothing: it refused the call or could not be reached. */
   GG_STORE_UNKNOWN,   /**< No valid answer: a write may have been or may still be applied. */
 } GgStoreResult;
@@ -26,16 +28,16 @@
 typedef struct
 {
   char *key;
-  GBytes *value; /**< NULL if the key was deleted. */
-  uint64_t revision;
-  uint64_t lease; /**< 0 for none. */
+  GBytes *value;     /**< NULL if the key was deleted. */
+  uint64_t revision; /**< Position of its last change, see core/store_position.h. */
+  uint64_t lease;    /**< 0 for none. */
 } GgStoreItem;
 
 typedef struct
 {
   GgStoreResult result;
   GPtrArray *items;      /**< GgStoreItem; set by reads, lists, watches and conflicts. */
-  uint64_t revision;     /**< Of the store, or of the write. */
+  uint64_t revision;     /**< Position of the store, or of the write. */
   gboolean has_more;     /**< There are more keys after this page of a list. */
   uint64_t lease;        /**< Lease that was opened. */
   uint64_t ttl_ms;       /**< Time to live that the store has granted. */
@@ -43,6 +45,10 @@
                           * as that. */
 } GgStoreReply;
 
+/** Called after the reply that showed that the store was restored from a copy: what was written
+ * last is gone, leases too. */
+typedef void (*GgStoreRestoredFunc) (void *data);
+
 /** @p reply is valid during the call. */
 typedef void (*GgStoreFunc) (void *data, const GgStoreReply *reply);
 
@@ -50,6 +56,12 @@
 GgStore *gg_store_create (GgLoop *loop, GgLoopClient *client, const char *address);
 void gg_store_destroy (GgStore *self);
 
+/** Returns the era of the store, which rises with each restore; 0 before the first reply. */
+uint64_t gg_store_get_era (const GgStore *self);
+
+/** Calls @p func after each restore, in the order in which the functions were added. */
+void gg_store_add_restored_func (GgStore *self, GgStoreRestoredFunc func, void *data);
+
 GgStoreCall *gg_store_read (GgStore *self, const char *key, GgStoreFunc func, void *data);
 
 /** Lists a page of keys after @p after_key ("" for the first page). */
--- a/tests/fakes/common_loop.c
+++ b/tests/fakes/common_loop.c
@@ -124,11 +124,23 @@
   return EXIT_SUCCESS;
 }
 
+static const char *field_name;
+static const char *field_value;
+
+void
+gg_fake_loop_set_field (const char *name, const char *value)
+{
+  field_name = name;
+  field_value = value;
+}
+
 void
 gg_fake_loop_reply (GgServerConnection *connection, uint32_t status, const char *body)
 {
   GgMessageHead *head = gg_message_head_create_response (status);
   gg_message_head_add (head, "Content-Type", "application/json");
+  if (field_name != NULL)
+    gg_message_head_add (head, field_name, field_value);
   gg_server_connection_reply (connection, head, body, strlen (body));
   gg_message_head_destroy (head);
 }
--- a/tests/fakes/fake_loop.h
+++ b/tests/fakes/fake_loop.h
@@ -35,6 +35,10 @@
  * @return the exit status. */
 int gg_fake_loop_run (GgFakeLoop *self);
 
+/** Adds a field to all replies from now on; replaces the one before.
+ * @param value kept by reference. */
+void gg_fake_loop_set_field (const char *name, const char *value);
+
 void gg_fake_loop_reply (GgServerConnection *connection, uint32_t status, const char *body);
 
 /** Sends the JSON value in @p builder and frees it. */
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -4,7 +4,10 @@
  * discards the history (compaction), SIGUSR2 starts or ends an outage in which every call is
  * rejected, SIGHUP one in which no call is answered: waiting watches and connections on which a
  * call is sent then stay silent for good. POST /test/lose does the same to the watches of a
- * "prefix" that wait now. POST /test/delay sets the "ms" by which each call is handled late. */
+ * "prefix" that wait now. POST /test/copy takes a copy; POST /test/restore makes it the state of
+ * the store: later writes, history and leases are gone, and their revisions are given out again.
+ * The era in all answers rises by one then. POST /test/delay sets the "ms" by which each call is
+ * handled late. */
 #include "base/clock.h"
 #include "base/json.h"
 #include "fake_loop.h"
@@ -63,6 +66,11 @@
   gboolean is_unavailable;
   gboolean is_silent;
   GQueue *delayed; /* DelayedCall, in order of arrival */
+  uint64_t era;
+  char era_text[24];
+  GPtrArray *copied_items; /* Item; NULL for no copy */
+  uint64_t copied_revision;
+  GArray *copied_leases; /* Lease */
   uint64_t delay_ms;
 } store = { .revision = 1, .next_lease = 100 };
 
@@ -289,7 +297,7 @@
   watch->end_ms = gg_clock_now_ms () + (wait != NULL ? g_ascii_strtoull (wait, NULL, 10) : 0);
   g_free (after);
   g_free (wait);
-  if (watch->after < store.first_revision)
+  if (watch->after < store.first_revision || watch->after > store.revision)
     gg_fake_loop_reply (connection, 410, "");
   else if (!answer_watch (watch, FALSE))
     {
@@ -411,6 +419,88 @@
   gg_fake_loop_reply (connection, 200, "{}");
 }
 
+static void
+set_era (uint64_t era)
+{
+  store.era = era;
+  g_snprintf (store.era_text, sizeof store.era_text, "%" G_GUINT64_FORMAT, (guint64) era);
+  gg_fake_loop_set_field ("Store-Era", store.era_text);
+}
+
+static Item *
+copy_item (const Item *item)
+{
+  Item *copy = g_new0 (Item, 1);
+  *copy = *item;
+  copy->key = g_strdup (item->key);
+  copy->value = g_strdup (item->value);
+  return copy;
+}
+
+static void
+take_copy (void)
+{
+  GHashTableIter iter;
+  void *value;
+  if (store.copied_items != NULL)
+    g_ptr_array_unref (store.copied_items);
+  store.copied_items = g_ptr_array_new_with_free_func (free_item);
+  g_hash_table_iter_init (&iter, store.items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (store.copied_items, copy_item (value));
+  store.copied_revision = store.revision;
+  if (store.copied_leases == NULL)
+    store.copied_leases = g_array_new (FALSE, FALSE, sizeof (Lease));
+  g_array_set_size (store.copied_leases, 0);
+  g_hash_table_iter_init (&iter, store.leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (store.copied_leases, value, 1);
+}
+
+/* Leases begin anew, as those of a store that was away pause. */
+static void
+restore_leases (void)
+{
+  g_hash_table_remove_all (store.leases);
+  for (guint i = 0; i < store.copied_leases->len; i++)
+    {
+      Lease *lease = g_memdup2 (&g_array_index (store.copied_leases, Lease, i), sizeof *lease);
+      lease->end_ms = gg_clock_now_ms () + lease->ttl_ms;
+      g_hash_table_insert (store.leases, GUINT_TO_POINTER ((guint) lease->id), lease);
+    }
+}
+
+/* Waiting watches are cut, as by the outage that a restore is. */
+static void
+cut_watches (void)
+{
+  for (guint i = store.watches->len; i-- > 0;)
+    {
+      GgServerConnection *connection
+          = ((const Watch *) g_ptr_array_index (store.watches, i))->connection;
+      g_ptr_array_remove_index (store.watches, i);
+      gg_server_connection_abort (connection);
+    }
+}
+
+static void
+restore_copy (void)
+{
+  cut_watches ();
+  g_hash_table_remove_all (store.items);
+  for (guint i = 0; i < store.copied_items->len; i++)
+    {
+      Item *item = copy_item (g_ptr_array_index (store.copied_items, i));
+      g_hash_table_replace (store.items, item->key, item);
+    }
+  for (guint i = store.history->len; i-- > 0;)
+    if (((const Item *) g_ptr_array_index (store.history, i))->revision > store.copied_revision)
+      g_ptr_array_remove_index (store.history, i);
+  restore_leases ();
+  store.revision = store.copied_revision;
+  set_era (store.era + 1);
+}
+
 static void
 delay_call (GgServerConnection *connection, const char *target, JsonObject *body)
 {
@@ -432,6 +522,16 @@
     write_keys (connection, body);
   else if (strcmp (target, "/test/lose") == 0 && body != NULL)
     lose_watches (connection, body);
+  else if (strcmp (target, "/test/copy") == 0)
+    {
+      take_copy ();
+      gg_fake_loop_reply (connection, 200, "{}");
+    }
+  else if (strcmp (target, "/test/restore") == 0 && store.copied_items != NULL)
+    {
+      restore_copy ();
+      gg_fake_loop_reply (connection, 200, "{}");
+    }
   else if (strcmp (target, "/test/delay") == 0 && body != NULL)
     {
       gg_json_read_uint (body, "ms", &store.delay_ms);
@@ -496,13 +596,8 @@
 toggle_outage (void *data)
 {
   store.is_unavailable = !store.is_unavailable;
-  for (guint i = store.watches->len; store.is_unavailable && i-- > 0;)
-    {
-      GgServerConnection *connection
-          = ((const Watch *) g_ptr_array_index (store.watches, i))->connection;
-      g_ptr_array_remove_index (store.watches, i);
-      gg_server_connection_abort (connection);
-    }
+  if (store.is_unavailable)
+    cut_watches ();
 }
 
 static void
@@ -523,6 +618,7 @@
   store.delayed = g_queue_new ();
   store.fake = gg_fake_loop_create (argc, argv, on_request, on_disconnected);
   GgLoop *loop = gg_fake_loop_get_loop (store.fake);
+  set_era (1);
   store.timer = gg_loop_timer_create (loop, on_tick, NULL);
   gg_loop_timer_start (store.timer, LEASE_CHECK_MS);
   gg_loop_watch_signal (loop, SIGUSR1, discard_history, NULL);
