Tidy the tests of rate limits

clang-tidy objected to an integer division in a floating point expression in test_limit_allocator, and test_layer_path gave its runner a second permit that it did not need. No bound is changed; both tests pass.

--- a/tests/core/test_layer_path.c
+++ b/tests/core/test_layer_path.c
@@ -100,8 +100,7 @@
   limit_runner (&f, "north-a100-0", 0);
   CU_ASSERT_EQUAL (choose (&f, "north", 900, &path), GG_PATH_FULL);
   limit_runner (&f, "north-a100-0", 1);
-  GgFleetRunner *first = gg_fleet_find (f.fleet, "north-a100-0");
-  gg_rate_limit_add_permits (first->limit, 1, NOW_MS + 1);
+  const GgFleetRunner *first = gg_fleet_find (f.fleet, "north-a100-0");
   CU_ASSERT_EQUAL_FATAL (choose (&f, "north", 900, &path), GG_PATH_FOUND);
   CU_ASSERT_PTR_EQUAL (path.hops[0].runner, first);
   gg_layer_path_clear (&path);
--- a/tests/core/test_limit_allocator.c
+++ b/tests/core/test_limit_allocator.c
@@ -20,6 +20,7 @@
 #define LIST_SKEW_MS 700
 #define N_SEEDS 20
 #define TICKS (DURATION_MS / TICK_MS)
+#define WINDOW_TICKS (WINDOW_MS / TICK_MS)
 /* Bounds of the users' rule: 1.5 times what the limit allows in the window, and 5 requests. */
 #define MAX_FACTOR 1.5
 #define MAX_EXTRA 5.0
@@ -344,13 +345,13 @@
 static double
 find_worst_window (const Deployment *d)
 {
-  double n = 0;
-  double worst = 0;
+  uint32_t n = 0;
+  uint32_t worst = 0;
   for (guint tick = (NAMED_MS + CONTACT_MS) / TICK_MS; tick < ENDED_MS / TICK_MS; tick++)
     {
       n += d->sends[tick];
       if (tick >= (NAMED_MS + CONTACT_MS + WINDOW_MS) / TICK_MS)
-        n -= d->sends[tick - (WINDOW_MS / TICK_MS)];
+        n -= d->sends[tick - WINDOW_TICKS];
       worst = MAX (worst, n);
     }
   return worst;
