Keep runners out of use that had left before a restore of the store

Cause: an entry is taken for the present state of a runner, and the restored store shows a past one. The other way round, a runner whose entry was written after the copy is missing, and was dropped at once if the outage was shorter than two seconds.

Change: a runner that leaves stays so until it starts again. One whose entry was removed, and that is in the first lists after a restore under the same start, is not used for 4 s; if it is listed then, it is in use. One that is missing from those lists stays in use for 2.2 s; an entry that is removed later is gone at once, so that a runner that leaves just then is not kept.

test_platform_restored, runner-stays-gone-after-restore, fails on (the runner is used) and passes, as do the new cases of test_fleet and test_outage_grace.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -269,6 +269,8 @@
     known = NULL;
   if (known != NULL && known->record.started_ms == record->started_ms)
     {
+      /* A runner that leaves ends; only a store that was restored still shows it as ready. */
+      record->is_leaving |= known->record.is_leaving;
       gboolean is_same = is_same_record (&known->record, record);
       gg_runner_record_clear (&known->record);
       known->record = *record;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -126,7 +126,8 @@
 GgFleet *gg_fleet_create (void);
 void gg_fleet_destroy (GgFleet *self);
 
-/** Adds or updates a runner; takes ownership of the contents of @p record.
+/** Adds or updates a runner; takes ownership of the contents of @p record. One that was leaving
+ * stays so until it starts again.
  * @return TRUE if anything changed. */
 gboolean gg_fleet_put (GgFleet *self, GgRunnerRecord *record);
 
--- a/src/core/outage_grace.c
+++ b/src/core/outage_grace.c
@@ -28,3 +28,15 @@
 {
   return now_ms < self->grace_until_ms;
 }
+
+void
+gg_outage_grace_note_restored (GgOutageGrace *self, uint64_t now_ms)
+{
+  self->restored_until_ms = now_ms + GRACE_MS;
+}
+
+uint64_t
+gg_outage_grace_get_list_end_ms (const GgOutageGrace *self)
+{
+  return MAX (self->grace_until_ms, self->restored_until_ms);
+}
--- a/src/daemons/routerd/runner_watcher.c
+++ b/src/daemons/routerd/runner_watcher.c
@@ -24,6 +24,18 @@
  * watcher has found out whether this instance reaches the store. */
 #define TAKEOVER_DELAY_MS 150
 #define STATUS_OK 200
+/* After a restore the store may list runners that have left; their entries are removed again within
+ * this time. One that is still listed then is in use. */
+#define DOUBT_MS 4000
+/* A removal is remembered for this long, which is more than a copy of the store may be old. */
+#define REMOVAL_KEPT_MS 120000
+
+/* A runner whose entry was removed. */
+typedef struct
+{
+  uint64_t started_ms;
+  uint64_t removed_boot_ms;
+} Removal;
 
 struct _GgRunnerWatcher
 {
@@ -43,8 +55,12 @@
   gboolean is_delegated;    /* a delegate watches */
   GgRunnerChanges *changes; /* since the last listing */
   GgBackoff backoff;
-  GHashTable *retained_ids;    /* ids of runners with a missing entry, kept in the grace period */
-  GgLoopTimer *retained_timer; /* fires at the end of the grace period */
+  GHashTable *retained_ids;     /* ids of runners with a missing entry, kept in the grace period */
+  GgLoopTimer *retained_timer;  /* fires at the end of the grace period */
+  GHashTable *removals;         /* id -> Removal */
+  uint64_t doubt_until_boot_ms; /* a list until then may name runners that have left */
+  GgLoopTimer *doubt_timer;
+  gboolean has_doubted; /* such a runner was listed */
 };
 
 static void send_call (GgRunnerWatcher *self);
@@ -79,6 +95,15 @@
   g_free (id);
 }
 
+/* Whether an entry in a list is that of a runner which has left, shown by a restored store. */
+static gboolean
+is_doubtful (const GgRunnerWatcher *self, const GgRunnerRecord *record)
+{
+  const Removal *removal = g_hash_table_lookup (self->removals, record->id);
+  return !self->is_listed && gg_clock_boot_ms () < self->doubt_until_boot_ms && removal != NULL
+         && removal->started_ms == record->started_ms;
+}
+
 static void
 apply_entry (GgRunnerWatcher *self, const GgStoreItem *item)
 {
@@ -86,6 +111,15 @@
   GError *error = NULL;
   if (gg_directory_decode_runner (item->key, item->value, &record, &error))
     {
+      if (is_doubtful (self, &record))
+        {
+          gg_event_log_add (GG_EVENT_NOTABLE, "runner_doubted",
+                            "runner=%s revision=%" G_GUINT64_FORMAT, record.id,
+                            (guint64) item->revision);
+          self->has_doubted = TRUE;
+          gg_runner_record_clear (&record);
+          return;
+        }
       put_runner (self, &record, item->revision);
       return;
     }
@@ -94,9 +128,28 @@
   g_error_free (error);
 }
 
+static gboolean
+is_old_removal (void *id, void *removal, void *data)
+{
+  return ((const Removal *) removal)->removed_boot_ms + REMOVAL_KEPT_MS < *(const uint64_t *) data;
+}
+
+static void
+note_removal (GgRunnerWatcher *self, const char *id)
+{
+  const GgFleetRunner *runner = gg_fleet_find (self->router->fleet, id);
+  uint64_t now_ms = gg_clock_boot_ms ();
+  if (runner == NULL)
+    return;
+  Removal removal = { runner->record.started_ms, now_ms };
+  g_hash_table_foreach_remove (self->removals, is_old_removal, &now_ms);
+  g_hash_table_replace (self->removals, g_strdup (id), g_memdup2 (&removal, sizeof removal));
+}
+
 static void
 remove_runner (GgRunnerWatcher *self, const char *id, uint64_t revision)
 {
+  note_removal (self, id);
   if (gg_fleet_remove (self->router->fleet, id))
     gg_event_log_add (GG_EVENT_NOTABLE, "runner_gone", "runner=%s revision=%" G_GUINT64_FORMAT, id,
                       (guint64) revision);
@@ -118,8 +171,11 @@
 static void
 retain_or_remove_runner (GgRunnerWatcher *self, const char *id, uint64_t revision)
 {
+  const GgOutageGrace *grace = &self->router->outage_grace;
   uint64_t now_ms = gg_clock_boot_ms ();
-  if (!gg_outage_grace_is_active (&self->router->outage_grace, now_ms))
+  uint64_t until_ms
+      = self->is_listed ? grace->grace_until_ms : gg_outage_grace_get_list_end_ms (grace);
+  if (now_ms >= until_ms)
     {
       remove_runner (self, id, revision);
       return;
@@ -127,9 +183,8 @@
   g_hash_table_add (self->retained_ids, g_strdup (id));
   gg_event_log_add (GG_EVENT_NOTABLE, "runner_retained",
                     "runner=%s revision=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT, id,
-                    (guint64) revision,
-                    (guint64) (self->router->outage_grace.grace_until_ms - now_ms));
-  gg_loop_timer_start (self->retained_timer, self->router->outage_grace.grace_until_ms - now_ms);
+                    (guint64) revision, (guint64) (until_ms - now_ms));
+  gg_loop_timer_start (self->retained_timer, until_ms - now_ms);
 }
 
 static void
@@ -304,10 +359,23 @@
 on_store_restored (void *data)
 {
   GgRunnerWatcher *self = data;
+  uint64_t now_ms = gg_clock_boot_ms ();
+  gg_outage_grace_note_restored (&self->router->outage_grace, now_ms);
+  self->doubt_until_boot_ms = now_ms + DOUBT_MS;
+  gg_loop_timer_start (self->doubt_timer, DOUBT_MS);
   if (!self->is_delegated || self->call != NULL)
     list_again (self);
 }
 
+static void
+on_doubt_ended (void *data)
+{
+  GgRunnerWatcher *self = data;
+  if (self->has_doubted && !self->is_delegated)
+    list_again (self);
+  self->has_doubted = FALSE;
+}
+
 static void
 list_from_store (GgRunnerWatcher *self)
 {
@@ -472,6 +540,8 @@
   self->retained_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->changes = gg_runner_changes_create ();
   self->retained_timer = gg_loop_timer_create (router->loop, on_grace_ended, self);
+  self->removals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->doubt_timer = gg_loop_timer_create (router->loop, on_doubt_ended, self);
   gg_store_add_restored_func (router->store, on_store_restored, self);
   self->last_key = g_strdup ("");
   self->is_delegated = TRUE;
@@ -485,6 +555,8 @@
   gg_loop_fetch_cancel (self->fetch);
   gg_loop_timer_destroy (self->timer);
   gg_loop_timer_destroy (self->retained_timer);
+  gg_loop_timer_destroy (self->doubt_timer);
+  g_hash_table_unref (self->removals);
   gg_runner_changes_destroy (self->changes);
   g_hash_table_unref (self->retained_ids);
   g_hash_table_unref (self->listed_ids);
--- a/tests/core/test_fleet.c
+++ b/tests/core/test_fleet.c
@@ -31,6 +31,30 @@
   gg_fleet_destroy (fleet);
 }
 
+/* Guards against a leaving runner that is used again, since a store that was restored from a copy
+ * still shows it as ready. */
+static void
+test_leaving_runner_stays_so (void)
+{
+  GgFleet *fleet = gg_fleet_create ();
+  fixture_add_runners (fleet, "north", "a100", 1);
+  GgFleetRunner *runner = gg_fleet_get (fleet, 0);
+  GgRunnerRecord ready;
+  GgRunnerRecord leaving;
+  GgRunnerRecord restarted;
+  gg_runner_record_copy (&ready, &runner->record);
+  gg_runner_record_copy (&leaving, &runner->record);
+  gg_runner_record_copy (&restarted, &runner->record);
+  leaving.is_leaving = TRUE;
+  restarted.started_ms++;
+  CU_ASSERT_TRUE (gg_fleet_put (fleet, &leaving));
+  CU_ASSERT_FALSE (gg_fleet_put (fleet, &ready));
+  CU_ASSERT_TRUE (gg_fleet_get (fleet, 0)->record.is_leaving);
+  CU_ASSERT_TRUE (gg_fleet_put (fleet, &restarted));
+  CU_ASSERT_FALSE (gg_fleet_get (fleet, 0)->record.is_leaving);
+  gg_fleet_destroy (fleet);
+}
+
 static void
 test_same_record_is_no_change (void)
 {
@@ -213,6 +237,7 @@
       test_refusals_of_a_full_runner_are_not_reported },
     { "last answers of a leaving runner", test_last_answers_of_a_leaving_runner },
     { "restarted runner is a new one", test_restarted_runner_is_a_new_one },
+    { "leaving runner stays so", test_leaving_runner_stays_so },
     { "same record is no change", test_same_record_is_no_change },
     { "remove", test_remove },
     { "simultaneous failures count once", test_simultaneous_failures_count_once },
--- a/tests/core/test_outage_grace.c
+++ b/tests/core/test_outage_grace.c
@@ -40,12 +40,24 @@
   CU_ASSERT_TRUE (gg_outage_grace_is_active (&g, 5000));
 }
 
+/* Guards against runners that are dropped since their entries are missing from a restored store,
+ * and against a runner that leaves just then and is kept. */
+static void
+test_restore_covers_lists_only (void)
+{
+  GgOutageGrace g = { 0 };
+  gg_outage_grace_note_restored (&g, 1000);
+  CU_ASSERT (gg_outage_grace_get_list_end_ms (&g) > 3000);
+  CU_ASSERT_FALSE (gg_outage_grace_is_active (&g, 1001));
+}
+
 int
 main (void)
 {
   static const GgTestCase cases[] = {
     { "long outage has a grace period", test_long_outage_has_a_grace_period },
     { "short interruption has none", test_short_interruption_has_none },
+    { "restore covers lists only", test_restore_covers_lists_only },
     { "reply to an earlier call is no recovery", test_reply_to_an_earlier_call_is_no_recovery },
   };
   return gg_test_run ("outage grace", cases, G_N_ELEMENTS (cases));
--- a/tests/process/test_platform_restored.c
+++ b/tests/process/test_platform_restored.c
@@ -182,6 +182,24 @@
   site_destroy (site);
 }
 
+/* Guards against a runner that had left and is used again since the restored store lists it. The
+ * stand-in of the runner writes nothing more, so its entry stays. */
+static void
+run_runner_stays_gone (GgProof *proof)
+{
+  Site *site = create_site (proof, TRUE);
+  if (site == NULL)
+    return;
+  const SiteRunner *runner = site_find_runner (site, "desk");
+  send_to_store (site, "/test/copy");
+  write_much (site);
+  gg_process_signal (runner->process, SIGUSR2);
+  count_runs (site, runner->id, DRAIN_MS);
+  restore (site);
+  gg_proof_check (proof, count_runs (site, runner->id, OBSERVED_MS) == 0);
+  site_destroy (site);
+}
+
 typedef struct
 {
   guint n_elected;
@@ -277,6 +295,7 @@
     { "config", "store-restored-with-members", run_configuration_with_members },
     { "config", "key-stays-withdrawn-after-restore", run_key_stays_withdrawn },
     { "leaving", "runner-leaves-after-restore", run_runner_leaves_after_restore },
+    { "leaving", "runner-stays-gone-after-restore", run_runner_stays_gone },
     { "layers-once", "fence-grows-over-a-restore", run_fence_grows },
   };
   return gg_prove_main ("platform restored", cases, G_N_ELEMENTS (cases), argc, argv);
