Forget rate limits that have ended

Found by reading the change once more: a runner that had named a limit once was looked after for good, with seven ticks a second and a report a second for each, and if the one report that its limit had ended was lost, the allocator kept the limit until another instance saw the end.

Change: what is known of a limit is dropped 15 s after the last answer that named it; the end is reported again once a second until then, and as soon as the allocator still states the limit.

--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -8,6 +8,8 @@
 /* Below this number of expected requests a permit would mostly expire unused. */
 #define MIN_EXPECTED 0.25
 #define MAX_NEED 32
+/* All instances know of the end of a limit long before this time has passed. */
+#define FORGET_MS 15000
 #define MS_PER_S 1000.0
 
 const GgLimitEvidence *
@@ -30,6 +32,8 @@
       || (!evidence->is_limited && evidence->time_ms <= before.time_ms))
     return FALSE;
   *known = *evidence;
+  if (evidence->is_limited)
+    self->limited_ms = MAX (self->limited_ms, evidence->time_ms);
   const GgLimitEvidence *after = gg_rate_limit_get (self);
   if (!before.is_limited && after->is_limited)
     for (guint i = 0; i < GG_PERMIT_MAX_BATCHES; i++)
@@ -38,6 +42,12 @@
          || (after->is_limited && before.limit_milli != after->limit_milli);
 }
 
+gboolean
+gg_rate_limit_is_forgotten (const GgRateLimit *self, uint64_t now_ms)
+{
+  return !gg_rate_limit_is_in_force (self) && now_ms > self->limited_ms + FORGET_MS;
+}
+
 gboolean
 gg_rate_limit_note_own (GgRateLimit *self, const GgLimitEvidence *evidence)
 {
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -33,6 +33,7 @@
 {
   GgLimitEvidence own;  /**< From answers to this instance. */
   GgLimitEvidence told; /**< From the allocator. */
+  uint64_t limited_ms;  /**< Time of the latest evidence with a limit. */
   GgPermitBatch batches[GG_PERMIT_MAX_BATCHES];
   double demand;        /**< Requests that would have used the runner, decaying over a second. */
   uint64_t demand_ms;   /**< When it was last decayed. */
@@ -45,6 +46,9 @@
 /** Whether sends need permits. */
 gboolean gg_rate_limit_is_in_force (const GgRateLimit *self);
 
+/** Whether a limit has ended so long ago that nothing needs to be kept of it. */
+gboolean gg_rate_limit_is_forgotten (const GgRateLimit *self, uint64_t now_ms);
+
 /** Records evidence from an answer to this instance, or from the allocator. Older evidence than the
  * known one is ignored.
  * @return whether the limit that is in force has changed. */
--- a/src/daemons/routerd/limit_exchange.c
+++ b/src/daemons/routerd/limit_exchange.c
@@ -22,7 +22,7 @@
 /* Interval of the allocator's notices, which replace those that were lost. */
 #define NOTICE_MS 300
 #define STATUS_MULTIPLE_CHOICES 300
-/* Evidence that only confirms a limit is reported this often. */
+/* Evidence that only confirms what was reported before is reported this often. */
 #define CONFIRM_MS 1000
 /* An allocator without a valid lease goes on while others ask it, as during an outage of the store:
  * they know of no other one. */
@@ -299,6 +299,9 @@
   GgRateLimit *limit = get_limit (self, runner);
   if (gg_rate_limit_note_told (limit, &entry->evidence))
     log_change (runner, "peer");
+  /* The report that the limit has ended was lost. */
+  if (entry->evidence.is_limited && !gg_rate_limit_is_in_force (limit))
+    limit->reported_ms = 0;
   if (entry->n_permits == 0)
     return;
   gg_rate_limit_add_permits (limit, entry->n_permits, permits_until_ms);
@@ -314,7 +317,7 @@
   const GgLimitEvidence *evidence = gg_rate_limit_get (limit);
   gboolean is_first_hand = evidence == &limit->own;
   gboolean is_news = is_first_hand && evidence->time_ms > limit->reported_ms
-                     && (!evidence->is_limited || now_ms > limit->reported_ms + CONFIRM_MS);
+                     && (limit->reported_ms == 0 || now_ms > limit->reported_ms + CONFIRM_MS);
   *entry_out = (GgLimitEntry){ .runner_hash = get_hash (runner),
                                .evidence = *evidence,
                                .is_first_hand = is_first_hand,
@@ -360,8 +363,10 @@
   self->has_limits = FALSE;
   for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
     {
-      const GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      GgFleetRunner *runner = gg_fleet_get (fleet, i);
       GgLimitEntry entry;
+      if (runner->limit != NULL && gg_rate_limit_is_forgotten (runner->limit, now_ms))
+        g_clear_pointer (&runner->limit, g_free);
       if (runner->limit == NULL)
         continue;
       self->has_limits = TRUE;
--- a/tests/core/test_limit_allocator.c
+++ b/tests/core/test_limit_allocator.c
@@ -508,6 +508,23 @@
   CU_ASSERT_TRUE (gg_rate_limit_may_send (&limit, 1001));
 }
 
+/* Guards against work for limits that have ended, and against one that is forgotten too early. */
+static void
+test_ended_limit_is_forgotten (void)
+{
+  GgRateLimit limit = { 0 };
+  GgLimitEvidence named = limited (2000, 1000);
+  GgLimitEvidence ended = { .time_ms = 2000 };
+  GgLimitEvidence again = { .time_ms = 20000 };
+  gg_rate_limit_note_own (&limit, &named);
+  CU_ASSERT_FALSE (gg_rate_limit_is_forgotten (&limit, 100000));
+  gg_rate_limit_note_own (&limit, &ended);
+  CU_ASSERT_FALSE (gg_rate_limit_is_forgotten (&limit, 2000));
+  gg_rate_limit_note_own (&limit, &again);
+  CU_ASSERT_FALSE (gg_rate_limit_is_in_force (&limit));
+  CU_ASSERT_TRUE (gg_rate_limit_is_forgotten (&limit, 20000));
+}
+
 /* Guards against a runner with a limit of 0 that is never asked again, and would stay unused after
  * the limit has ended. */
 static void
@@ -565,6 +582,7 @@
     { "limit is kept with faults", test_limit_is_kept_with_faults },
     { "bounds detect a missing mechanism", test_bounds_detect_a_missing_mechanism },
     { "late answer does not end a limit", test_late_answer_does_not_end_a_limit },
+    { "ended limit is forgotten", test_ended_limit_is_forgotten },
     { "limit of zero is probed", test_limit_of_zero_is_probed },
     { "permits expire", test_permits_expire },
     { "permits are divided", test_permits_are_divided },
