Wait for the lease that the store has granted before a leader is elected

After a restore no leader is elected while the one before may still lead, which is for the time of its lease. That time was taken from the constant, but the store may state a longer least time to live, and grants that.

--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -285,9 +285,10 @@
   uint64_t now_ms = gg_clock_boot_ms ();
   /* The key of the leader may be missing from the copy while it still leads: its lease lasts this
    * long after the last renewal, which was before the restore. */
-  if (self->restored_boot_ms != 0 && now_ms < self->restored_boot_ms + LEASE_MS)
+  uint64_t free_ms = self->restored_boot_ms + MAX (LEASE_MS, self->lease_ms);
+  if (self->restored_boot_ms != 0 && now_ms < free_ms)
     {
-      gg_loop_timer_start (self->campaign_timer, self->restored_boot_ms + LEASE_MS - now_ms);
+      gg_loop_timer_start (self->campaign_timer, free_ms - now_ms);
       return;
     }
   if (self->leader_revision != 0 || self->leader_call != NULL || !self->is_joined
