Use the terms of the field for requests of permits

Names and comments only: requests and requesters of permits, shared evidence, obsolete limits. No name that leaves the process is changed. test_limit_allocator, test_platform_limit and test_platform_restored pass.

--- a/src/adapters/rpc/limit_message.h
+++ b/src/adapters/rpc/limit_message.h
@@ -1,7 +1,7 @@
 /** @file
- * Datagrams about the rate limits of runners (XDR): an instance asks the allocator of a runner for
- * permits and reports what the runner's answers said, the allocator replies, and tells all others
- * of the limits that it knows. */
+ * Datagrams about the rate limits of runners (XDR): an instance requests permits from the allocator
+ * of a runner and reports what the runner's answers state; the allocator replies, and notifies all
+ * instances of the limits that it knows. */
 #pragma once
 
 #include "core/rate_limit.h"
--- a/src/core/limit_allocator.c
+++ b/src/core/limit_allocator.c
@@ -6,9 +6,9 @@
 /* Permits accumulate for a quarter of a second, so that what comes between two messages is not
  * lost. */
 #define DEPTH_S 0.25
-/* An instance that has not asked for this long has no claim on a part. */
+/* An instance that has sent no request for this long has no claim on a part. */
 #define CLAIM_MS 400
-/* The end of a limit is reported for this long, and a limit that nobody asks for kept. */
+/* The end of a limit is reported for this long, and a limit without requests is kept. */
 #define ENDED_MS 5000
 #define UNUSED_MS 60000
 #define MS_PER_S 1000.0
@@ -17,7 +17,7 @@
 typedef struct
 {
   uint32_t need;
-  uint64_t asked_ms;
+  uint64_t requested_ms;
 } Claim;
 
 typedef struct
@@ -25,8 +25,8 @@
   GgLimitEvidence evidence;
   double n_available;
   uint64_t filled_ms;
-  uint64_t used_ms;   /* when it was last asked for or reported */
-  GHashTable *claims; /* asker -> Claim */
+  uint64_t used_ms;   /* of the last request or report */
+  GHashTable *claims; /* requester -> Claim */
 } Entry;
 
 struct _GgLimitAllocator
@@ -121,19 +121,19 @@
 /* Records the claim of an instance.
  * @return the sum of all claims. */
 static uint32_t
-add_claim (Entry *entry, uint32_t asker, uint32_t need, uint64_t now_ms)
+add_claim (Entry *entry, uint32_t requester, uint32_t need, uint64_t now_ms)
 {
   Claim *own = g_new (Claim, 1);
   GHashTableIter iter;
   void *value;
   uint32_t sum = 0;
   *own = (Claim){ need, now_ms };
-  g_hash_table_replace (entry->claims, GUINT_TO_POINTER (asker), own);
+  g_hash_table_replace (entry->claims, GUINT_TO_POINTER (requester), own);
   g_hash_table_iter_init (&iter, entry->claims);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Claim *claim = value;
-      if (now_ms > claim->asked_ms + CLAIM_MS)
+      if (now_ms > claim->requested_ms + CLAIM_MS)
         g_hash_table_iter_remove (&iter);
       else
         sum += claim->need;
@@ -142,15 +142,18 @@
 }
 
 uint32_t
-gg_limit_allocator_grant (
-    GgLimitAllocator *self, uint32_t runner_hash, uint32_t asker, uint32_t need, uint64_t now_ms)
+gg_limit_allocator_grant (GgLimitAllocator *self,
+                          uint32_t runner_hash,
+                          uint32_t requester,
+                          uint32_t need,
+                          uint64_t now_ms)
 {
   Entry *entry = find (self, runner_hash);
   if (entry == NULL || !entry->evidence.is_limited || need == 0)
     return 0;
   fill (entry, now_ms);
   entry->used_ms = now_ms;
-  uint32_t sum = add_claim (entry, asker, need, now_ms);
+  uint32_t sum = add_claim (entry, requester, need, now_ms);
   if (entry->n_available < 1)
     return 0;
   uint32_t n = (uint32_t) (entry->n_available * need / sum);
--- a/src/core/limit_allocator.h
+++ b/src/core/limit_allocator.h
@@ -35,17 +35,20 @@
 /** Returns what is known of a runner; a time of 0 if that is nothing. */
 GgLimitEvidence gg_limit_allocator_get (const GgLimitAllocator *self, uint32_t runner_hash);
 
-/** Hands out permits. What is available is divided among the instances that ask, by what they need.
- * @param asker identifies the instance.
+/** Hands out permits. What is available is divided among the requesters by their needs.
+ * @param requester identifies the instance.
  * @return their number, 0 to @p need. */
-uint32_t gg_limit_allocator_grant (
-    GgLimitAllocator *self, uint32_t runner_hash, uint32_t asker, uint32_t need, uint64_t now_ms);
+uint32_t gg_limit_allocator_grant (GgLimitAllocator *self,
+                                   uint32_t runner_hash,
+                                   uint32_t requester,
+                                   uint32_t need,
+                                   uint64_t now_ms);
 
 /** Discards the permits that have accumulated, as this instance was not the allocator for a
  * while. */
 void gg_limit_allocator_empty (GgLimitAllocator *self, uint64_t now_ms);
 
-/** Forgets runners that nobody has asked for, and limits that have ended, after a while. */
+/** Drops runners without requests, and limits that have ended, after a while. */
 void gg_limit_allocator_expire (GgLimitAllocator *self, uint64_t now_ms);
 
 /** Whether no runner with a limit is known. */
--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -9,13 +9,13 @@
 #define MIN_EXPECTED 0.25
 #define MAX_NEED 32
 /* All instances know of the end of a limit long before this time has passed. */
-#define FORGET_MS 15000
+#define OBSOLETE_MS 15000
 #define MS_PER_S 1000.0
 
 const GgLimitEvidence *
 gg_rate_limit_get (const GgRateLimit *self)
 {
-  return self->own.time_ms >= self->told.time_ms ? &self->own : &self->told;
+  return self->own.time_ms >= self->shared.time_ms ? &self->own : &self->shared;
 }
 
 gboolean
@@ -43,9 +43,9 @@
 }
 
 gboolean
-gg_rate_limit_is_forgotten (const GgRateLimit *self, uint64_t now_ms)
+gg_rate_limit_is_obsolete (const GgRateLimit *self, uint64_t now_ms)
 {
-  return !gg_rate_limit_is_in_force (self) && now_ms > self->limited_ms + FORGET_MS;
+  return !gg_rate_limit_is_in_force (self) && now_ms > self->limited_ms + OBSOLETE_MS;
 }
 
 gboolean
@@ -58,9 +58,9 @@
 }
 
 gboolean
-gg_rate_limit_note_told (GgRateLimit *self, const GgLimitEvidence *evidence)
+gg_rate_limit_note_shared (GgRateLimit *self, const GgLimitEvidence *evidence)
 {
-  return note (self, &self->told, evidence);
+  return note (self, &self->shared, evidence);
 }
 
 static uint32_t
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** What some answer of the runner said. */
+/** What an answer of the runner shows. */
 typedef struct
 {
   gboolean is_limited;
@@ -19,7 +19,7 @@
                          * 0: nothing is known. */
 } GgLimitEvidence;
 
-/** How long a permit is valid, counted from the sending of the message that asked for it. */
+/** How long a permit is valid, counted from the sending of the request for it. */
 #define GG_PERMIT_MS 1600
 #define GG_PERMIT_MAX_BATCHES 12
 
@@ -31,9 +31,9 @@
 
 typedef struct
 {
-  GgLimitEvidence own;  /**< From answers to this instance. */
-  GgLimitEvidence told; /**< From the allocator. */
-  uint64_t limited_ms;  /**< Time of the latest evidence with a limit. */
+  GgLimitEvidence own;    /**< From answers to this instance. */
+  GgLimitEvidence shared; /**< From the allocator. */
+  uint64_t limited_ms;    /**< Time of the latest evidence with a limit. */
   GgPermitBatch batches[GG_PERMIT_MAX_BATCHES];
   double demand;        /**< Requests that would have used the runner, decaying over a second. */
   uint64_t demand_ms;   /**< When it was last decayed. */
@@ -47,13 +47,13 @@
 gboolean gg_rate_limit_is_in_force (const GgRateLimit *self);
 
 /** Whether a limit has ended so long ago that nothing needs to be kept of it. */
-gboolean gg_rate_limit_is_forgotten (const GgRateLimit *self, uint64_t now_ms);
+gboolean gg_rate_limit_is_obsolete (const GgRateLimit *self, uint64_t now_ms);
 
 /** Records evidence from an answer to this instance, or from the allocator. Older evidence than the
  * known one is ignored.
  * @return whether the limit that is in force has changed. */
 gboolean gg_rate_limit_note_own (GgRateLimit *self, const GgLimitEvidence *evidence);
-gboolean gg_rate_limit_note_told (GgRateLimit *self, const GgLimitEvidence *evidence);
+gboolean gg_rate_limit_note_shared (GgRateLimit *self, const GgLimitEvidence *evidence);
 
 /** Whether a request may be sent to the runner now. */
 gboolean gg_rate_limit_may_send (const GgRateLimit *self, uint64_t now_ms);
@@ -70,5 +70,5 @@
 /** Records that a request waits, which may use the runner: permits for one request at least. */
 void gg_rate_limit_note_waiting (GgRateLimit *self, uint64_t now_ms);
 
-/** Returns the number of permits to ask for, beyond those that this instance holds. */
+/** Returns the number of permits to request, beyond those that this instance holds. */
 uint32_t gg_rate_limit_get_need (const GgRateLimit *self, uint64_t now_ms);
--- a/src/daemons/routerd/limit_exchange.c
+++ b/src/daemons/routerd/limit_exchange.c
@@ -11,7 +11,7 @@
 
 #include <string.h>
 
-/* Interval of the requests, at random within these bounds: instances that asked in step would be
+/* Interval of the requests, at random within these bounds: instances in step would be
  * served in the same order each time. */
 #define MIN_INTERVAL_MS 120
 #define MAX_INTERVAL_MS 180
@@ -24,9 +24,9 @@
 #define STATUS_MULTIPLE_CHOICES 300
 /* Evidence that only confirms what was reported before is reported this often. */
 #define CONFIRM_MS 1000
-/* An allocator without a valid lease goes on while others ask it, as during an outage of the store:
- * they know of no other one. */
-#define ASKED_MS 1500
+/* An allocator without a valid lease goes on while others send it requests, as during an outage of
+ * the store: they have no other one. */
+#define REQUESTED_MS 1500
 /* After a pause of this length another instance may have taken the place of this one. */
 #define SUSPENDED_MS 1500
 /* Number of the latest requests whose replies are accepted. */
@@ -59,7 +59,7 @@
   gboolean is_notifying; /* the notice timer runs */
   gboolean is_urgent;    /* the timer runs for URGENT_MS */
   uint64_t ticked_ms;
-  uint64_t asked_until_ms; /* another instance has asked this one shortly before */
+  uint64_t requested_until_ms; /* another instance has sent a request shortly before */
   uint64_t last_number;
   PendingRequest pending[MAX_PENDING_REQUESTS];
 };
@@ -158,7 +158,7 @@
   const Allocator *allocator = find_allocator (self, runner->record.data_centre);
   return g_strcmp0 (allocator->address, gg_membership_get_address (self->membership)) == 0
          && now_ms >= allocator->since_ms + GG_LIMIT_TAKEOVER_MS
-         && (gg_membership_has_lease (self->membership) || now_ms < self->asked_until_ms);
+         && (gg_membership_has_lease (self->membership) || now_ms < self->requested_until_ms);
 }
 
 /* Follows the allocators, and starts anew after a suspension of this machine. */
@@ -221,7 +221,7 @@
   g_array_set_size (message->entries, 0);
 }
 
-/* Tells all instances of the limits for which this one hands out permits. */
+/* Reports to all instances the limits whose permits this one grants. */
 static void
 send_notices (GgLimitExchange *self, uint64_t now_ms)
 {
@@ -288,7 +288,7 @@
     }
 }
 
-/* Applies what the allocator says of a runner. */
+/* Applies what the allocator reports of a runner. */
 static void
 apply_entry (GgLimitExchange *self, const GgLimitEntry *entry, uint64_t permits_until_ms)
 {
@@ -297,7 +297,7 @@
       || (runner->limit == NULL && !entry->evidence.is_limited))
     return;
   GgRateLimit *limit = get_limit (self, runner);
-  if (gg_rate_limit_note_told (limit, &entry->evidence))
+  if (gg_rate_limit_note_shared (limit, &entry->evidence))
     log_change (runner, "peer");
   /* The report that the limit has ended was lost. */
   if (entry->evidence.is_limited && !gg_rate_limit_is_in_force (limit))
@@ -308,7 +308,7 @@
   gg_metric_family_add (&permits_total, runner->record.id, entry->n_permits);
 }
 
-/* Fills in what is to be reported and asked for a runner.
+/* Fills in what is to be reported and requested for a runner.
  * @return FALSE if that is nothing. */
 static gboolean
 fill_entry (const GgFleetRunner *runner, GgLimitEntry *entry_out, uint64_t now_ms)
@@ -329,9 +329,12 @@
   return TRUE;
 }
 
-/* Reports to one allocator, and asks it for permits. */
+/* Sends reports and requests for permits to one allocator. */
 static void
-ask (GgLimitExchange *self, const char *address, GgLimitMessage *message, uint64_t now_ms)
+send_to_allocator (GgLimitExchange *self,
+                   const char *address,
+                   GgLimitMessage *message,
+                   uint64_t now_ms)
 {
   if (strcmp (address, gg_membership_get_address (self->membership)) == 0)
     for (guint i = 0; i < message->entries->len; i++)
@@ -352,7 +355,7 @@
 }
 
 static void
-ask_all (GgLimitExchange *self, uint64_t now_ms)
+send_requests (GgLimitExchange *self, uint64_t now_ms)
 {
   GgFleet *fleet = self->router->fleet;
   GHashTable *messages = g_hash_table_new (g_str_hash, g_str_equal); /* address -> message */
@@ -365,7 +368,7 @@
     {
       GgFleetRunner *runner = gg_fleet_get (fleet, i);
       GgLimitEntry entry;
-      if (runner->limit != NULL && gg_rate_limit_is_forgotten (runner->limit, now_ms))
+      if (runner->limit != NULL && gg_rate_limit_is_obsolete (runner->limit, now_ms))
         g_clear_pointer (&runner->limit, g_free);
       if (runner->limit == NULL)
         continue;
@@ -384,14 +387,14 @@
         }
       g_array_append_val (message->entries, entry);
       if (message->entries->len == GG_LIMIT_MESSAGE_MAX_ENTRIES)
-        ask (self, address, message, now_ms);
+        send_to_allocator (self, address, message, now_ms);
     }
   g_hash_table_iter_init (&iter, messages);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
       GgLimitMessage *message = value;
       if (message->entries->len > 0)
-        ask (self, key, message, now_ms);
+        send_to_allocator (self, key, message, now_ms);
       gg_limit_message_clear (message);
       g_free (message);
     }
@@ -407,7 +410,7 @@
   self->is_urgent = FALSE;
   update_allocators (self, now_ms);
   if (self->has_limits)
-    ask_all (self, now_ms);
+    send_requests (self, now_ms);
   uint64_t interval_ms = IDLE_INTERVAL_MS;
   if (self->has_limits)
     interval_ms = (uint64_t) g_random_int_range (MIN_INTERVAL_MS, MAX_INTERVAL_MS);
@@ -415,7 +418,7 @@
 }
 
 static void
-ask_soon (GgLimitExchange *self)
+send_requests_soon (GgLimitExchange *self)
 {
   if (self->is_urgent)
     return;
@@ -446,7 +449,7 @@
     {
       runner->limit->reported_ms = 0;
       log_change (runner, "answer");
-      ask_soon (self);
+      send_requests_soon (self);
     }
 }
 
@@ -484,7 +487,7 @@
     {
       const GgFleetRunner *runner = g_ptr_array_index (limited, random % limited->len);
       gg_rate_limit_note_waiting (runner->limit, gg_clock_boot_ms ());
-      ask_soon (self);
+      send_requests_soon (self);
     }
   g_ptr_array_unref (limited);
 }
@@ -514,7 +517,7 @@
 static void
 handle_request (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
 {
-  self->asked_until_ms = now_ms + ASKED_MS;
+  self->requested_until_ms = now_ms + REQUESTED_MS;
   for (guint i = 0; i < message->entries->len; i++)
     {
       GgLimitEntry *entry = &g_array_index (message->entries, GgLimitEntry, i);
--- a/src/daemons/routerd/limit_exchange.h
+++ b/src/daemons/routerd/limit_exchange.h
@@ -1,7 +1,8 @@
 /** @file
- * Keeps to the rate limits that runners name: permits are asked of the allocator of each runner,
- * the first registered instance of its data centre, and handed out by it (core/limit_allocator.h).
- * What an answer says of a limit reaches all instances through the allocator. */
+ * Keeps to the rate limits that runners name: permits are requested from the allocator of each
+ * runner, the first registered instance of its data centre, and handed out by it
+ * (core/limit_allocator.h). What an answer states of a limit reaches all instances through the
+ * allocator. */
 #pragma once
 
 #include "daemons/routerd/membership.h"
@@ -10,7 +11,7 @@
 GgLimitExchange *gg_limit_exchange_create (GgRouter *router, const GgMembership *membership);
 void gg_limit_exchange_destroy (GgLimitExchange *self);
 
-/** Records what the head of a runner's answer says of its limit.
+/** Records what the head of a runner's answer states of its limit.
  * @param sent_boot_ms when the request was sent (CLOCK_BOOTTIME). */
 void gg_limit_exchange_note_answer (GgLimitExchange *self,
                                     GgFleetRunner *runner,
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -30,7 +30,7 @@
 /* A request whose runner has broken off so many times just before the first event is not sent
  * again: it is likely to be the reason. */
 #define MAX_CUTS_AT_START 2
-/* A request that waits asks for a permit of another runner after this time. */
+/* For a waiting request a permit of another runner is requested after this time. */
 #define PERMIT_TRY_MS 500
 /* Longest time to come back that is named for the rate limits of runners, which may end any time.
  */
--- a/tests/core/test_limit_allocator.c
+++ b/tests/core/test_limit_allocator.c
@@ -45,7 +45,7 @@
   double rate;      /* requests per second */
   guint allocator;  /* candidate that it knows as the allocator */
   guint next_allocator;
-  uint64_t learns_ms; /* when it learns of the next one */
+  uint64_t change_ms; /* when it knows the next one */
 } Instance;
 
 typedef enum
@@ -148,14 +148,14 @@
 }
 
 static void
-ask (Deployment *d, guint i)
+request_permits (Deployment *d, guint i)
 {
   Instance *instance = &d->instances[i];
   Event event = { .kind = EVENT_REQUEST, .instance = i, .sent_ms = d->now_ms };
   event.candidate
       = d->omission == WITHOUT_ONE_ALLOCATOR ? i / 3 % N_CANDIDATES : instance->allocator;
   event.evidence = *gg_rate_limit_get (&instance->limit);
-  event.is_first_hand = instance->limit.own.time_ms >= instance->limit.told.time_ms;
+  event.is_first_hand = instance->limit.own.time_ms >= instance->limit.shared.time_ms;
   event.n = gg_rate_limit_get_need (&instance->limit, d->now_ms);
   if (event.evidence.time_ms != 0)
     transmit (d, &event);
@@ -190,12 +190,12 @@
       handle_request (d, event);
       break;
     case EVENT_REPLY:
-      gg_rate_limit_note_told (limit, &evidence);
+      gg_rate_limit_note_shared (limit, &evidence);
       if (d->now_ms < event->sent_ms + GG_PERMIT_MS)
         gg_rate_limit_add_permits (limit, event->n, event->sent_ms + GG_PERMIT_MS);
       break;
     case EVENT_NOTICE:
-      gg_rate_limit_note_told (limit, &evidence);
+      gg_rate_limit_note_shared (limit, &evidence);
       break;
     case EVENT_ANSWER:
       evidence.time_ms = evidence.is_limited ? d->now_ms : event->sent_ms;
@@ -218,7 +218,7 @@
     }
 }
 
-/* Another candidate becomes the allocator; the instances learn of it at different times. */
+/* Another candidate becomes the allocator; the instances know of it at different times. */
 static void
 change_allocator (Deployment *d)
 {
@@ -226,7 +226,7 @@
   for (guint i = 0; i < d->n_instances; i++)
     {
       d->instances[i].next_allocator = d->allocator;
-      d->instances[i].learns_ms
+      d->instances[i].change_ms
           = d->now_ms + (uint64_t) g_rand_int_range (d->rand, 0, LIST_SKEW_MS);
     }
 }
@@ -267,7 +267,7 @@
 step_instance (Deployment *d, guint i)
 {
   Instance *instance = &d->instances[i];
-  if (instance->learns_ms != 0 && d->now_ms >= instance->learns_ms)
+  if (instance->change_ms != 0 && d->now_ms >= instance->change_ms)
     {
       if (i == instance->next_allocator && instance->allocator != i && i < N_CANDIDATES)
         {
@@ -275,7 +275,7 @@
           gg_limit_allocator_empty (d->candidates[i].allocator, d->now_ms);
         }
       instance->allocator = instance->next_allocator;
-      instance->learns_ms = 0;
+      instance->change_ms = 0;
     }
   if (is_suspended (d, i))
     return;
@@ -283,7 +283,7 @@
     arrive (d, i);
   if (d->now_ms >= instance->next_ms)
     {
-      ask (d, i);
+      request_permits (d, i);
       instance->next_ms = d->now_ms + (uint64_t) g_rand_int_range (d->rand, 120, 180);
     }
 }
@@ -508,25 +508,25 @@
   CU_ASSERT_TRUE (gg_rate_limit_may_send (&limit, 1001));
 }
 
-/* Guards against work for limits that have ended, and against one that is forgotten too early. */
+/* Guards against work for limits that have ended, and against one that is dropped too early. */
 static void
-test_ended_limit_is_forgotten (void)
+test_ended_limit_is_obsolete (void)
 {
   GgRateLimit limit = { 0 };
   GgLimitEvidence named = limited (2000, 1000);
   GgLimitEvidence ended = { .time_ms = 2000 };
   GgLimitEvidence again = { .time_ms = 20000 };
   gg_rate_limit_note_own (&limit, &named);
-  CU_ASSERT_FALSE (gg_rate_limit_is_forgotten (&limit, 100000));
+  CU_ASSERT_FALSE (gg_rate_limit_is_obsolete (&limit, 100000));
   gg_rate_limit_note_own (&limit, &ended);
-  CU_ASSERT_FALSE (gg_rate_limit_is_forgotten (&limit, 2000));
+  CU_ASSERT_FALSE (gg_rate_limit_is_obsolete (&limit, 2000));
   gg_rate_limit_note_own (&limit, &again);
   CU_ASSERT_FALSE (gg_rate_limit_is_in_force (&limit));
-  CU_ASSERT_TRUE (gg_rate_limit_is_forgotten (&limit, 20000));
+  CU_ASSERT_TRUE (gg_rate_limit_is_obsolete (&limit, 20000));
 }
 
-/* Guards against a runner with a limit of 0 that is never asked again, and would stay unused after
- * the limit has ended. */
+/* Guards against a runner with a limit of 0 that gets no request any more, and would stay unused
+ * after the limit has ended. */
 static void
 test_limit_of_zero_is_probed (void)
 {
@@ -582,7 +582,7 @@
     { "limit is kept with faults", test_limit_is_kept_with_faults },
     { "bounds detect a missing mechanism", test_bounds_detect_a_missing_mechanism },
     { "late answer does not end a limit", test_late_answer_does_not_end_a_limit },
-    { "ended limit is forgotten", test_ended_limit_is_forgotten },
+    { "ended limit is obsolete", test_ended_limit_is_obsolete },
     { "limit of zero is probed", test_limit_of_zero_is_probed },
     { "permits expire", test_permits_expire },
     { "permits are divided", test_permits_are_divided },
