--- a/src/daemons/routerd/limit_exchange.c
+++ b/src/daemons/routerd/limit_exchange.c
@@ -11,8 +11,8 @@
 
 #include <string.h>
 
-/* Interval of the requests, at random within these bounds: instances in step would be
- * served in the same order each time. */
+/* Interval of the requests, at random within these bounds: instances in step would be served in
+ * the same order each time. */
 #define MIN_INTERVAL_MS 120
 #define MAX_INTERVAL_MS 180
 /* Interval while no runner has named a limit. */
@@ -43,8 +43,8 @@
 /* The allocator of a data centre's runners. */
 typedef struct
 {
-  char *address; /* NULL for none */
-  uint64_t since_ms;
+  char *address;     /* NULL for none */
+  uint64_t since_ms; /* when it became the allocator, as far as this instance knows */
 } Allocator;
 
 struct _GgLimitExchange
@@ -59,7 +59,7 @@
   gboolean is_notifying; /* the notice timer runs */
   gboolean is_urgent;    /* the timer runs for URGENT_MS */
   uint64_t ticked_ms;
-  uint64_t requested_until_ms; /* another instance has sent a request shortly before */
+  uint64_t requested_until_ms; /* others rely on this instance as allocator, by their requests */
   uint64_t last_number;
   PendingRequest pending[MAX_PENDING_REQUESTS];
 };
@@ -299,7 +299,7 @@
   GgRateLimit *limit = get_limit (self, runner);
   if (gg_rate_limit_note_shared (limit, &entry->evidence))
     log_change (runner, "peer");
-  /* The report that the limit has ended was lost. */
+  /* The allocator does not know of the end of the limit: the report of it was lost. */
   if (entry->evidence.is_limited && !gg_rate_limit_is_in_force (limit))
     limit->reported_ms = 0;
   if (entry->n_permits == 0)
--- a/src/daemons/routerd/limit_exchange.h
+++ b/src/daemons/routerd/limit_exchange.h
@@ -23,8 +23,8 @@
 void
 gg_limit_exchange_note_demand (GgLimitExchange *self, const char *service, const char *data_centre);
 
-/** Asks for a permit for a request of a service that waits, at one of the service's limited
- * runners: permits of several would expire unused.
+/** Requests a permit of one of a service's limited runners for a request that waits: permits of
+ * several would expire unused.
  * @param random chooses the runner. */
 void gg_limit_exchange_note_waiting (GgLimitExchange *self, const char *service, uint32_t random);
 
