--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -28,6 +29,7 @@
 HEARTBEAT_S = 1.2
 CONTACT_S = 3.0
 MAX_RUN_S = 110
+PR_SET_PDEATHSIG = 1
 ZONES = ("rubavu", "karongi", "rusizi")
 KEY = "key-of-the-first-tenant"
 TENANT = "tenant-1"
@@ -436,7 +438,7 @@
         environment["GREENGAGEPOST_SETTINGS"] = self.path
         self.process = subprocess.Popen([ROUTER, "--settings", self.path], cwd=ROOT,
                                         stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                        env=environment)
+                                        env=environment, preexec_fn=end_with_parent)
         log.close()
         self.n_starts += 1
         self.values["bootstrap"] = False
@@ -460,6 +462,11 @@
         self.process.wait()
 
 
+def end_with_parent():
+    """Has the kernel end this process when its parent ends, however that happens."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def find_free_port(ip):
     with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
         tcp.bind((ip, 0))
