Review: show that streams of a silent runner are cut, also by a stop

A stream without bytes for 250 ms whose runner needs more than 400 ms to report is given up before it is known whether it may be sent again. Where the budget of repeats or the attempts don't allow that, its answer is cut, though the runner goes on.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -347,6 +347,7 @@
             if failure is not None:
                 writer.write(failure)
             elif request.target == "/api/report":
+                await self.wait_for_report()
                 writer.write(print_answer(200, [("Content-Type", "application/json")],
                                           json.dumps(self.get_report()).encode()))
             elif request.target == "/api/order":
@@ -355,6 +356,9 @@
                 await self.stream(request, reader, writer)
             await writer.drain()
 
+    async def wait_for_report(self):
+        """Delays the answer to a request for the report."""
+
     def take_order(self, order):
         if order["op"] != "place" or order.get("expected", self.n_orders) != self.n_orders:
             return 409
