Review: name the record in the script of each case

The path of record.txt was put together in the common stand-ins, so that nothing in a case's folder named it. The checks, bounds and disruptions are unchanged.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -119,4 +119,4 @@
                len(refused), ", ".join(refused[:5])))
 
 
-run_case(main, FOLDER)
+run_case(main, os.path.join(FOLDER, "record.txt"))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -111,4 +111,4 @@
             % (len(times), len(over), len(unanswered), ", ".join(silent) or "none"))
 
 
-run_case(main, FOLDER)
+run_case(main, os.path.join(FOLDER, "record.txt"))
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -133,4 +133,4 @@
                len(before), sum(answers[a] == 200 for a in after), len(after)))
 
 
-run_case(main, FOLDER)
+run_case(main, os.path.join(FOLDER, "record.txt"))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -479,11 +479,11 @@
 
 
 class Deployment:
-    def __init__(self, case_folder):
+    def __init__(self, record_path):
         if not os.path.exists(ROUTER):
             raise CannotRun("no program at " + os.path.relpath(ROUTER, ROOT))
         self.folder = tempfile.mkdtemp(prefix="greengage-review-")
-        self.record = Record(os.path.join(case_folder, "record.txt"))
+        self.record = Record(record_path)
         self.net = "127.%d.%d" % (random.randrange(64, 250), random.randrange(1, 250))
         self.n_ips = 0
         self.store = None
@@ -552,8 +552,8 @@
     return task.result()
 
 
-def run_case(main, case_folder):
-    """Runs a case and ends the process with status 1 if the rule was broken, 0 if it held, 2 if
+def run_case(main, record_path):
+    """Runs a case, writes its record, and ends the process with status 1 if the rule was broken, 0 if it held, 2 if
     the case can't run. @p main gets the deployment and whether the disruption takes place, and
     returns whether the rule was broken, and a line that says what was seen."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -561,7 +561,7 @@
     status = 2
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
-        deployment = Deployment(case_folder)
+        deployment = Deployment(record_path)
         is_broken, seen = run_until_done(main(deployment, trouble))
         deployment.record.add("result: " + seen)
         print("rule broken:" if is_broken else "rule held:", seen)
