Log connections that end before all of an answer was sent

The log showed a caller whose connection the kernel ended, since it accepted no output, as one that had left, and a connection that was closed with unsent output after its answer was queued not at all.

GG_SOCKET_RESET now has the errno value. The server logs answer_unsent with its cause and counts it, and a request that ends by a time-out of its caller's connection has the outcome caller_stalled. No connection ends in another way than before.

--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -297,10 +297,10 @@
 }
 
 static void
-on_caller_disconnected (GgRelay *self)
+on_caller_disconnected (GgRelay *self, gboolean is_stalled)
 {
   gg_counter_add (&disconnected_total, 1);
-  gg_relay_finish (self, "caller_left", 0);
+  gg_relay_finish (self, is_stalled ? "caller_stalled" : "caller_left", 0);
 }
 
 void
@@ -319,7 +319,7 @@
       break;
     case GG_SERVER_DISCONNECTED:
       if (self != NULL)
-        on_caller_disconnected (self);
+        on_caller_disconnected (self, event->is_stalled);
       break;
     case GG_SERVER_DRAINED:
       if (self != NULL && self->send != NULL)
--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -1,5 +1,7 @@
 #include "loop/server.h"
 
+#include "base/event_log.h"
+#include "base/metric_family.h"
 #include "loop/socket.h"
 #include "loop/message_reader.h"
 
@@ -22,6 +24,12 @@
 #define STATUS_TIMEOUT 408
 #define STATUS_BODY_TOO_LARGE 413
 #define STATUS_HEAD_TOO_LARGE 431
+/* Why a connection ended with unsent output. */
+#define CAUSE_CLOSED "closed"
+#define CAUSE_RESET "reset"
+#define CAUSE_TIMED_OUT "timed_out"
+#define CAUSE_IDLE "idle"
+#define CAUSE_STOPPED "stopped"
 
 typedef enum
 {
@@ -31,6 +39,11 @@
   STATE_LINGERING, /* the last answer was sent; input is discarded */
 } ConnectionState;
 
+static GgMetricFamily unsent_total
+    = GG_COUNTER_FAMILY ("greengage_router_answers_unsent_total",
+                         "Connections that ended before all of an answer was sent",
+                         "cause");
+
 struct _GgLoopServer
 {
   GgLoop *loop;
@@ -224,14 +237,37 @@
     }
 }
 
+static gboolean
+is_open (const GgServerConnection *self)
+{
+  return self->state == STATE_ANSWERING && !self->is_closing_after_answer;
+}
+
+/* Logs a connection that ends with unsent output. Without keep-alive probes, the kernel reports a
+ * time-out only for output, which it may have accepted already.
+ * @param error that ended the connection; 0 for none. */
 static void
-on_disconnected (GgServerConnection *self)
+note_unsent (const GgServerConnection *self, const char *cause, int error)
 {
-  gboolean is_open = self->state == STATE_ANSWERING && !self->is_closing_after_answer;
+  size_t pending_bytes = gg_loop_socket_get_pending (self->socket);
+  if (pending_bytes == 0 && error != ETIMEDOUT)
+    return;
+  gboolean is_client = strcmp (cause, CAUSE_CLOSED) == 0 || strcmp (cause, CAUSE_RESET) == 0;
+  gg_metric_family_add (&unsent_total, cause, 1);
+  gg_event_log_add (is_client ? GG_EVENT_ORDINARY : GG_EVENT_NOTABLE, "answer_unsent",
+                    "cause=%s complete=%d pending_bytes=%u", cause, !is_open (self),
+                    (unsigned) pending_bytes);
+}
+
+static void
+on_disconnected (GgServerConnection *self, const char *cause, int error)
+{
+  GgServerEvent event = { .kind = GG_SERVER_DISCONNECTED, .is_stalled = error == ETIMEDOUT };
+  gboolean was_open = is_open (self);
+  note_unsent (self, cause, error);
   close_connection (self, FALSE);
-  if (!is_open)
+  if (!was_open)
     return;
-  GgServerEvent event = { .kind = GG_SERVER_DISCONNECTED };
   emit (self, &event);
 }
 
@@ -281,8 +317,11 @@
       on_drained (self);
       break;
     case GG_SOCKET_EOF:
+      on_disconnected (self, CAUSE_CLOSED, 0);
+      break;
     case GG_SOCKET_RESET:
-      on_disconnected (self);
+      on_disconnected (self, event->error == ETIMEDOUT ? CAUSE_TIMED_OUT : CAUSE_RESET,
+                       event->error);
       break;
     }
 }
@@ -298,7 +337,10 @@
       if (gg_loop_socket_has_input (self->socket))
         gg_loop_timer_start (self->timer, UNREAD_INPUT_MS);
       else
-        close_connection (self, FALSE);
+        {
+          note_unsent (self, CAUSE_IDLE, 0);
+          close_connection (self, FALSE);
+        }
       break;
     case STATE_LINGERING:
       close_connection (self, FALSE);
@@ -407,7 +449,7 @@
     return;
   GList *connections = g_hash_table_get_keys (self->connections);
   for (GList *l = connections; l != NULL; l = l->next)
-    on_disconnected (l->data);
+    on_disconnected (l->data, CAUSE_STOPPED, 0);
   g_list_free (connections);
   gg_loop_server_stop_listening (self);
   gg_loop_defer (self->loop, free_server, self);
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -26,7 +26,7 @@
 {
   GG_SERVER_REQUEST,      /**< A complete request was received. */
   GG_SERVER_REJECTED,     /**< Malformed, too large or too slow; the owner sends the answer. */
-  GG_SERVER_DISCONNECTED, /**< The client closed while its request was open. */
+  GG_SERVER_DISCONNECTED, /**< The connection ended while its request was open. */
   GG_SERVER_DRAINED,      /**< All output of an unfinished answer was handed to the kernel. */
 } GgServerEventKind;
 
@@ -40,7 +40,9 @@
       GgMessageHead *head; /**< Owned by the receiver. */
       GByteArray *body;    /**< Owned by the receiver; NULL for an empty one. */
     } request;
-    uint32_t status; /**< GG_SERVER_REJECTED: 400, 408, 413 or 431. */
+    uint32_t status;     /**< GG_SERVER_REJECTED: 400, 408, 413 or 431. */
+    gboolean is_stalled; /**< GG_SERVER_DISCONNECTED: the client accepted no output, instead of
+                          * closing. */
   };
 } GgServerEvent;
 
--- a/src/loop/socket.c
+++ b/src/loop/socket.c
@@ -38,6 +38,14 @@
   self->func (self->data, &event);
 }
 
+static void
+emit_reset (GgLoopSocket *self, int error)
+{
+  GgSocketEvent event
+      = { .kind = GG_SOCKET_RESET, .is_refused = error == ECONNREFUSED, .error = error };
+  self->func (self->data, &event);
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *data)
 {
@@ -52,8 +60,12 @@
     }
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return;
+  int error = errno;
   event_del (self->read_event);
-  emit (self, n == 0 ? GG_SOCKET_EOF : GG_SOCKET_RESET);
+  if (n == 0)
+    emit (self, GG_SOCKET_EOF);
+  else
+    emit_reset (self, error);
 }
 
 static void
@@ -64,7 +76,7 @@
   int n = evbuffer_write (self->output, self->fd);
   if (n < 0 && errno != EAGAIN && errno != EINTR)
     {
-      emit (self, GG_SOCKET_RESET);
+      emit_reset (self, errno);
       return;
     }
   if (evbuffer_get_length (self->output) > 0)
@@ -90,8 +102,7 @@
   self->is_connecting = FALSE;
   if (failure != 0)
     {
-      GgSocketEvent event = { .kind = GG_SOCKET_RESET, .is_refused = failure == ECONNREFUSED };
-      self->func (self->data, &event);
+      emit_reset (self, failure);
       return;
     }
   event_add (self->read_event, NULL);
--- a/src/loop/socket.h
+++ b/src/loop/socket.h
@@ -24,6 +24,7 @@
   const char *bytes; /**< GG_SOCKET_DATA only; valid during the call. */
   size_t size_bytes;
   gboolean is_refused; /**< GG_SOCKET_RESET only: nothing listens at the address. */
+  int error;           /**< GG_SOCKET_RESET only: the errno value. */
 } GgSocketEvent;
 
 typedef void (*GgSocketFunc) (void *data, const GgSocketEvent *event);
--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -50,6 +50,7 @@
   { "no_host", "it carried no host" },
   { "no_service", "its route names a service that the configuration does not hold" },
   { "caller_left", "the caller closed its connection before the answer was complete" },
+  { "caller_stalled", "the caller accepted nothing more of its answer for too long" },
 };
 
 static void
