Test that cut routers are served nearly as often as the others (failing)

The test cuts one, four or all of six routers off, with channels that are silent, are reset, or live on while new ones are refused.

A cut leader orders layers elsewhere.

The stand-in fake_links forwards connections and asks the kernel which router they come from; the fake runner takes the address that it registers and counts the runs of each attempt.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -1,5 +1,6 @@
 /* Fake runner of the users' platform. With --kind it is a model runner that holds no layers until
- * an order assigns them; without, a plain service. It registers in the store (--store) as --id.
+ * an order assigns them; without, a plain service. It registers in the store (--store) as --id, at
+ * the address --address, by default that at which it listens.
  * Words in the request target inject faults: "refuse" (rejected, not run), "lose" (run, connection
  * reset), "cut" (a stream breaks off in the middle of an event unless the request resumes it),
  * "empty" (a stream ends before its first event), "unsigned" (no response signature), "fail"
@@ -12,7 +13,8 @@
  * the process soon after its arrival, which is printed as "crash TIME_MS"). A prompt with the part
  * "dead" before its last one ends the process between the head and the first event of the answer,
  * with "deadb" before the head, with "deada" after the first event. GET /test/runs returns the
- * number of requests run. GET /test/limit/TEXT names TEXT as the rate limit in each answer from
+ * number of requests run, /test/attempts a line "ATTEMPT RUNS" for each attempt of a plain service.
+ * GET /test/limit/TEXT names TEXT as the rate limit in each answer from
  * then on, none if it is empty. GET /test/retry-after/TEXT refuses all
  * requests with TEXT as the time to come back, until TEXT is empty; GET /test/arrivals returns the
  * number of requests, refused ones too. GET /test/leaving/TEXT says in each answer that it leaves,
@@ -59,6 +61,7 @@
   uint32_t next_end;
   uint64_t n_orders;
   uint64_t n_runs;
+  GHashTable *attempts; /* of a plain service: attempt -> number of runs */
   gboolean is_busy;
   gboolean is_leaving;
   gboolean is_withdrawn; /* its entry is removed */
@@ -487,6 +490,29 @@
   g_free (body);
 }
 
+static void
+count_attempt (const char *attempt)
+{
+  if (attempt == NULL)
+    return;
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (runner.attempts, attempt));
+  g_hash_table_insert (runner.attempts, g_strdup (attempt), GUINT_TO_POINTER (n + 1));
+}
+
+static void
+report_attempts (GgServerConnection *connection)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  void *attempt;
+  void *n;
+  g_hash_table_iter_init (&iter, runner.attempts);
+  while (g_hash_table_iter_next (&iter, &attempt, &n))
+    g_string_append_printf (text, "%s %u\n", (const char *) attempt, GPOINTER_TO_UINT (n));
+  gg_fake_loop_reply (connection, 200, text->str);
+  g_string_free (text, TRUE);
+}
+
 static void
 run_request (GgServerConnection *connection, const char *method, const char *target)
 {
@@ -517,6 +543,8 @@
       return;
     }
   runner.n_runs++;
+  if (path == NULL)
+    count_attempt (gg_message_head_get (request, "X-Attempt-Id"));
   if (strstr (target, "lose") != NULL)
     gg_server_connection_abort (connection);
   else if (path != NULL)
@@ -562,6 +590,8 @@
       g_snprintf (text, sizeof text, "%u", (guint) runner.n_arrivals);
       gg_fake_loop_reply (connection, 200, text);
     }
+  else if (strcmp (target, "/test/attempts") == 0)
+    report_attempts (connection);
   else if (strcmp (target, "/test/runs") == 0)
     {
       g_snprintf (text, sizeof text, "%u", (guint) runner.n_runs);
@@ -612,10 +642,13 @@
   runner.fake = gg_fake_loop_create (argc, argv, on_request, on_disconnected);
   GgLoop *loop = gg_fake_loop_get_loop (runner.fake);
   runner.id = gg_fake_loop_get_option (runner.fake, "id");
-  runner.address = gg_fake_loop_get_option (runner.fake, "listen");
+  runner.address = gg_fake_loop_get_option (runner.fake, "address");
+  if (runner.address == NULL)
+    runner.address = gg_fake_loop_get_option (runner.fake, "listen");
   runner.started_ms = gg_clock_wall_ms ();
   runner.streams = g_hash_table_new (NULL, NULL);
   runner.delayed = g_hash_table_new (NULL, NULL);
+  runner.attempts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   runner.client = gg_loop_client_create (loop);
   runner.load_timer = gg_loop_timer_create (loop, on_loaded, NULL);
   runner.register_timer = gg_loop_timer_create (loop, register_self, NULL);
--- a/tests/support/prove.h
+++ b/tests/support/prove.h
@@ -30,7 +30,7 @@
 {
   const char *promise; /**< layers-once, own-answer, not-run, at-most-once, leaving,
                         * crashes-contained,
-                        * streams-kept, graceful-stop or config. */
+                        * streams-kept, served, graceful-stop or config. */
   const char *fault;   /**< Name of the fault or pair of faults, with dashes. */
   void (*run) (GgProof *proof);
 } GgProofCase;
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -18,6 +18,7 @@
 #define LISTEN_TIMEOUT_MS 5000
 #define EXTRA_RETRIES 1000
 #define MAX_ATTEMPTS 2
+#define N_DESKS 2
 
 /* Ten accelerators in two data centres; each has memory for a complete copy of the model and for
  * requests. */
@@ -111,6 +112,8 @@
   char layers[8];
   g_snprintf (layers, sizeof layers, "%d", SITE_LAYERS);
   const char *args[] = { "--listen",
+                         runner->own_address != NULL ? runner->own_address : runner->address,
+                         "--address",
                          runner->address,
                          "--id",
                          runner->id,
@@ -135,7 +138,8 @@
 {
   SiteRunner *runner = &self->runners[self->n_runners];
   runner->id = g_strdup_printf ("%s-%s-%u", service, data_centre, self->n_runners);
-  runner->address = gg_process_reserve_address ();
+  if (runner->address == NULL)
+    runner->address = gg_process_reserve_address ();
   runner->service = service;
   runner->data_centre = data_centre;
   runner->kind = kind;
@@ -246,8 +250,27 @@
   return TRUE;
 }
 
+/* Starts the links to all runners that create() starts, whose addresses it sets. */
+static void
+start_links (Site *self)
+{
+  GString *list = g_string_new (NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (accelerators) + N_DESKS; i++)
+    {
+      self->runners[i].address = gg_process_reserve_address ();
+      self->runners[i].own_address = gg_process_reserve_address ();
+      g_string_append_printf (list, "%s%s=%s", i > 0 ? "," : "", self->runners[i].address,
+                              self->runners[i].own_address);
+    }
+  self->links_address = gg_process_reserve_address ();
+  const char *args[] = { "--listen", self->links_address, "--links", list->str, NULL };
+  self->links = gg_process_start ("gg-fake-links", args);
+  gg_process_wait_listening (self->links, LISTEN_TIMEOUT_MS);
+  g_string_free (list, TRUE);
+}
+
 static Site *
-create (guint n_routers, guint n_large, guint extra_retries)
+create (guint n_routers, guint n_large, guint extra_retries, gboolean has_links)
 {
   Site *self = g_new0 (Site, 1);
   self->n_large = n_large;
@@ -258,6 +281,8 @@
   self->store = gg_process_start ("gg-fake-store", args);
   gg_process_wait_listening (self->store, LISTEN_TIMEOUT_MS);
   site_write_config (self, 1, TRUE);
+  if (has_links)
+    start_links (self);
   for (guint i = 0; i < G_N_ELEMENTS (accelerators); i++)
     start_runner (self, "reader", accelerators[i].data_centre, accelerators[i].kind);
   start_runner (self, "desk", "north", NULL);
@@ -279,19 +304,55 @@
 Site *
 site_create (guint n_routers)
 {
-  return create (n_routers, 0, EXTRA_RETRIES);
+  return create (n_routers, 0, EXTRA_RETRIES, FALSE);
 }
 
 Site *
 site_create_sized (guint n_routers, guint n_large)
 {
-  return create (n_routers, n_large, EXTRA_RETRIES);
+  return create (n_routers, n_large, EXTRA_RETRIES, FALSE);
 }
 
 Site *
 site_create_with_retries (guint n_routers, guint extra_retries)
 {
-  return create (n_routers, 0, extra_retries);
+  return create (n_routers, 0, extra_retries, FALSE);
+}
+
+Site *
+site_create_with_links (guint n_routers)
+{
+  return create (n_routers, 0, EXTRA_RETRIES, TRUE);
+}
+
+gboolean
+site_cut (const Site *self, const gboolean *is_cut, const char *mode)
+{
+  GString *target = g_string_new (NULL);
+  g_string_append_printf (target, "/test/cut/%s/", mode);
+  for (guint i = 0; i < self->n_routers; i++)
+    if (is_cut[i])
+      g_string_append_printf (target, "%s%d", g_str_has_suffix (target->str, "/") ? "" : ",",
+                              gg_process_get_id (self->routers[i].process));
+  gboolean is_sent = gg_test_send ("GET", self->links_address, target->str, NULL);
+  g_string_free (target, TRUE);
+  return is_sent;
+}
+
+void
+site_heal (const Site *self)
+{
+  if (!gg_test_send ("GET", self->links_address, "/test/heal", NULL))
+    fprintf (stderr, "site: can't end the cut\n");
+}
+
+guint
+site_count_cut (const Site *self)
+{
+  char *text = gg_test_get (self->links_address, "/test/count");
+  guint n = text != NULL ? (guint) atoi (text) : 0;
+  g_free (text);
+  return n;
 }
 
 void
@@ -313,7 +374,10 @@
       gg_process_destroy (self->runners[i].process);
       g_free (self->runners[i].id);
       g_free (self->runners[i].address);
+      g_free (self->runners[i].own_address);
     }
+  gg_process_destroy (self->links);
+  g_free (self->links_address);
   gg_process_destroy (self->store);
   g_rmdir (self->folder);
   g_free (self->folder);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -16,6 +16,7 @@
 {
   char *id;
   char *address;
+  char *own_address; /* where it listens behind the links; NULL without them */
   const char *service;
   const char *data_centre;
   const char *kind; /* NULL for a plain service */
@@ -37,6 +38,8 @@
   char *folder;
   char *store_address;
   GgProcess *store;
+  GgProcess *links; /* between routers and runners; NULL for direct connections */
+  char *links_address;
   SiteRunner runners[SITE_MAX_RUNNERS];
   guint n_runners;
   SiteRouter routers[SITE_MAX_ROUTERS];
@@ -60,6 +63,20 @@
  * tenth of the requests. */
 Site *site_create_with_retries (guint n_routers, guint extra_retries);
 
+/** As site_create(), with links between routers and runners that can be cut. */
+Site *site_create_with_links (guint n_routers);
+
+/** Cuts some routers off from all runners until site_heal().
+ * @param is_cut for each router.
+ * @param mode of tests/fakes/fake_links.c.
+ * @return FALSE if that failed. */
+gboolean site_cut (const Site *self, const gboolean *is_cut, const char *mode);
+void site_heal (const Site *self);
+
+/** Returns the number of connections to runners that were cut so far, or reset as they were
+ * opened. */
+guint site_count_cut (const Site *self);
+
 void site_destroy (Site *self);
 
 /** Adds a runner of the service "desk". */
