Limit the time without progress of output instead of TCP_USER_TIMEOUT on callers

What callers saw: a caller that read nothing for more than 4 s in the middle of an answer or a stream was cut, though its request had run.

Cause: every socket had TCP_USER_TIMEOUT of 4 s, which is there for connections to runners and instances that lose power. Linux applies it to a peer that acknowledges but has no room as well. Class: a limit for one kind of connection, set where all kinds are created.

Change: only outgoing connections have it. A connection of the server ends by a reset when the kernel has accepted none of its pending output for idle_timeout_ms, the limit that the configuration sets for callers; any progress starts the time anew. When the time has passed, the output is tried once more, since the kernel reports room only when a third of its buffer is free: a caller that reads slowly but steadily would count as stalled otherwise. So a caller that never reads again keeps neither connection nor memory, also on a connection that closes after its answer, which had no limit but the kernel's.

--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -243,8 +243,8 @@
   return self->state == STATE_ANSWERING && !self->is_closing_after_answer;
 }
 
-/* Logs a connection that ends with unsent output. Without keep-alive probes, the kernel reports a
- * time-out only for output, which it may have accepted already.
+/* Logs a connection that ends with unsent output. A time-out concerns output that was pending, or
+ * that the kernel had accepted.
  * @param error that ended the connection; 0 for none. */
 static void
 note_unsent (const GgServerConnection *self, const char *cause, int error)
@@ -265,7 +265,8 @@
   GgServerEvent event = { .kind = GG_SERVER_DISCONNECTED, .is_stalled = error == ETIMEDOUT };
   gboolean was_open = is_open (self);
   note_unsent (self, cause, error);
-  close_connection (self, FALSE);
+  /* A reset also releases what the kernel has accepted. */
+  close_connection (self, error == ETIMEDOUT);
   if (!was_open)
     return;
   emit (self, &event);
@@ -524,6 +525,7 @@
 {
   if (self->server->is_closing)
     self->is_keep_alive = FALSE;
+  gg_loop_socket_set_output_timeout (self->socket, self->server->limits.idle_timeout_ms);
   GString *text = g_string_sized_new (512);
   gg_message_head_print (head, text);
   g_string_truncate (text, text->len - 2); /* the empty line must follow the framing fields */
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -19,7 +19,8 @@
   uint64_t head_timeout_ms; /**< Time to receive a request, from the first byte of its head to the
                              * last byte of its body. */
   uint64_t idle_timeout_ms; /**< Time without a request on a connection, before the first one and
-                             * between two; then the connection is closed. */
+                             * between two; then the connection is closed. Also the time without
+                             * progress of pending output; then it is reset. */
 } GgServerLimits;
 
 typedef enum
--- a/src/loop/socket.c
+++ b/src/loop/socket.c
@@ -13,9 +13,13 @@
 #include <unistd.h>
 
 #define READ_BYTES 16384
-/* TCP_USER_TIMEOUT: the connection fails when output stays unacknowledged for this long. Without
- * it, a connection to an instance that lost power hangs for minutes. */
+/* TCP_USER_TIMEOUT of outgoing connections: they fail when output stays unacknowledged for this
+ * long. Without it, a connection to a runner or an instance that lost power hangs for minutes. The
+ * kernel applies it to a peer that acknowledges but has no room as well, so accepted connections,
+ * whose peers may read slowly, don't have it. */
 #define USER_TIMEOUT_MS 4000
+#define MS_PER_S 1000
+#define US_PER_MS 1000
 #define LISTEN_BACKLOG 1024
 
 struct _GgLoopSocket
@@ -27,6 +31,7 @@
   struct event *read_event;
   struct event *write_event;
   struct evbuffer *output; /* NULL before the first write */
+  uint64_t output_timeout_ms;
   gboolean is_connecting;
   gboolean is_flush_scheduled;
 };
@@ -68,8 +73,21 @@
     emit_reset (self, error);
 }
 
+/* Waits until the kernel accepts more output. Only output that it accepts starts the time limit
+ * anew. */
 static void
-flush (GgLoopSocket *self)
+wait_writable (GgLoopSocket *self, gboolean has_progress)
+{
+  struct timeval limit
+      = { .tv_sec = (time_t) (self->output_timeout_ms / MS_PER_S),
+          .tv_usec = (suseconds_t) (self->output_timeout_ms % MS_PER_S) * US_PER_MS };
+  gboolean is_new = has_progress || !event_pending (self->write_event, EV_WRITE, NULL);
+  event_add (self->write_event, is_new && self->output_timeout_ms > 0 ? &limit : NULL);
+}
+
+/* @param is_late the time limit of the output has passed. */
+static void
+flush (GgLoopSocket *self, gboolean is_late)
 {
   if (self->output == NULL || evbuffer_get_length (self->output) == 0)
     return;
@@ -81,9 +99,15 @@
     }
   if (evbuffer_get_length (self->output) > 0)
     {
-      event_add (self->write_event, NULL);
+      /* The kernel reports room only when a good part of its buffer is free, so output may be
+       * accepted here although it did not. */
+      if (is_late && n <= 0)
+        emit_reset (self, ETIMEDOUT);
+      else
+        wait_writable (self, n > 0);
       return;
     }
+  event_del (self->write_event);
   emit (self, GG_SOCKET_DRAINED);
 }
 
@@ -93,7 +117,7 @@
   GgLoopSocket *self = data;
   if (!self->is_connecting)
     {
-      flush (self);
+      flush (self, (what & EV_TIMEOUT) != 0);
       return;
     }
   int failure = 0;
@@ -108,7 +132,7 @@
   event_add (self->read_event, NULL);
   emit (self, GG_SOCKET_CONNECTED);
   if (self->fd >= 0)
-    flush (self);
+    flush (self, FALSE);
 }
 
 static GgLoopSocket *
@@ -124,8 +148,6 @@
   self->write_event = event_new (base, fd, EV_WRITE, on_writable, self);
   int one = 1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  unsigned timeout_ms = USER_TIMEOUT_MS;
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   return self;
 }
 
@@ -139,6 +161,8 @@
   if (fd < 0)
     return NULL;
   GgLoopSocket *self = create (loop, fd, func, data);
+  unsigned timeout_ms = USER_TIMEOUT_MS;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   self->is_connecting = TRUE;
   /* An immediate failure is also reported by the write event. */
   int ignored = connect (fd, (struct sockaddr *) &target, sizeof target);
@@ -186,7 +210,7 @@
   GgLoopSocket *self = data;
   self->is_flush_scheduled = FALSE;
   if (self->fd >= 0 && !self->is_connecting)
-    flush (self);
+    flush (self, FALSE);
 }
 
 void
@@ -201,6 +225,12 @@
   gg_loop_defer (self->loop, run_scheduled_flush, self);
 }
 
+void
+gg_loop_socket_set_output_timeout (GgLoopSocket *self, uint64_t timeout_ms)
+{
+  self->output_timeout_ms = timeout_ms;
+}
+
 size_t
 gg_loop_socket_get_pending (const GgLoopSocket *self)
 {
--- a/src/loop/socket.h
+++ b/src/loop/socket.h
@@ -24,7 +24,8 @@
   const char *bytes; /**< GG_SOCKET_DATA only; valid during the call. */
   size_t size_bytes;
   gboolean is_refused; /**< GG_SOCKET_RESET only: nothing listens at the address. */
-  int error;           /**< GG_SOCKET_RESET only: the errno value. */
+  int error;           /**< GG_SOCKET_RESET only: the errno value; ETIMEDOUT if the peer
+                        * accepted no output in time. */
 } GgSocketEvent;
 
 typedef void (*GgSocketFunc) (void *data, const GgSocketEvent *event);
@@ -45,6 +46,11 @@
 /** Queues output; the output of one loop iteration is sent together. */
 void gg_loop_socket_write (GgLoopSocket *self, const void *bytes, size_t size_bytes);
 
+/** Limits the time for which output may be pending without the kernel accepting any of it; then the
+ * connection fails with ETIMEDOUT. Applies to waits that start later; 0, the default, is no limit.
+ */
+void gg_loop_socket_set_output_timeout (GgLoopSocket *self, uint64_t timeout_ms);
+
 /** Returns the number of output bytes that the kernel has not accepted yet. */
 size_t gg_loop_socket_get_pending (const GgLoopSocket *self);
 
