Start the idle time-out of a connection when its answer has been sent

What callers saw: on a kept connection, an answer ended in the middle if the caller read steadily but needed longer for it than the idle time-out. A new configuration with a shorter idle_timeout_ms made that more likely.

Cause: a connection counted as idle as soon as its answer was queued, and a close drops what is pending. Class: the state of a connection is derived from what the owner has done, not from what the peer was sent.

Change: a connection whose answer is complete but pending has a state of its own. It becomes idle, or closes, when the answer has been handed to the kernel; until then the limit on output without progress applies. The next request of the connection is received from then on as well, so that a caller that sends requests and does not read can't pile up answers.

--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -28,7 +28,6 @@
 #define CAUSE_CLOSED "closed"
 #define CAUSE_RESET "reset"
 #define CAUSE_TIMED_OUT "timed_out"
-#define CAUSE_IDLE "idle"
 #define CAUSE_STOPPED "stopped"
 
 typedef enum
@@ -36,6 +35,7 @@
   STATE_IDLE,      /* no byte of a request received */
   STATE_READING,   /* a request is partly received */
   STATE_ANSWERING, /* the owner is answering the request */
+  STATE_SENDING,   /* the answer is complete, but not sent; limited by the socket */
   STATE_LINGERING, /* the last answer was sent; input is discarded */
 } ConnectionState;
 
@@ -70,7 +70,6 @@
   gboolean is_keep_alive; /* the connection stays open after this answer */
   gboolean is_head_only;  /* answer without a body (HEAD) */
   gboolean is_chunked;
-  gboolean is_closing_after_answer; /* the answer is complete; close once it was sent */
   void *data;
 };
 
@@ -237,12 +236,6 @@
     }
 }
 
-static gboolean
-is_open (const GgServerConnection *self)
-{
-  return self->state == STATE_ANSWERING && !self->is_closing_after_answer;
-}
-
 /* Logs a connection that ends with unsent output. A time-out concerns output that was pending, or
  * that the kernel had accepted.
  * @param error that ended the connection; 0 for none. */
@@ -255,7 +248,7 @@
   gboolean is_client = strcmp (cause, CAUSE_CLOSED) == 0 || strcmp (cause, CAUSE_RESET) == 0;
   gg_metric_family_add (&unsent_total, cause, 1);
   gg_event_log_add (is_client ? GG_EVENT_ORDINARY : GG_EVENT_NOTABLE, "answer_unsent",
-                    "cause=%s complete=%d pending_bytes=%u", cause, !is_open (self),
+                    "cause=%s complete=%d pending_bytes=%u", cause, self->state != STATE_ANSWERING,
                     (unsigned) pending_bytes);
 }
 
@@ -263,7 +256,7 @@
 on_disconnected (GgServerConnection *self, const char *cause, int error)
 {
   GgServerEvent event = { .kind = GG_SERVER_DISCONNECTED, .is_stalled = error == ETIMEDOUT };
-  gboolean was_open = is_open (self);
+  gboolean was_open = self->state == STATE_ANSWERING;
   note_unsent (self, cause, error);
   /* A reset also releases what the kernel has accepted. */
   close_connection (self, error == ETIMEDOUT);
@@ -272,18 +265,41 @@
   emit (self, &event);
 }
 
+/* Processes input that arrived while the previous request was open. */
 static void
-on_drained (GgServerConnection *self)
+read_pipelined (GgServerConnection *self)
 {
-  if (self->is_closing_after_answer && self->state == STATE_ANSWERING)
+  GByteArray *pipelined = self->pipelined;
+  if (pipelined == NULL)
+    return;
+  self->pipelined = NULL;
+  gg_loop_socket_set_reading (self->socket, TRUE);
+  read_request (self, (const char *) pipelined->data, pipelined->len);
+  g_byte_array_unref (pipelined);
+}
+
+/* The time without a request starts when the answer has been sent: a caller that still receives it
+ * is not idle. */
+static void
+on_sent (GgServerConnection *self)
+{
+  if (!self->is_keep_alive)
     {
       linger (self);
       return;
     }
-  if (self->state != STATE_ANSWERING)
-    return;
+  set_idle (self);
+  read_pipelined (self);
+}
+
+static void
+on_drained (GgServerConnection *self)
+{
   GgServerEvent event = { .kind = GG_SERVER_DRAINED };
-  emit (self, &event);
+  if (self->state == STATE_SENDING)
+    on_sent (self);
+  else if (self->state == STATE_ANSWERING)
+    emit (self, &event);
 }
 
 static void
@@ -296,6 +312,7 @@
       read_request (self, bytes, size_bytes);
       break;
     case STATE_ANSWERING:
+    case STATE_SENDING:
       buffer_pipelined (self, bytes, size_bytes);
       break;
     case STATE_LINGERING:
@@ -338,10 +355,7 @@
       if (gg_loop_socket_has_input (self->socket))
         gg_loop_timer_start (self->timer, UNREAD_INPUT_MS);
       else
-        {
-          note_unsent (self, CAUSE_IDLE, 0);
-          close_connection (self, FALSE);
-        }
+        close_connection (self, FALSE);
       break;
     case STATE_LINGERING:
       close_connection (self, FALSE);
@@ -350,6 +364,7 @@
       reject (self, STATUS_TIMEOUT);
       break;
     case STATE_ANSWERING:
+    case STATE_SENDING:
       break;
     }
 }
@@ -408,8 +423,7 @@
 static gboolean
 is_idle (const GgServerConnection *self)
 {
-  return self->state == STATE_IDLE && gg_loop_socket_get_pending (self->socket) == 0
-         && !gg_loop_socket_has_input (self->socket);
+  return self->state == STATE_IDLE && !gg_loop_socket_has_input (self->socket);
 }
 
 static void
@@ -535,32 +549,23 @@
   g_string_free (text, TRUE);
 }
 
-/* Processes input that arrived while the previous request was open. */
 static void
-read_pipelined (void *data)
+check_sent (void *data)
 {
   GgServerConnection *self = data;
-  if (self->socket == NULL || self->pipelined == NULL || self->state != STATE_IDLE)
-    return;
-  GByteArray *pipelined = self->pipelined;
-  self->pipelined = NULL;
-  gg_loop_socket_set_reading (self->socket, TRUE);
-  read_request (self, (const char *) pipelined->data, pipelined->len);
-  g_byte_array_unref (pipelined);
+  if (self->socket != NULL && self->state == STATE_SENDING
+      && gg_loop_socket_get_pending (self->socket) == 0)
+    on_sent (self);
 }
 
 static void
 finish (GgServerConnection *self)
 {
   self->data = NULL;
-  if (!self->is_keep_alive)
-    {
-      self->is_closing_after_answer = TRUE;
-      return;
-    }
-  set_idle (self);
-  if (self->pipelined != NULL)
-    gg_loop_defer (self->server->loop, read_pipelined, self);
+  self->state = STATE_SENDING;
+  /* The end of an answer to HEAD adds no output, so nothing may be left to be sent. */
+  if (gg_loop_socket_get_pending (self->socket) == 0)
+    gg_loop_defer (self->server->loop, check_sent, self);
 }
 
 void
--- a/src/loop/server.h
+++ b/src/loop/server.h
@@ -1,6 +1,7 @@
 /** @file
  * HTTP/1.1 server on an event loop. A connection handles one request at a time; the owner answers
- * it with a complete body or in parts. */
+ * it with a complete body or in parts. The next request is received when the answer has been handed
+ * to the kernel, so that a caller that does not read can't pile up answers. */
 #pragma once
 
 #include "loop/loop.h"
@@ -19,8 +20,9 @@
   uint64_t head_timeout_ms; /**< Time to receive a request, from the first byte of its head to the
                              * last byte of its body. */
   uint64_t idle_timeout_ms; /**< Time without a request on a connection, before the first one and
-                             * between two; then the connection is closed. Also the time without
-                             * progress of pending output; then it is reset. */
+                             * after an answer was handed to the kernel; then the connection is
+                             * closed. Also the time without progress of pending output; then it is
+                             * reset. */
 } GgServerLimits;
 
 typedef enum
