Add tests of answers that end without output or are not read

An answer to HEAD in parts whose head had been sent before its end never closed its connection, as that waited for more output to be sent. A caller that sent 20 requests at once and read nothing had all of them run and answered into memory. The third case holds an answer that the kernel has accepted through an idle time-out and a pause of 6 s.

--- a/tests/loop/test_server_output.c
+++ b/tests/loop/test_server_output.c
@@ -23,9 +23,13 @@
 #define SHORT_IDLE_MS 300
 /* Longer than the time limit of outgoing connections for unacknowledged output. */
 #define PAUSE_MS 6000
+#define SMALL_BYTES 200000
+#define N_PIPELINED 20
+#define PIPELINED_BYTES (4 * 1024 * 1024)
 /* More than the kernel's buffers hold. */
 #define LARGE_BYTES (16 * 1024 * 1024)
 #define REQUEST "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+#define HEAD_REQUEST "HEAD /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 #define LAST_REQUEST "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 typedef struct
@@ -49,6 +53,8 @@
   /* What happened. */
   GgLoopServer *server;
   GgLoopTimer *tick;
+  GgServerConnection
+      *head_connection; /* with an answer to HEAD that has not ended; NULL for none */
   Caller callers[MAX_CALLERS];
   uint64_t started_ms;
   guint n_received; /* requests */
@@ -64,8 +70,14 @@
     return;
   char *body = g_malloc0 (play->answer_bytes);
   GgMessageHead *head = gg_message_head_create_response (200);
-  gg_server_connection_reply (connection, head, body, play->answer_bytes);
   play->n_received++;
+  if (strcmp (gg_message_head_get_method (event->request.head), "HEAD") == 0)
+    {
+      gg_server_connection_begin (connection, head);
+      play->head_connection = connection;
+    }
+  else
+    gg_server_connection_reply (connection, head, body, play->answer_bytes);
   gg_message_head_destroy (head);
   gg_message_head_destroy (event->request.head);
   g_free (body);
@@ -97,6 +109,12 @@
       n_open += caller->received_bytes <= play->n_requests * play->answer_bytes
                 && !caller->is_closed && !caller->is_reset;
     }
+  if (play->head_connection != NULL
+      && gg_server_connection_get_pending (play->head_connection) == 0)
+    {
+      gg_server_connection_end (play->head_connection);
+      play->head_connection = NULL;
+    }
   play->n_busy = gg_loop_server_count_busy (play->server);
   play->done = n_open == 0 || elapsed_ms >= play->limit_ms;
   gg_loop_timer_start (play->tick, TICK_MS);
@@ -197,6 +215,57 @@
     }
 }
 
+/* Guards against answers in the kernel's buffers that are dropped by the idle time-out. */
+static void
+test_answers_that_the_kernel_holds (void)
+{
+  Play play = { .request = REQUEST,
+                .n_callers = MAX_CALLERS,
+                .n_requests = 1,
+                .answer_bytes = SMALL_BYTES,
+                .idle_timeout_ms = SHORT_IDLE_MS,
+                .pause_ms = PAUSE_MS,
+                .limit_ms = 2 * PAUSE_MS };
+  CU_ASSERT_EQUAL (run (&play), MAX_CALLERS);
+}
+
+/* Guards against a connection that never closes, since its answer to HEAD ends without output. */
+static void
+test_answer_to_head (void)
+{
+  Play play = { .request = HEAD_REQUEST,
+                .n_callers = 1,
+                .n_requests = 1,
+                .answer_bytes = SMALL_BYTES,
+                .idle_timeout_ms = SHORT_IDLE_MS,
+                .limit_ms = 5 * SHORT_IDLE_MS };
+  run (&play);
+  CU_ASSERT_TRUE (play.callers[0].is_closed);
+}
+
+/* Guards against memory that a caller fills with answers which it does not read. */
+static void
+test_requests_without_reading (void)
+{
+  Play play = { .request = REQUEST,
+                .n_callers = 1,
+                .n_requests = N_PIPELINED,
+                .answer_bytes = PIPELINED_BYTES,
+                .idle_timeout_ms = LONG_IDLE_MS,
+                .pause_ms = PAUSE_MS,
+                .limit_ms = 5 * SHORT_IDLE_MS };
+  CU_ASSERT_EQUAL (run (&play), 0);
+  /* The kernel's buffers hold the first answers. */
+  CU_ASSERT_TRUE (play.n_received <= N_PIPELINED / 4);
+  Play reading = { .request = REQUEST,
+                   .n_callers = 1,
+                   .n_requests = N_PIPELINED,
+                   .answer_bytes = SMALL_BYTES,
+                   .idle_timeout_ms = LONG_IDLE_MS,
+                   .limit_ms = 5 * PAUSE_MS };
+  CU_ASSERT_EQUAL (run (&reading), 1);
+}
+
 typedef struct
 {
   int error;
@@ -243,6 +312,9 @@
     { "callers that pause", test_callers_that_pause },
     { "callers that read slowly", test_callers_that_read_slowly },
     { "callers that never read", test_callers_that_never_read },
+    { "answers that the kernel holds", test_answers_that_the_kernel_holds },
+    { "answer to HEAD", test_answer_to_head },
+    { "requests without reading", test_requests_without_reading },
     { "outgoing connection", test_outgoing_connection },
   };
   return gg_test_run ("loop server output", cases, G_N_ELEMENTS (cases));
