Add a failing test of input that follows the last request of a connection

What callers see: the last answer of a connection is cut by a reset, though its caller reads steadily. Reading pauses above 64 KiB of input while an answer is open, and stays paused while the connection lingers. It is closed 1 s after the kernel has accepted the answer; as input is unread, the kernel resets the connection and drops what it has not sent yet.

--- a/tests/loop/test_server_output.c
+++ b/tests/loop/test_server_output.c
@@ -19,6 +19,8 @@
 #define MAX_CALLERS 12
 #define TICK_MS 10
 #define READ_BYTES 65536
+/* More than the server reads while an answer is open; SO_SNDBUF holds them. */
+#define EXTRA_BYTES 200000
 #define LONG_IDLE_MS 15000
 #define SHORT_IDLE_MS 300
 /* Longer than the time limit of outgoing connections for unacknowledged output. */
@@ -48,7 +50,9 @@
   guint n_requests; /* of each caller, all at once */
   size_t answer_bytes;
   uint64_t idle_timeout_ms;
-  uint64_t pause_ms; /* without reading after the first bytes */
+  uint64_t pause_ms;  /* without reading after the first bytes */
+  size_t read_bytes;  /* of one reading; 0 for READ_BYTES */
+  size_t extra_bytes; /* of input after the requests */
   uint64_t limit_ms;
   /* What happened. */
   GgLoopServer *server;
@@ -84,10 +88,10 @@
 }
 
 static void
-read_some (Caller *self)
+read_some (Caller *self, size_t most_bytes)
 {
   static char bytes[READ_BYTES];
-  ssize_t n = recv (self->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  ssize_t n = recv (self->fd, bytes, most_bytes, MSG_DONTWAIT);
   if (n > 0)
     self->received_bytes += (size_t) n;
   self->is_closed |= n == 0;
@@ -105,7 +109,7 @@
       Caller *caller = &play->callers[i];
       gboolean is_paused = caller->received_bytes > 0 && elapsed_ms < play->pause_ms;
       if (!is_paused && !caller->is_closed && !caller->is_reset)
-        read_some (caller);
+        read_some (caller, play->read_bytes > 0 ? play->read_bytes : READ_BYTES);
       n_open += caller->received_bytes <= play->n_requests * play->answer_bytes
                 && !caller->is_closed && !caller->is_reset;
     }
@@ -126,9 +130,16 @@
   struct sockaddr_in target;
   CU_ASSERT_TRUE (gg_address_resolve (address, &target, NULL));
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int buffer_bytes = EXTRA_BYTES;
+  if (play->extra_bytes > 0)
+    setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
   CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *) &target, sizeof target), 0);
   for (guint i = 0; i < play->n_requests; i++)
     CU_ASSERT_TRUE (send (fd, play->request, strlen (play->request), MSG_NOSIGNAL) > 0);
+  char *extra = g_malloc0 (play->extra_bytes);
+  CU_ASSERT_EQUAL (send (fd, extra, play->extra_bytes, MSG_NOSIGNAL | MSG_DONTWAIT),
+                   (ssize_t) play->extra_bytes);
+  g_free (extra);
   return fd;
 }
 
@@ -195,6 +206,22 @@
   CU_ASSERT_EQUAL (run (&play), MAX_CALLERS);
 }
 
+/* Guards against the last answer of a connection that is cut a second after the kernel has accepted
+ * it, since input that follows its request was left unread. */
+static void
+test_input_after_last_request (void)
+{
+  Play play = { .request = LAST_REQUEST,
+                .n_callers = MAX_CALLERS,
+                .n_requests = 1,
+                .answer_bytes = LARGE_BYTES,
+                .idle_timeout_ms = LONG_IDLE_MS,
+                .read_bytes = READ_BYTES / 4,
+                .extra_bytes = EXTRA_BYTES,
+                .limit_ms = 5 * PAUSE_MS };
+  CU_ASSERT_EQUAL (run (&play), MAX_CALLERS);
+}
+
 /* Guards against callers that never read and keep their connection, whether or not it stays open
  * after the answer. */
 static void
@@ -311,6 +338,7 @@
   static const GgTestCase cases[] = {
     { "callers that pause", test_callers_that_pause },
     { "callers that read slowly", test_callers_that_read_slowly },
+    { "input after the last request", test_input_after_last_request },
     { "callers that never read", test_callers_that_never_read },
     { "answers that the kernel holds", test_answers_that_the_kernel_holds },
     { "answer to HEAD", test_answer_to_head },
