Add a failing test of a request that follows an answer read slowly

What callers see: on a kept connection, a caller reads an answer steadily, but needs longer than the idle time-out after the kernel has accepted the last of it, of which it holds some MB. The answer comes whole, followed by the close; the next request, sent at once, is not received. The idle time starts when the kernel has the answer, not when the caller has it.

--- a/tests/loop/test_server_output.c
+++ b/tests/loop/test_server_output.c
@@ -40,6 +40,7 @@
   size_t received_bytes;
   gboolean is_closed; /* by the server, in order */
   gboolean is_reset;
+  gboolean has_next; /* the request after the first answers was sent */
 } Caller;
 
 typedef struct
@@ -47,7 +48,8 @@
   /* What to play. */
   const char *request;
   guint n_callers;
-  guint n_requests; /* of each caller, all at once */
+  guint n_requests;  /* of each caller, all at once */
+  gboolean has_next; /* another one follows the answers */
   size_t answer_bytes;
   uint64_t idle_timeout_ms;
   uint64_t pause_ms;  /* without reading after the first bytes */
@@ -110,7 +112,13 @@
       gboolean is_paused = caller->received_bytes > 0 && elapsed_ms < play->pause_ms;
       if (!is_paused && !caller->is_closed && !caller->is_reset)
         read_some (caller, play->read_bytes > 0 ? play->read_bytes : READ_BYTES);
-      n_open += caller->received_bytes <= play->n_requests * play->answer_bytes
+      size_t whole_bytes = play->n_requests * play->answer_bytes;
+      if (play->has_next && !caller->has_next && caller->received_bytes > whole_bytes)
+        {
+          caller->has_next = TRUE;
+          send (caller->fd, REQUEST, strlen (REQUEST), MSG_NOSIGNAL);
+        }
+      n_open += caller->received_bytes <= whole_bytes * (play->has_next ? 2 : 1)
                 && !caller->is_closed && !caller->is_reset;
     }
   if (play->head_connection != NULL
@@ -222,6 +230,23 @@
   CU_ASSERT_EQUAL (run (&play), MAX_CALLERS);
 }
 
+/* Guards against connections that count as idle, and are closed, while their callers still receive
+ * an answer that the kernel holds: the next request meets the close. */
+static void
+test_next_request_after_slow_reading (void)
+{
+  Play play = { .request = REQUEST,
+                .n_callers = MAX_CALLERS,
+                .n_requests = 1,
+                .has_next = TRUE,
+                .answer_bytes = 2 * PIPELINED_BYTES,
+                .idle_timeout_ms = PAUSE_MS / 6,
+                .read_bytes = READ_BYTES / 4,
+                .limit_ms = 5 * PAUSE_MS };
+  CU_ASSERT_EQUAL (run (&play), MAX_CALLERS);
+  CU_ASSERT_EQUAL (play.n_received, 2 * MAX_CALLERS);
+}
+
 /* Guards against callers that never read and keep their connection, whether or not it stays open
  * after the answer. */
 static void
@@ -339,6 +364,7 @@
     { "callers that pause", test_callers_that_pause },
     { "callers that read slowly", test_callers_that_read_slowly },
     { "input after the last request", test_input_after_last_request },
+    { "next request after slow reading", test_next_request_after_slow_reading },
     { "callers that never read", test_callers_that_never_read },
     { "answers that the kernel holds", test_answers_that_the_kernel_holds },
     { "answer to HEAD", test_answer_to_head },
