Keep idle and closing connections while their clients receive output

What callers saw: the last answer of a connection was cut by a reset if much input followed its request, though its caller read steadily; on a kept connection, the request after an answer that took longer to read than the idle time-out met the close.

Cause: both timers start when the kernel has accepted the output, of which it holds up to some megabytes, so they measure this side's progress and not the client's. Input behind the last request stayed unread, since reading was paused, so that the close became a reset.

Change: reading is resumed when a connection lingers, and both timers start anew while unacknowledged output (SIOCOUTQ) shrinks. A client that receives nothing within the time is closed as before.

--- a/src/loop/server.c
+++ b/src/loop/server.c
@@ -70,6 +70,7 @@
   gboolean is_keep_alive; /* the connection stays open after this answer */
   gboolean is_head_only;  /* answer without a body (HEAD) */
   gboolean is_chunked;
+  size_t unacknowledged_bytes; /* at the start of the timer, while idle or lingering */
   void *data;
 };
 
@@ -99,11 +100,19 @@
   gg_loop_defer (self->server->loop, free_connection, self);
 }
 
+/* Starts the timer of a connection whose output was handed to the kernel. */
+static void
+start_sent_timer (GgServerConnection *self, uint64_t timeout_ms)
+{
+  self->unacknowledged_bytes = gg_loop_socket_get_unacknowledged (self->socket);
+  gg_loop_timer_start (self->timer, timeout_ms);
+}
+
 static void
 set_idle (GgServerConnection *self)
 {
   self->state = STATE_IDLE;
-  gg_loop_timer_start (self->timer, self->server->limits.idle_timeout_ms);
+  start_sent_timer (self, self->server->limits.idle_timeout_ms);
 }
 
 static void
@@ -117,7 +126,9 @@
 {
   self->state = STATE_LINGERING;
   gg_loop_socket_shutdown (self->socket);
-  gg_loop_timer_start (self->timer, LINGER_MS);
+  /* Reading is paused if the client has sent much behind its last request. */
+  gg_loop_socket_set_reading (self->socket, TRUE);
+  start_sent_timer (self, LINGER_MS);
 }
 
 static void
@@ -344,6 +355,14 @@
     }
 }
 
+/* Whether the client has received output since the timer started. The kernel holds up to some
+ * megabytes of an answer, so a client may still receive it long after all was handed over. */
+static gboolean
+is_receiving (const GgServerConnection *self)
+{
+  return gg_loop_socket_get_unacknowledged (self->socket) < self->unacknowledged_bytes;
+}
+
 static void
 on_timeout (void *data)
 {
@@ -354,11 +373,16 @@
       /* The loop may have been busy since a request arrived. */
       if (gg_loop_socket_has_input (self->socket))
         gg_loop_timer_start (self->timer, UNREAD_INPUT_MS);
+      else if (is_receiving (self))
+        start_sent_timer (self, self->server->limits.idle_timeout_ms);
       else
         close_connection (self, FALSE);
       break;
     case STATE_LINGERING:
-      close_connection (self, FALSE);
+      if (is_receiving (self))
+        start_sent_timer (self, LINGER_MS);
+      else
+        close_connection (self, FALSE);
       break;
     case STATE_READING:
       reject (self, STATUS_TIMEOUT);
--- a/src/loop/socket.c
+++ b/src/loop/socket.c
@@ -5,10 +5,12 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -237,6 +239,13 @@
   return self->output != NULL ? evbuffer_get_length (self->output) : 0;
 }
 
+size_t
+gg_loop_socket_get_unacknowledged (const GgLoopSocket *self)
+{
+  int n = 0;
+  return ioctl (self->fd, SIOCOUTQ, &n) == 0 && n > 0 ? (size_t) n : 0;
+}
+
 gboolean
 gg_loop_socket_has_input (const GgLoopSocket *self)
 {
--- a/src/loop/socket.h
+++ b/src/loop/socket.h
@@ -54,6 +54,10 @@
 /** Returns the number of output bytes that the kernel has not accepted yet. */
 size_t gg_loop_socket_get_pending (const GgLoopSocket *self);
 
+/** Returns the number of bytes that the kernel has accepted and the peer has not acknowledged yet;
+ * 0 if that is not known. */
+size_t gg_loop_socket_get_unacknowledged (const GgLoopSocket *self);
+
 /** Returns whether input is waiting that was not delivered yet, or its end. */
 gboolean gg_loop_socket_has_input (const GgLoopSocket *self);
 
