--- /dev/null
+++ b/src/core/link_health.h
@@ -0,0 +1,66 @@
+/** @file
+ * Health of this instance's own links to the runners: whether missing answers are the fault of the
+ * runners, or of the network between them and this instance.
+ *
+ * A miss says something about a link, not about the runner alone. It counts against the runner only
+ * once this instance has heard from another one afterwards. If no runner is heard at all, the links
+ * are in doubt; they count as down once probes of several runners have failed and a peer reports
+ * that it has heard from runners meanwhile. Without such a report, the runners may be down. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef enum
+{
+  GG_LINKS_UP,    /**< A runner was heard recently, or nothing is awaited. */
+  GG_LINKS_DOUBT, /**< None was heard for a while, though several should have answered. */
+  GG_LINKS_DOWN,  /**< In addition probes have failed and a peer reaches runners. */
+} GgLinkState;
+
+typedef struct _GgLinkHealth GgLinkHealth;
+
+GgLinkHealth *gg_link_health_create (void);
+void gg_link_health_destroy (GgLinkHealth *self);
+
+/** Records that an answer of a runner is awaited from now on. */
+void gg_link_health_note_sent (GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Records that an answer is no longer awaited: it has ended, or was given up. */
+void gg_link_health_note_ended (GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Records bytes of a runner: the links to it are up. */
+void gg_link_health_note_heard (GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Records that a runner could not be reached, or closed the connection without an answer. */
+void gg_link_health_note_missed (GgLinkHealth *self,
+                                 const char *service,
+                                 const char *runner_id,
+                                 uint64_t now_ms);
+
+/** Records that a probe of a runner had no answer. */
+void gg_link_health_note_probe_failed (GgLinkHealth *self,
+                                       const char *service,
+                                       const char *runner_id,
+                                       uint64_t now_ms);
+
+/** Records that a peer has heard from a runner of a service.
+ * @param heard_age_ms how long ago, transmission included. */
+void gg_link_health_note_peer_heard (GgLinkHealth *self,
+                                     const char *service,
+                                     uint64_t heard_age_ms,
+                                     uint64_t now_ms);
+
+/** Returns the state of the links to the runners of a service; of all links for NULL. The links to
+ * a service are down if all links are. */
+GgLinkState
+gg_link_health_get_state (const GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Returns how long ago a runner of the service was heard; G_MAXUINT64 for never. */
+uint64_t
+gg_link_health_get_heard_age_ms (const GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Returns whether a miss at a runner at @p missed_ms is evidence against that runner: this
+ * instance has heard from a runner later, and its links are not in doubt. */
+gboolean
+gg_link_health_blames_runner (const GgLinkHealth *self, uint64_t missed_ms, uint64_t now_ms);
--- /dev/null
+++ b/src/daemons/routerd/link_monitor.h
@@ -0,0 +1,33 @@
+/** @file
+ * Watches this instance's links to the runners (core/link_health.h). In doubt it probes runners and
+ * queries the peers (link_exchange.h); otherwise it causes no traffic. */
+#pragma once
+
+#include "core/link_health.h"
+#include "daemons/routerd/router.h"
+
+GgLinkMonitor *gg_link_monitor_create (GgRouter *router);
+void gg_link_monitor_destroy (GgLinkMonitor *self);
+
+/** Records that an answer of @p runner is awaited, or no longer awaited. */
+void gg_link_monitor_note_sent (GgLinkMonitor *self, const GgFleetRunner *runner);
+void gg_link_monitor_note_ended (GgLinkMonitor *self, const GgFleetRunner *runner);
+
+/** Records bytes from @p runner. */
+void gg_link_monitor_note_heard (GgLinkMonitor *self, const GgFleetRunner *runner);
+
+/** Records that @p runner could not be reached, or closed without an answer. */
+void gg_link_monitor_note_missed (GgLinkMonitor *self, const GgFleetRunner *runner);
+
+/** Records that a peer has heard from a runner of a service. */
+void
+gg_link_monitor_note_peer_heard (GgLinkMonitor *self, const char *service, uint64_t heard_age_ms);
+
+/** Returns the state of the links to the runners of a service; of all links for NULL. */
+GgLinkState gg_link_monitor_get_state (const GgLinkMonitor *self, const char *service);
+
+/** Returns how long ago a runner of the service was heard; G_MAXUINT64 for never. */
+uint64_t gg_link_monitor_get_heard_age_ms (const GgLinkMonitor *self, const char *service);
+
+/** Returns whether a miss at @p missed_ms is evidence against its runner. */
+gboolean gg_link_monitor_blames_runner (const GgLinkMonitor *self, uint64_t missed_ms);
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -24,6 +24,8 @@
 typedef struct _GgQuarantineExchange GgQuarantineExchange;
 typedef struct _GgLimitExchange GgLimitExchange;
 typedef struct _GgLeavingExchange GgLeavingExchange;
+typedef struct _GgLinkMonitor GgLinkMonitor;
+typedef struct _GgLinkExchange GgLinkExchange;
 
 typedef struct
 {
@@ -54,13 +56,17 @@
   GgQuarantineExchange *quarantine_exchange;
   GgLimitExchange *limit_exchange;
   GgLeavingExchange *leaving_exchange;
+  GgLinkMonitor *link_monitor;
+  GgLinkExchange *link_exchange;
+  guint n_handed_over;           /**< Requests that peers have handed over, in progress here. */
   GgDatagramSocket *peer_socket; /**< To and from the other instances. */
   GgLoopServer *caller_server;
-  gboolean has_runner_list; /**< The runners have been listed at least once. */
-  gboolean is_registered;   /**< This instance is registered in the store, or is about to be. */
-  gboolean is_stopping;     /**< No longer ready; requests that still arrive are served. */
-  gboolean is_refusing;     /**< Too late in the stop for any new request. */
-  uint64_t stop_end_ms;     /**< Open requests are ended then; 0 unless the process stops. */
+  GgLoopServer *peer_server; /**< Documents for peers, and requests that they hand over. */
+  gboolean has_runner_list;  /**< The runners have been listed at least once. */
+  gboolean is_registered;    /**< This instance is registered in the store, or is about to be. */
+  gboolean is_stopping;      /**< No longer ready; requests that still arrive are served. */
+  gboolean is_refusing;      /**< Too late in the stop for any new request. */
+  uint64_t stop_end_ms;      /**< Open requests are ended then; 0 unless the process stops. */
 } GgRouter;
 
 /** Returns the retry budget of a service. */
