--- a/src/daemons/routerd/link_monitor.h
+++ b/src/daemons/routerd/link_monitor.h
@@ -23,6 +23,10 @@
 void
 gg_link_monitor_note_peer_heard (GgLinkMonitor *self, const char *service, uint64_t heard_age_ms);
 
+/** Probes a runner of the service, unless one was heard within the last 300 ms or a probe is under
+ * way. */
+void gg_link_monitor_probe (GgLinkMonitor *self, const char *service);
+
 /** Returns the state of the links to the runners of a service; of all links for NULL. */
 GgLinkState gg_link_monitor_get_state (const GgLinkMonitor *self, const char *service);
 
