Exchange offers to take over requests between instances

Peers whose own links are up answer with their room, load, token and the age of the latest answer of each service; a service without traffic is probed at the query.

A query is answered to the address that it names, and only if that is the address of a registered instance or of one that reports its load in this data centre, so a forged query brings its sender nothing.

--- a/src/core/peer_load.c
+++ b/src/core/peer_load.c
@@ -188,3 +188,9 @@
 {
   return g_hash_table_size (self->peers);
 }
+
+gboolean
+gg_peer_load_has_peer (const GgPeerLoad *self, const char *peer)
+{
+  return g_hash_table_contains (self->peers, peer);
+}
--- a/src/core/peer_load.h
+++ b/src/core/peer_load.h
@@ -36,3 +36,6 @@
 
 /** Returns the number of peers whose reports have not expired. */
 guint gg_peer_load_count_peers (const GgPeerLoad *self);
+
+/** Returns whether a peer has sent a report that has not expired. */
+gboolean gg_peer_load_has_peer (const GgPeerLoad *self, const char *peer);
--- a/src/daemons/routerd/link_exchange.h
+++ b/src/daemons/routerd/link_exchange.h
@@ -4,6 +4,7 @@
  * healthy links cause no traffic. */
 #pragma once
 
+#include "daemons/routerd/load_exchange.h"
 #include "daemons/routerd/membership.h"
 
 /** A peer that takes over requests for a service. */
@@ -14,7 +15,10 @@
   uint64_t token;      /**< Must be sent with each request that is handed over. */
 } GgHandoverOffer;
 
-GgLinkExchange *gg_link_exchange_create (GgRouter *router, GgMembership *membership);
+/** @param load_exchange knows the instances of this data centre that are not registered. */
+GgLinkExchange *gg_link_exchange_create (GgRouter *router,
+                                         const GgMembership *membership,
+                                         const GgLoadExchange *load_exchange);
 void gg_link_exchange_destroy (GgLinkExchange *self);
 
 /** Starts or stops the queries. Each answer is reported to the link monitor. */
@@ -34,6 +38,9 @@
 /** Records that a peer could not be reached, or has refused: it is not chosen for @p for_ms. */
 void gg_link_exchange_avoid_peer (GgLinkExchange *self, const char *name, uint64_t for_ms);
 
+/** Returns whether peers have been queried for a while and none has had room for a request. */
+gboolean gg_link_exchange_lacks_room (const GgLinkExchange *self);
+
 /** Returns whether @p token is the one that this instance has given to its peers. */
 gboolean gg_link_exchange_is_token_valid (const GgLinkExchange *self, uint64_t token);
 
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -210,6 +210,12 @@
   gg_load_report_clear (&report);
 }
 
+gboolean
+gg_load_exchange_has_local (const GgLoadExchange *self, const char *address)
+{
+  return gg_peer_load_has_peer (self->local_load, address);
+}
+
 /* Whether a runner has an assigned range to report: one that its entry does not show yet. */
 static gboolean
 has_open_assignment (const GgFleetRunner *runner, uint64_t now_ms)
--- a/src/daemons/routerd/load_exchange.h
+++ b/src/daemons/routerd/load_exchange.h
@@ -12,3 +12,7 @@
 
 /** Handles a datagram of a peer; other datagrams are ignored. */
 void gg_load_exchange_receive (GgLoadExchange *self, char *bytes, size_t size_bytes);
+
+/** Returns whether an instance of this data centre has reported its load recently.
+ * @param address of an instance, at which it receives datagrams. */
+gboolean gg_load_exchange_has_local (const GgLoadExchange *self, const char *address);
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -6,6 +6,7 @@
 #include "daemons/routerd/config_watcher.h"
 #include "daemons/routerd/leaving_exchange.h"
 #include "daemons/routerd/limit_exchange.h"
+#include "daemons/routerd/link_exchange.h"
 #include "daemons/routerd/placement_controller.h"
 #include "daemons/routerd/problem.h"
 #include "daemons/routerd/quarantine_exchange.h"
@@ -118,7 +119,8 @@
   if (!gg_delegated_watch_receive (self->router.delegated_watch, bytes, size_bytes)
       && !gg_quarantine_exchange_receive (self->router.quarantine_exchange, bytes, size_bytes)
       && !gg_limit_exchange_receive (self->router.limit_exchange, bytes, size_bytes)
-      && !gg_leaving_exchange_receive (self->router.leaving_exchange, bytes, size_bytes))
+      && !gg_leaving_exchange_receive (self->router.leaving_exchange, bytes, size_bytes)
+      && !gg_link_exchange_receive (self->router.link_exchange, bytes, size_bytes))
     gg_load_exchange_receive (self->load_exchange, bytes, size_bytes);
 }
 
@@ -286,6 +288,7 @@
   router->quarantine_exchange = gg_quarantine_exchange_create (router, self->membership);
   router->limit_exchange = gg_limit_exchange_create (router, self->membership);
   router->leaving_exchange = gg_leaving_exchange_create (router, self->membership);
+  router->link_exchange = gg_link_exchange_create (router, self->membership, self->load_exchange);
   const GgDelegatedWatchParams watch = { .router = router,
                                          .membership = self->membership,
                                          .config_watcher = self->config_watcher,
@@ -313,6 +316,7 @@
   gg_datagram_socket_destroy (router->peer_socket);
   gg_placement_controller_destroy (self->placement_controller);
   gg_delegated_watch_destroy (router->delegated_watch);
+  gg_link_exchange_destroy (router->link_exchange);
   gg_leaving_exchange_destroy (router->leaving_exchange);
   gg_limit_exchange_destroy (router->limit_exchange);
   gg_quarantine_exchange_destroy (router->quarantine_exchange);
