Leave rotation while neither runners nor peers take requests

An instance whose links to all runners are down stays ready as long as a peer takes its requests over. If no peer has had room for 1 s, callers were refused at this instance while others served; new connections now go elsewhere. Links only count as down while a peer reports that it reaches runners, so an outage of all runners takes no instance out of rotation, nor does a loss of the links between instances.

--- a/src/daemons/routerd/router.c
+++ b/src/daemons/routerd/router.c
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 
 #define MS_PER_S 1000.0
 /* A request may take a little longer than the ones before it. */
@@ -130,9 +132,18 @@
          || gg_clock_boot_ms () - self->config_fresh_boot_ms <= self->key_age_limit_ms;
 }
 
+/* Whether requests reach no runner, neither directly nor by way of a peer, though peers reach some.
+ * While no peer does, no instance would serve callers better than this one. */
+static gboolean
+is_cut_off (const GgRouter *self)
+{
+  return gg_link_monitor_get_state (self->link_monitor, NULL) == GG_LINKS_DOWN
+         && gg_link_exchange_lacks_room (self->link_exchange);
+}
+
 gboolean
 gg_router_is_ready (const GgRouter *self)
 {
   return !self->is_stopping && self->config != NULL && self->has_runner_list
-         && gg_router_has_fresh_keys (self);
+         && gg_router_has_fresh_keys (self) && !is_cut_off (self);
 }
