Wire: heads of requests that are handed over between instances

Callers of an instance that reaches no runner get 503, although its peers could serve them. The request can be handed over to a peer if its head says by which instance, with the peer's token, and how many sends may have run; and if the peer's answer says whether the request has run.

gg_relay_wire_build_handover() keeps the caller's fields and key, since the peer authorizes the request by itself. Fields of handovers that a caller or a runner sends are dropped, so that neither can forge one.

--- a/src/ports/relay_wire.h
+++ b/src/ports/relay_wire.h
@@ -43,10 +43,50 @@
 } GgRelaySend;
 
 /** Builds the head of a request to a runner. Hop-by-hop fields, the caller's key and fields that
- * only the router may set are not copied from @p head. */
+ * only instances may set are not copied from @p head. */
 GgMessageHead *
 gg_relay_wire_build_request (const GgMessageHead *head, const GgRelaySend *send, size_t body_bytes);
 
+/** Fields that a request has in addition when one instance hands it over to another. */
+typedef struct
+{
+  uint64_t token;       /**< That the receiving instance has given to its peers. */
+  const char *instance; /**< That hands it over; borrowed from the head when read. */
+  uint32_t n_runs;      /**< Sends that may have run so far. */
+  uint64_t time_left_ms;
+  gboolean has_last_event;
+  uint64_t last_event_id; /**< Event after which a stream is to continue. */
+} GgHandoverFields;
+
+/** Builds the head of a request to another instance: the caller's, with its key, without hop-by-hop
+ * fields, and with @p fields. */
+GgMessageHead *gg_relay_wire_build_handover (const GgMessageHead *head,
+                                             const GgHandoverFields *fields,
+                                             size_t body_bytes);
+
+/** Returns whether a request names the token of a handed-over one, with any value. */
+gboolean gg_relay_wire_is_handover (const GgMessageHead *head);
+
+/** Reads what only handed-over requests have: token, instance and runs. The time left and the last
+ * event are read as those of callers.
+ * @return FALSE if one of them is absent or malformed. */
+gboolean gg_relay_wire_read_handover (const GgMessageHead *head, GgHandoverFields *out);
+
+/** What an instance answers to a request that was handed over to it. */
+typedef enum
+{
+  GG_HANDOVER_UNKNOWN,  /**< It failed and may have run; all sends that are allowed were made. */
+  GG_HANDOVER_DECLINED, /**< Not run, for a reason of that instance only. */
+  GG_HANDOVER_NOT_RUN,  /**< Not run, since no runner takes it now. */
+  GG_HANDOVER_COMPLETE, /**< The answer is that of a runner. */
+} GgHandoverOutcome;
+
+void gg_relay_wire_add_outcome (GgMessageHead *head, GgHandoverOutcome outcome);
+
+/** Reads the outcome. An answer without one comes from the HTTP server of an instance that has
+ * rejected the request before it was read, if it is an error. */
+GgHandoverOutcome gg_relay_wire_read_outcome (const GgMessageHead *head);
+
 /** Fields of a runner's answer. Strings are borrowed from its head, or NULL. */
 typedef struct
 {
@@ -74,7 +114,8 @@
  * don't have. */
 const char *gg_relay_wire_get_answer_field (void);
 
-/** Copies the head of a runner's answer for the caller, without hop-by-hop fields. */
+/** Copies the head of a runner's answer for the caller, without hop-by-hop fields and the outcome
+ * of a handed-over request, which only instances may state. */
 GgMessageHead *gg_relay_wire_copy_answer (const GgMessageHead *head);
 
 /** Path that the platform's balancer polls for readiness. */
--- a/tests/platform/test_relay_wire.c
+++ b/tests/platform/test_relay_wire.c
@@ -23,6 +23,8 @@
   gg_message_head_add (head, "X-Private", "1");
   gg_message_head_add (head, "Transfer-Encoding", "chunked");
   gg_message_head_add (head, "X-Other", "kept");
+  gg_message_head_add (head, "greengage-handover", "1 forged");
+  gg_message_head_add (head, "Greengage-Runs", "9");
   return head;
 }
 
@@ -115,6 +117,97 @@
   gg_message_head_destroy (head);
 }
 
+/* Guards a request that is handed over to another instance: it must arrive as its caller sent it,
+ * with the key, and without handover fields that the caller forged. */
+static void
+test_handover (void)
+{
+  GgMessageHead *head = create_request ();
+  GgHandoverFields fields = { .token = 0xabc,
+                              .instance = "router 1",
+                              .n_runs = 1,
+                              .time_left_ms = 900,
+                              .has_last_event = TRUE,
+                              .last_event_id = 12 };
+  GgHandoverFields read;
+  GgMessageHead *out = gg_relay_wire_build_handover (head, &fields, 3);
+  GString *text = g_string_new (NULL);
+  gg_message_head_print (out, text);
+  CU_ASSERT_STRING_EQUAL (text->str, "POST /a%2Fb?c=1 HTTP/1.1\r\n"
+                                     "Host: h.example\r\n"
+                                     "X-Attempt-Id: id1\r\n"
+                                     "authorization: bearer key1\r\n"
+                                     "X-Tenant: forged\r\n"
+                                     "x-target-instance: forged\r\n"
+                                     "X-Hop-Count: forged\r\n"
+                                     "X-Request-Urgency: 0\r\n"
+                                     "X-Token-Count: 1460,80\r\n"
+                                     "X-Prefix-Hash: 5c:800,91:410\r\n"
+                                     "X-Other: kept\r\n"
+                                     "Content-Length: 3\r\n"
+                                     "X-Deadline-Ms: 900\r\n"
+                                     "Last-Event-Id: 12\r\n"
+                                     "Greengage-Handover: 0000000000000abc router 1\r\n"
+                                     "Greengage-Runs: 1\r\n\r\n");
+  CU_ASSERT_TRUE (gg_relay_wire_is_handover (out));
+  CU_ASSERT_TRUE (gg_relay_wire_read_handover (out, &read));
+  CU_ASSERT_EQUAL (read.token, 0xabc);
+  CU_ASSERT_EQUAL (read.n_runs, 1);
+  CU_ASSERT_STRING_EQUAL (read.instance, "router 1");
+  g_string_free (text, TRUE);
+  gg_message_head_destroy (out);
+  gg_message_head_destroy (head);
+}
+
+/* Guards against a handed-over request without the number of its runs, which could run too often.
+ */
+static void
+test_malformed_handover (void)
+{
+  static const struct
+  {
+    const char *token;
+    const char *runs;
+  } cases[] = { { "abc r", NULL }, { "abc r", "x" }, { "abc r", "-1" },        { "", "0" },
+                { "abc", "0" },    { "abc ", "0" },  { "-abc r", "0" },        { " abc r", "0" },
+                { "xyz r", "0" },  { NULL, "0" },    { "abc r", "4294967296" } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GgMessageHead *head = gg_message_head_create_request ("POST", "/");
+      GgHandoverFields fields;
+      if (cases[i].token != NULL)
+        gg_message_head_add (head, "Greengage-Handover", cases[i].token);
+      if (cases[i].runs != NULL)
+        gg_message_head_add (head, "Greengage-Runs", cases[i].runs);
+      CU_ASSERT_FALSE (gg_relay_wire_read_handover (head, &fields));
+      gg_message_head_destroy (head);
+    }
+}
+
+/* Guards against a runner that states the outcome of a handed-over request: one that has run would
+ * be sent again. An answer without a known outcome must count as one that may have run. */
+static void
+test_outcome (void)
+{
+  GgMessageHead *forged = gg_message_head_create_response (200);
+  CU_ASSERT_EQUAL (gg_relay_wire_read_outcome (forged), GG_HANDOVER_UNKNOWN);
+  gg_message_head_add (forged, "greengage-outcome", "not-run");
+  GgMessageHead *answer = gg_relay_wire_copy_answer (forged);
+  CU_ASSERT_EQUAL (gg_relay_wire_read_outcome (answer), GG_HANDOVER_UNKNOWN);
+  for (guint i = GG_HANDOVER_UNKNOWN; i <= GG_HANDOVER_COMPLETE; i++)
+    {
+      GgMessageHead *head = gg_message_head_create_response (503);
+      CU_ASSERT_EQUAL (gg_relay_wire_read_outcome (head), GG_HANDOVER_DECLINED);
+      gg_relay_wire_add_outcome (head, (GgHandoverOutcome) i);
+      CU_ASSERT_EQUAL (gg_relay_wire_read_outcome (head), (GgHandoverOutcome) i);
+      gg_message_head_destroy (head);
+    }
+  gg_message_head_add (answer, "Greengage-Outcome", "other");
+  CU_ASSERT_EQUAL (gg_relay_wire_read_outcome (answer), GG_HANDOVER_UNKNOWN);
+  gg_message_head_destroy (answer);
+  gg_message_head_destroy (forged);
+}
+
 static void
 test_runner_answer (void)
 {
@@ -311,6 +404,8 @@
     { "caller", test_caller },           { "parts", test_parts },
     { "request", test_request },         { "runner answer", test_runner_answer },
     { "report", test_report },           { "place order", test_place_order },
+    { "handover", test_handover },       { "malformed handover", test_malformed_handover },
+    { "outcome", test_outcome },
   };
   return gg_test_run ("relay wire", cases, G_N_ELEMENTS (cases));
 }
