Hand requests over to a peer while no runner can be reached

Callers of an instance that was partitioned from all runners got 503 after a while, or no answer in time, though its peers reached the runners: a request never left the instance that had received it.

While the links to the runners of a service are down, a send goes to a peer that reaches them instead of a runner. All else stays as for runners: what follows a send is decided by core/attempt, so that a request that may run once is never handed over after a send that may have run, a stream is resumed after its last complete event, and a caller that leaves ends the work at the peer by the closed connection.

The peer accepts handed-over requests at its address for peers only with its own token, authorizes them by itself, does not hand them over again and starts to count the runs where the first instance has stopped. Its answers state whether they are a runner's. One that it declines goes to another peer, three at most; one that no runner takes is refused with the peer's time to come back; one that may have run is not sent again.

What an answer shows of its runner is recorded at the peer only.

--- a/src/daemons/routerd/handover.h
+++ b/src/daemons/routerd/handover.h
@@ -11,17 +11,11 @@
 #include "loop/server.h"
 #include "daemons/routerd/router.h"
 
-/** Returns whether a request at the address for peers was handed over, with any token. */
-gboolean gg_handover_is_request (const GgMessageHead *head);
-
-/** Handles the events of connections on which requests are handed over to this instance; @p data is
- * the GgRouter. */
-void gg_handover_on_server_event (void *data,
+/** Handles an event of the server for peers that concerns a handed-over request
+ * (gg_relay_wire_is_handover()), or is no request. */
+void gg_handover_on_server_event (GgRouter *router,
                                   GgServerConnection *connection,
                                   const GgServerEvent *event);
 
-/** Returns the number of handed-over requests in progress here. */
-guint gg_handover_count_open (const GgRouter *router);
-
 /** Returns how many more handed-over requests this instance would take now. */
 guint gg_handover_get_room (const GgRouter *router);
--- a/src/daemons/routerd/peer_documents.c
+++ b/src/daemons/routerd/peer_documents.c
@@ -2,6 +2,7 @@
 
 #include "adapters/rpc/watch_message.h"
 #include "base/counters.h"
+#include "daemons/routerd/handover.h"
 #include "daemons/routerd/problem.h"
 #include "loop/server.h"
 
@@ -12,6 +13,7 @@
 #define CONNECT_TIMEOUT_MS 400
 /* A source that takes longer than this is slower than the store. */
 #define ANSWER_TIMEOUT_MS 1500
+/* Limits for documents alone, until a configuration sets those of handed-over requests. */
 #define MAX_HEAD_BYTES 2048
 #define HEAD_TIMEOUT_MS 2000
 #define IDLE_TIMEOUT_MS 2000
@@ -22,7 +24,7 @@
 {
   const GgConfigWatcher *config_watcher;
   const GgRunnerWatcher *runner_watcher;
-  GgLoopServer *server;
+  GgRouter *router;
 };
 
 static GgCounter documents_total = GG_COUNTER ("greengage_router_peer_documents_total",
@@ -70,13 +72,11 @@
 on_event (void *data, GgServerConnection *connection, const GgServerEvent *event)
 {
   const GgPeerDocumentServer *self = data;
-  if (event->kind == GG_SERVER_REJECTED)
+  if (event->kind != GG_SERVER_REQUEST || gg_relay_wire_is_handover (event->request.head))
     {
-      gg_problem_reply_rejected (connection, event->status);
+      gg_handover_on_server_event (self->router, connection, event);
       return;
     }
-  if (event->kind != GG_SERVER_REQUEST)
-    return;
   GByteArray *document = build_document (self, gg_message_head_get_target (event->request.head));
   if (document == NULL)
     gg_problem_reply (connection, STATUS_NOT_FOUND, "no_document", 0);
@@ -106,10 +106,12 @@
                                   .max_body_bytes = 0,
                                   .head_timeout_ms = HEAD_TIMEOUT_MS,
                                   .idle_timeout_ms = IDLE_TIMEOUT_MS };
+  self->router = router;
   self->config_watcher = config_watcher;
   self->runner_watcher = runner_watcher;
-  self->server = gg_loop_server_create (router->loop, address, &limits, on_event, self, error);
-  if (self->server != NULL)
+  router->peer_server
+      = gg_loop_server_create (router->loop, address, &limits, on_event, self, error);
+  if (router->peer_server != NULL)
     return self;
   g_free (self);
   return NULL;
@@ -118,6 +120,6 @@
 void
 gg_peer_document_server_destroy (GgPeerDocumentServer *self)
 {
-  gg_loop_server_destroy (self->server);
+  gg_loop_server_destroy (self->router->peer_server);
   g_free (self);
 }
--- a/src/daemons/routerd/peer_documents.h
+++ b/src/daemons/routerd/peer_documents.h
@@ -21,7 +21,8 @@
 
 typedef struct _GgPeerDocumentServer GgPeerDocumentServer;
 
-/** Serves the documents of this instance at "IP:PORT"; the watchers are not owned.
+/** Serves the documents of this instance at "IP:PORT", where peers also hand over requests, and
+ * sets GgRouter.peer_server; the watchers are not owned.
  * @return NULL with @p error set if the address can't be used. */
 GgPeerDocumentServer *gg_peer_document_server_create (GgRouter *router,
                                                       const GgConfigWatcher *config_watcher,
--- a/src/daemons/routerd/problem.c
+++ b/src/daemons/routerd/problem.c
@@ -6,11 +6,13 @@
 
 #define MS_PER_S 1000
 
-void
-gg_problem_reply (GgServerConnection *connection,
-                  uint32_t status,
-                  const char *detail,
-                  uint64_t retry_after_ms)
+/* @p outcome is NULL for a request that was not handed over. */
+static void
+reply (GgServerConnection *connection,
+       uint32_t status,
+       const char *detail,
+       uint64_t retry_after_ms,
+       const GgHandoverOutcome *outcome)
 {
   JsonBuilder *b = json_builder_new ();
   json_builder_begin_object (b);
@@ -28,11 +30,32 @@
                   (guint64) (retry_after_ms / MS_PER_S), (guint) (retry_after_ms % MS_PER_S));
       gg_message_head_add (head, "Retry-After", text);
     }
+  if (outcome != NULL)
+    gg_relay_wire_add_outcome (head, *outcome);
   gg_server_connection_reply (connection, head, body, strlen (body));
   gg_message_head_destroy (head);
   g_free (body);
 }
 
+void
+gg_problem_reply (GgServerConnection *connection,
+                  uint32_t status,
+                  const char *detail,
+                  uint64_t retry_after_ms)
+{
+  reply (connection, status, detail, retry_after_ms, NULL);
+}
+
+void
+gg_problem_reply_handover (GgServerConnection *connection,
+                           uint32_t status,
+                           const char *detail,
+                           uint64_t retry_after_ms,
+                           GgHandoverOutcome outcome)
+{
+  reply (connection, status, detail, retry_after_ms, &outcome);
+}
+
 void
 gg_problem_reply_rejected (GgServerConnection *connection, uint32_t status)
 {
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -26,6 +26,10 @@
     = GG_COUNTER ("greengage_router_callers_gone_total", "Callers that left early");
 static GgMetricFamily ended_total = GG_COUNTER_FAMILY (
     "greengage_router_ended_total", "Requests that ended, by what the caller was told", "outcome");
+static GgMetricFamily taken_over_total
+    = GG_COUNTER_FAMILY ("greengage_router_taken_over_total",
+                         "Requests handed over by peers that ended, by outcome",
+                         "outcome");
 static GgMetricFamily route_ended_total
     = GG_COUNTER_FAMILY ("greengage_router_route_ended_total", "Requests that ended", "route");
 static GgMetricFamily answer_ms = GG_HISTOGRAM_FAMILY (
@@ -49,13 +53,20 @@
 static void
 count_end (const GgRelay *self, const char *outcome, uint64_t now_ms)
 {
+  gboolean is_delivered = strcmp (outcome, OUTCOME_DELIVERED) == 0;
+  gboolean has_full_duration = is_delivered || strcmp (outcome, OUTCOME_DEADLINE) == 0;
+  if (has_full_duration && self->route != NULL)
+    gg_router_note_duration (self->router, self->route->name, now_ms - self->received_ms);
+  /* The instance that has handed it over counts it by what its caller is told. */
+  if (self->is_handed_over)
+    {
+      gg_metric_family_add (&taken_over_total, outcome, 1);
+      return;
+    }
   gg_metric_family_add (&ended_total, outcome, 1);
   if (self->route == NULL)
     return;
   gg_metric_family_add (&route_ended_total, self->route->name, 1);
-  gboolean is_delivered = strcmp (outcome, OUTCOME_DELIVERED) == 0;
-  if (is_delivered || strcmp (outcome, OUTCOME_DEADLINE) == 0)
-    gg_router_note_duration (self->router, self->route->name, now_ms - self->received_ms);
   if (is_delivered)
     gg_metric_family_observe (&answer_ms, get_kind_name (self->route->kind),
                               (self->first_event_ms != 0 ? self->first_event_ms : now_ms)
@@ -70,6 +81,8 @@
   if (self->body != NULL)
     g_byte_array_unref (self->body);
   gg_fleet_runner_unref (self->failed_runner);
+  for (guint i = 0; i < self->n_failed_peers; i++)
+    g_free (self->failed_peers[i]);
   gg_loop_timer_destroy (self->timer);
   gg_routing_config_unref (self->config);
   g_free (self);
@@ -101,6 +114,8 @@
   gg_send_destroy (self->hedge);
   self->send = NULL;
   self->hedge = NULL;
+  if (self->is_handed_over)
+    self->router->n_handed_over--;
   gg_loop_timer_stop (self->timer);
   gg_loop_defer (self->router->loop, free_relay, self);
 }
@@ -186,7 +201,12 @@
 void
 gg_relay_end_for_stop (void *data)
 {
-  end_unserved (data, GG_STATUS_BAD_GATEWAY, "stopping");
+  GgRelay *self = data;
+  /* The instance that has handed it over may send it again where this one can't. */
+  if (self->is_handed_over && !self->is_queued)
+    gg_relay_abort_answer (self, "stopping");
+  else
+    end_unserved (self, GG_STATUS_BAD_GATEWAY, "stopping");
 }
 
 /* Finds the route, team and service of the request.
@@ -242,8 +262,9 @@
   return 0;
 }
 
+/* @param n_runs sends by the instance that has handed the request over, which may have run. */
 static void
-start_request (GgRelay *self)
+start_request (GgRelay *self, uint32_t n_runs)
 {
   const char *reason = NULL;
   if (self->router->is_refusing)
@@ -266,36 +287,62 @@
       gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "stopping", GG_RETRY_AFTER_LOCAL_MS);
       return;
     }
+  /* The other instance may have another configuration. */
+  if (n_runs > 0 && self->route->kind == GG_REQUEST_NON_IDEMPOTENT)
+    {
+      gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "may_have_run", GG_RETRY_AFTER_LOCAL_MS);
+      return;
+    }
   self->deadline_ms = self->received_ms + allowed_ms;
   self->has_last_id = self->caller.has_last_event;
   self->last_id = self->caller.last_event_id;
   self->attempt = (GgAttempt){ .kind = self->route->kind,
                                .is_resumable = self->route->is_resumable,
-                               .max_attempts = MAX (self->route->max_attempts, 1) };
+                               .max_attempts = MAX (self->route->max_attempts, 1),
+                               .n_possible_runs = n_runs };
   gg_loop_timer_start (self->timer, allowed_ms + DEADLINE_SLACK_MS);
-  gg_send_budget_note_request (gg_router_get_budget (self->router, self->service->name),
-                               self->received_ms);
+  /* A request that was handed over is counted by the instance that has received it. */
+  if (!self->is_handed_over)
+    gg_send_budget_note_request (gg_router_get_budget (self->router, self->service->name),
+                                 self->received_ms);
   gg_relay_dispatch (self);
 }
 
 static GgRelay *
-create (GgRouter *router, GgServerConnection *connection, GgMessageHead *head, GByteArray *body)
+create (GgRouter *router, GgServerConnection *connection, const GgServerEvent *event)
 {
+  GgMessageHead *head = event->request.head;
   GgRelay *self = g_new0 (GgRelay, 1);
   self->router = router;
   self->connection = connection;
   self->head = head;
-  self->body = body;
+  self->body = event->request.body;
   self->received_ms = gg_clock_now_ms ();
   self->random = g_random_int ();
   self->config = router->config != NULL ? gg_routing_config_ref (router->config) : NULL;
   self->timer = gg_loop_timer_create (router->loop, on_deadline, self);
   gg_relay_wire_read_caller_fields (head, &self->caller);
   gg_server_connection_set_data (connection, self);
-  gg_counter_add (&requests_total, 1);
   return self;
 }
 
+void
+gg_relay_take_over (GgRouter *router,
+                    GgServerConnection *connection,
+                    const GgServerEvent *event,
+                    const GgHandoverFields *fields)
+{
+  GgRelay *self = create (router, connection, event);
+  self->is_handed_over = TRUE;
+  router->n_handed_over++;
+  gg_event_log_add (GG_EVENT_NOTABLE, "request_taken_over",
+                    "request=%s from=%s runs=%u left_ms=%" G_GUINT64_FORMAT " open=%u",
+                    self->caller.attempt_id != NULL ? self->caller.attempt_id : "-",
+                    fields->instance, fields->n_runs, (guint64) self->caller.time_left_ms,
+                    router->n_handed_over);
+  start_request (self, fields->n_runs);
+}
+
 static void
 on_caller_disconnected (GgRelay *self)
 {
@@ -311,7 +358,8 @@
   switch (event->kind)
     {
     case GG_SERVER_REQUEST:
-      start_request (create (router, connection, event->request.head, event->request.body));
+      gg_counter_add (&requests_total, 1);
+      start_request (create (router, connection, event), 0);
       break;
     case GG_SERVER_REJECTED:
       gg_event_log_add (GG_EVENT_NOTABLE, "request_malformed", "status=%u", event->status);
--- a/src/daemons/routerd/relay.h
+++ b/src/daemons/routerd/relay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemons/routerd/router.h"
+#include "ports/relay_wire.h"
 
 typedef struct _GgRelay GgRelay;
 
@@ -10,6 +11,13 @@
 void
 gg_relay_on_server_event (void *data, GgServerConnection *connection, const GgServerEvent *event);
 
+/** Serves a request that a peer has handed over to this instance; takes ownership of the head and
+ * the body. Further events of the connection go to gg_relay_on_server_event(). */
+void gg_relay_take_over (GgRouter *router,
+                         GgServerConnection *connection,
+                         const GgServerEvent *event,
+                         const GgHandoverFields *fields);
+
 /** Tries again to find runners for a queued request, and sends it to them.
  * @return FALSE if there is still no capacity. */
 gboolean gg_relay_retry_dispatch (GgRelay *self);
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -22,12 +22,38 @@
 static GgCounter failed_total
     = GG_COUNTER ("greengage_router_failed_total", "Requests that failed and may have run");
 
+/* Sends a response of this instance. */
+static void
+reply (GgRelay *self,
+       uint32_t status,
+       const char *detail,
+       uint64_t retry_after_ms,
+       GgHandoverOutcome outcome)
+{
+  if (self->is_handed_over)
+    gg_problem_reply_handover (self->connection, status, detail, retry_after_ms, outcome);
+  else
+    gg_problem_reply (self->connection, status, detail, retry_after_ms);
+}
+
+/* Returns the head of the runner's answer for the caller. */
+static GgMessageHead *
+copy_answer_head (const GgRelay *self)
+{
+  GgMessageHead *head = gg_relay_wire_copy_answer (self->send->answer);
+  if (self->is_handed_over)
+    gg_relay_wire_add_outcome (head, GG_HANDOVER_COMPLETE);
+  return head;
+}
+
 void
 gg_relay_refuse (GgRelay *self, uint32_t status, const char *detail, uint64_t retry_after_ms)
 {
   if (status == GG_STATUS_UNAVAILABLE)
     gg_counter_add (&rejected_total, 1);
-  gg_problem_reply (self->connection, status, detail, retry_after_ms);
+  /* Until it has a deadline, a request is refused for reasons of this instance. */
+  reply (self, status, detail, retry_after_ms,
+         self->deadline_ms == 0 ? GG_HANDOVER_DECLINED : GG_HANDOVER_NOT_RUN);
   gg_relay_finish (self, detail, status);
 }
 
@@ -35,7 +61,7 @@
 gg_relay_fail (GgRelay *self, uint32_t status, const char *detail)
 {
   gg_counter_add (&failed_total, 1);
-  gg_problem_reply (self->connection, status, detail, 0);
+  reply (self, status, detail, 0, GG_HANDOVER_UNKNOWN);
   gg_relay_finish (self, detail, status);
 }
 
@@ -51,7 +77,7 @@
 gg_relay_deliver (GgRelay *self)
 {
   const GByteArray *body = self->send->answer_body;
-  GgMessageHead *head = gg_relay_wire_copy_answer (self->send->answer);
+  GgMessageHead *head = copy_answer_head (self);
   uint32_t status = gg_message_head_get_status (head);
   gg_server_connection_reply (self->connection, head, body != NULL ? body->data : NULL,
                               body != NULL ? body->len : 0);
@@ -62,7 +88,7 @@
 static void
 start_stream (GgRelay *self)
 {
-  GgMessageHead *head = gg_relay_wire_copy_answer (self->send->answer);
+  GgMessageHead *head = copy_answer_head (self);
   gg_server_connection_begin (self->connection, head);
   gg_message_head_destroy (head);
   self->is_head_sent = TRUE;
@@ -94,7 +120,7 @@
                       "request=%s gap_ms=%" G_GUINT64_FORMAT
                       " target_ms=%u events=%u runs=%u runner=%s pending_bytes=%u",
                       self->caller.attempt_id, (guint64) gap_ms, target_ms, self->n_events,
-                      self->attempt.n_possible_runs, self->send->runner->record.id,
+                      self->attempt.n_possible_runs, gg_send_get_target (self->send),
                       (unsigned) gg_server_connection_get_pending (self->connection));
 }
 
@@ -110,7 +136,7 @@
       if (!event.is_valid)
         return FALSE;
       send->has_event = TRUE;
-      if (++send->n_events == GG_BEGUN_EVENTS)
+      if (++send->n_events == GG_BEGUN_EVENTS && !gg_send_is_handover (send))
         gg_relay_note_served (self, TRUE);
       /* A second run may repeat events of the first one. */
       if (event.has_id && self->has_last_id && event.id <= self->last_id)
@@ -149,14 +175,32 @@
   return relay->has_last_id && relay->hedge == NULL && gg_message_head_is_delimited (self->answer);
 }
 
+gboolean
+gg_send_is_refused (const GgSend *self)
+{
+  if (gg_send_is_handover (self))
+    return self->outcome == GG_HANDOVER_DECLINED || self->outcome == GG_HANDOVER_NOT_RUN;
+  return self->answer_fields.is_refused;
+}
+
+gboolean
+gg_send_is_final (const GgSend *self)
+{
+  return gg_send_is_handover (self) && self->answer != NULL
+         && (self->outcome == GG_HANDOVER_UNKNOWN || self->outcome == GG_HANDOVER_NOT_RUN);
+}
+
 GgSendResult
 gg_send_classify_answer (const GgSend *self)
 {
   const GgRelay *relay = self->relay;
   const GgRunnerAnswerFields *fields = &self->answer_fields;
-  if (fields->is_refused)
+  if (gg_send_is_refused (self))
     return GG_SEND_REFUSED;
-  if (fields->status >= GG_STATUS_SERVER_ERROR)
+  if (gg_send_is_handover (self) && self->outcome == GG_HANDOVER_UNKNOWN)
+    return GG_SEND_LOST;
+  /* A peer has sent the request again after an error, where that is allowed. */
+  if (fields->status >= GG_STATUS_SERVER_ERROR && !gg_send_is_handover (self))
     return GG_SEND_FAILED;
   if (fields->status < STATUS_MULTIPLE_CHOICES && !fields->is_signed)
     return GG_SEND_LOST;
@@ -198,31 +242,47 @@
   gg_retry_after_note (&self->runner->retry_after, fields->retry_after_ms, g_random_int (), now_ms);
 }
 
-gboolean
-gg_send_receive_head (GgSend *self, GgMessageHead *head)
+/* Handles the fields of a runner's answer that concern the runner.
+ * @return FALSE if it answers another request. */
+static gboolean
+note_runner_answer (GgSend *self, const GgRunnerAnswerFields *fields)
 {
   const GgRelay *relay = self->relay;
-  GgRunnerAnswerFields fields;
-  gg_relay_wire_read_answer_fields (head, &fields);
-  if (!gg_attempt_owns_answer (relay->caller.attempt_id, fields.attempt_id,
+  if (!gg_attempt_owns_answer (relay->caller.attempt_id, fields->attempt_id,
                                gg_loop_call_is_first_answer (self->call)))
     {
       gg_event_log_add (GG_EVENT_NOTABLE, "foreign_answer_skipped",
                         "request=%s answers=%s runner=%s", relay->caller.attempt_id,
-                        fields.attempt_id != NULL ? fields.attempt_id : "-",
+                        fields->attempt_id != NULL ? fields->attempt_id : "-",
                         self->runner->record.id);
-      gg_message_head_destroy (head);
       return FALSE;
     }
-  gg_limit_exchange_note_answer (relay->router->limit_exchange, self->runner, &fields,
+  gg_limit_exchange_note_answer (relay->router->limit_exchange, self->runner, fields,
                                  self->sent_boot_ms);
-  gg_leaving_exchange_note_answer (relay->router->leaving_exchange, self->runner, &fields);
-  note_retry_after (self, &fields);
+  gg_leaving_exchange_note_answer (relay->router->leaving_exchange, self->runner, fields);
+  note_retry_after (self, fields);
+  return TRUE;
+}
+
+gboolean
+gg_send_receive_head (GgSend *self, GgMessageHead *head)
+{
+  GgRunnerAnswerFields fields;
+  gg_relay_wire_read_answer_fields (head, &fields);
+  /* An instance answers each request once, and has handled the fields that concern the runner. */
+  if (gg_send_is_handover (self))
+    self->outcome = gg_relay_wire_read_outcome (head);
+  else if (!note_runner_answer (self, &fields))
+    {
+      gg_message_head_destroy (head);
+      return FALSE;
+    }
   gg_message_head_destroy (self->answer);
   self->answer = head;
   self->answer_fields = fields;
-  if (fields.status == GG_STATUS_OK && fields.is_signed && is_event_stream (head)
-      && relay->route->kind == GG_REQUEST_STREAMING)
+  gboolean is_of_runner = !gg_send_is_handover (self) || self->outcome == GG_HANDOVER_COMPLETE;
+  if (is_of_runner && fields.status == GG_STATUS_OK && fields.is_signed && is_event_stream (head)
+      && self->relay->route->kind == GG_REQUEST_STREAMING)
     self->events = gg_event_buffer_create ();
   return TRUE;
 }
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -29,11 +29,23 @@
  * still have written the first one, or have it read together with the next. */
 #define GG_BEGUN_EVENTS 3
 
+/* A request that so many peers have not served is not handed over to others. */
+#define GG_MAX_FAILED_PEERS 3
+
+/* A peer that a request is handed over to. */
+typedef struct
+{
+  char *name;
+  char *address;
+  uint64_t token;
+} GgPeerTarget;
+
 struct _GgSend
 {
   GgRelay *relay;
-  GgLoopCall *call; /* NULL once it has ended */
-  GgFleetRunner *runner;
+  GgLoopCall *call;      /* NULL once it has ended */
+  GgFleetRunner *runner; /* NULL if the request is handed over to a peer */
+  GgPeerTarget peer;     /* all zero if it goes to a runner */
   GgLayerPath path;
   gboolean has_path;
   uint64_t sent_ms;
@@ -48,6 +60,7 @@
 
   GgMessageHead *answer; /* its head */
   GgRunnerAnswerFields answer_fields;
+  GgHandoverOutcome outcome; /* that a peer states in the head */
   GByteArray *answer_body;
   GgEventBuffer *events; /* NULL unless the answer is a stream of events */
   gboolean has_event;
@@ -81,7 +94,10 @@
   GgSend *hedge;                /* the second one beside it, or NULL */
   gboolean is_hedge_denied;     /* it was logged that none could be sent */
   GgFleetRunner *failed_runner; /* the runner of the last send that failed */
-  uint32_t n_cuts_at_start;     /* sends that the runner broke off between head and first event */
+  char *failed_peers[GG_MAX_FAILED_PEERS];
+  guint n_failed_peers;
+  gboolean is_handed_over;  /* by a peer, so that it is not handed over again */
+  uint32_t n_cuts_at_start; /* sends that the runner broke off between head and first event */
   GgUsedConnections used_connections; /* by its sends, which all carry its attempt id */
 
   gboolean is_head_sent; /* the head of the answer was sent to the caller */
@@ -124,12 +140,29 @@
  * send, it is dropped. */
 void gg_relay_prefer_send (GgRelay *self, GgSend *send);
 
-/** Chooses a runner and reserves its capacity.
+/** Returns whether the request is to be handed over: this instance does not reach the runners, and
+ * has not been handed the request itself. */
+gboolean gg_relay_needs_peer (const GgRelay *self);
+
+/** Chooses a runner and reserves its capacity; a peer if the request is to be handed over.
  * @param excluded a runner that must not be used, or NULL.
  * @param result_out GG_PATH_FULL if there are runners, but none has capacity now.
  * @return the send, which was not transmitted yet; NULL if there is no runner for it. */
 GgSend *gg_send_create (GgRelay *relay, const GgFleetRunner *excluded, GgPathResult *result_out);
 
+/** Returns the id of the runner or the name of the peer, for the log. */
+const char *gg_send_get_target (const GgSend *self);
+
+/** Returns whether the request is handed over to a peer. */
+gboolean gg_send_is_handover (const GgSend *self);
+
+/** Returns whether the target has stated that it has not run the request and will not. */
+gboolean gg_send_is_refused (const GgSend *self);
+
+/** Returns whether the request must not be sent again after this send: a peer has stated that it
+ * made all sends that are allowed, or that no runner takes the request. */
+gboolean gg_send_is_final (const GgSend *self);
+
 /** Transmits the request. */
 void gg_send_transmit (GgSend *self);
 
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -6,6 +6,8 @@
 #include "base/metric_family.h"
 #include "core/wait_order.h"
 #include "daemons/routerd/limit_exchange.h"
+#include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/request_queue.h"
 
 /* Several refusals in a row show that this process has an outdated view of the fleet, for example
@@ -26,28 +28,41 @@
 /* For a waiting request a permit of another runner is requested after this time. */
 #define PERMIT_TRY_MS 500
 
+/* A peer that can't be reached or has no room is not chosen for this time. */
+#define AVOID_PEER_MS 1000
+
 static GgCounter repeats_total
     = GG_COUNTER ("greengage_router_repeats_total", "Sends beyond the first of a request");
 static GgMetricFamily hedges_total = GG_COUNTER_FAMILY (
     "greengage_router_hedges_total", "Second sends of a request beside one in doubt", "state");
 static GgMetricFamily sends_ended_total
     = GG_COUNTER_FAMILY ("greengage_router_sends_ended_total", "Sends to runners by end", "end");
+static GgMetricFamily handovers_total = GG_COUNTER_FAMILY (
+    "greengage_router_handovers_total", "Requests handed over to peers by end", "end");
 static GgMetricFamily runner_misses_total = GG_COUNTER_FAMILY (
     "greengage_router_runner_misses_total", "Sends that brought no answer, by runner", "runner");
 
 static gboolean
-may_retry (GgRelay *self, GgSendResult result)
+may_retry (GgRelay *self, const GgSend *send, GgSendResult result)
 {
-  if (self->n_cuts_at_start >= MAX_CUTS_AT_START)
+  if (self->n_cuts_at_start >= MAX_CUTS_AT_START || gg_send_is_final (send))
     return FALSE;
   /* A send that did not reach its runner caused no load there, so the retry needs no budget. */
-  if (result == GG_SEND_UNSENT)
+  if (result == GG_SEND_UNSENT || (result == GG_SEND_REFUSED && gg_send_is_handover (send)))
     return TRUE;
   GgSendBudget *budget = gg_router_get_budget (self->router, self->service->name);
   GgRetryReason reason = result == GG_SEND_REFUSED ? GG_RETRY_REASON_REFUSED : GG_RETRY_REASON_LOST;
   return gg_send_budget_withdraw (budget, reason, gg_clock_now_ms ());
 }
 
+static const char *
+get_denial_reason (const GgRelay *self, const GgSend *send)
+{
+  if (gg_send_is_final (send))
+    return "peer";
+  return self->n_cuts_at_start >= MAX_CUTS_AT_START ? "cut_at_start" : "budget";
+}
+
 /* @p send is the one that has ended; its answer is discarded unless it is delivered. */
 static void
 apply_action (GgRelay *self, GgSend *send, GgAttemptAction action)
@@ -66,7 +81,10 @@
       gg_relay_dispatch (self);
       break;
     case GG_ATTEMPT_REJECT:
-      gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "no_runner_took_it", GG_RETRY_AFTER_FULL_MS);
+      gg_relay_refuse (self, GG_STATUS_UNAVAILABLE, "no_runner_took_it",
+                       gg_send_is_handover (send) && send->answer_fields.has_retry_after
+                           ? send->answer_fields.retry_after_ms
+                           : GG_RETRY_AFTER_FULL_MS);
       break;
     case GG_ATTEMPT_FAIL:
       gg_relay_fail (self, GG_STATUS_BAD_GATEWAY, "answer_lost");
@@ -271,20 +289,56 @@
   return TRUE;
 }
 
-void
-gg_relay_end_send (GgRelay *self, GgSend *send, GgSendResult result, const char *cause)
+/* Records what the end of a send shows of its runner and of the request at runners. */
+static void
+note_runner_send_end (GgRelay *self, const GgSend *send, GgSendResult result, uint64_t now_ms)
 {
-  uint64_t now_ms = gg_clock_now_ms ();
-  uint64_t silent_ms = now_ms - send->last_activity_ms;
-  send->call = NULL;
   if (is_cut_at_start (send, result))
     note_cut_at_start (self, send);
-  if (send->events != NULL && gg_event_buffer_get_partial_bytes (send->events) > 0)
-    self->is_event_open = TRUE;
   gg_metric_family_add (&sends_ended_total, get_result_name (result), 1);
   if (result != GG_SEND_COMPLETE)
     gg_metric_family_add (&runner_misses_total, send->runner->record.id, 1);
-  if (result != GG_SEND_COMPLETE)
+  if (is_broken_at_start (send, result))
+    note_broken (self, send);
+  note_answered (self, send, result);
+  if (send->is_trial)
+    withdraw_trial (self, result);
+  update_runner_health (self, send, result, now_ms);
+}
+
+/* Records the end of a send to a peer, which has recorded what concerns the runners. */
+static void
+note_peer_send_end (GgRelay *self, const GgSend *send, GgSendResult result)
+{
+  gg_metric_family_add (&handovers_total, get_result_name (result), 1);
+  if (result == GG_SEND_COMPLETE)
+    return;
+  if (self->n_failed_peers < GG_MAX_FAILED_PEERS)
+    self->failed_peers[self->n_failed_peers++] = g_strdup (send->peer.name);
+  /* Without a 503 it is this request that the peer declines, by another configuration. */
+  gboolean is_unable = send->answer != NULL && send->outcome == GG_HANDOVER_DECLINED
+                       && send->answer_fields.status == GG_STATUS_UNAVAILABLE;
+  if (result == GG_SEND_UNSENT || is_unable)
+    gg_link_exchange_avoid_peer (self->router->link_exchange, send->peer.name, AVOID_PEER_MS);
+}
+
+static void
+log_send_end (const GgRelay *self,
+              const GgSend *send,
+              GgSendResult result,
+              const char *cause,
+              uint64_t now_ms)
+{
+  if (gg_send_is_handover (send))
+    gg_event_log_add (
+        GG_EVENT_NOTABLE, "handover_ended",
+        "request=%s end=%s cause=%s peer=%s status=%u outcome=%s ms=%" G_GUINT64_FORMAT
+        " silent_ms=%" G_GUINT64_FORMAT " events=%u",
+        self->caller.attempt_id, get_result_name (result), cause, send->peer.name,
+        send->answer_fields.status, gg_relay_wire_get_outcome_name (send->outcome),
+        (guint64) (now_ms - send->sent_ms), (guint64) (now_ms - send->last_activity_ms),
+        self->n_events);
+  else if (result != GG_SEND_COMPLETE)
     gg_event_log_add (
         GG_EVENT_NOTABLE, "send_ended",
         "request=%s end=%s cause=%s runner=%s status=%u at_fault=%s ms=%" G_GUINT64_FORMAT
@@ -292,24 +346,32 @@
         self->caller.attempt_id, get_result_name (result), cause, send->runner->record.id,
         send->answer_fields.status,
         send->answer_fields.faulty_address != NULL ? send->answer_fields.faulty_address : "-",
-        (guint64) (now_ms - send->sent_ms), (guint64) silent_ms, self->n_events);
-  if (is_broken_at_start (send, result))
-    note_broken (self, send);
-  note_answered (self, send, result);
-  if (send->is_trial)
-    withdraw_trial (self, result);
-  update_runner_health (self, send, result, now_ms);
+        (guint64) (now_ms - send->sent_ms), (guint64) (now_ms - send->last_activity_ms),
+        self->n_events);
+}
+
+void
+gg_relay_end_send (GgRelay *self, GgSend *send, GgSendResult result, const char *cause)
+{
+  uint64_t now_ms = gg_clock_now_ms ();
+  send->call = NULL;
+  if (send->events != NULL && gg_event_buffer_get_partial_bytes (send->events) > 0)
+    self->is_event_open = TRUE;
+  log_send_end (self, send, result, cause, now_ms);
+  if (gg_send_is_handover (send))
+    note_peer_send_end (self, send, result);
+  else
+    note_runner_send_end (self, send, result, now_ms);
   gg_send_release (send);
   gg_attempt_note_send (&self->attempt, result);
   self->attempt.is_past_deadline = now_ms >= self->deadline_ms;
   if (continue_with_other (self, send, result))
     return;
   GgAttemptAction action = gg_attempt_decide (&self->attempt, result);
-  if (action == GG_ATTEMPT_RETRY && !may_retry (self, result))
+  if (action == GG_ATTEMPT_RETRY && !may_retry (self, send, result))
     {
       gg_event_log_add (GG_EVENT_NOTABLE, "repeat_denied", "request=%s reason=%s service=%s",
-                        self->caller.attempt_id,
-                        self->n_cuts_at_start >= MAX_CUTS_AT_START ? "cut_at_start" : "budget",
+                        self->caller.attempt_id, get_denial_reason (self, send),
                         self->service->name);
       action = gg_attempt_decide_without_retry (&self->attempt, result);
     }
@@ -351,7 +413,8 @@
   self->send = gg_send_create (self, self->failed_runner, &result);
   if (self->send != NULL)
     {
-      if (verdict == GG_QUARANTINE_TRIAL_DUE)
+      /* A peer decides by itself which request is the trial. */
+      if (verdict == GG_QUARANTINE_TRIAL_DUE && !gg_send_is_handover (self->send))
         {
           GgRequestSuspects suspects = get_suspects (self, TRUE);
           gg_quarantine_exchange_begin_trial (self->router->quarantine_exchange, &suspects);
@@ -405,14 +468,14 @@
     {
       if (!self->is_hedge_denied)
         gg_event_log_add (GG_EVENT_NOTABLE, "hedge_denied", "request=%s reason=%s runner=%s",
-                          self->caller.attempt_id, reason, send->runner->record.id);
+                          self->caller.attempt_id, reason, gg_send_get_target (send));
       self->is_hedge_denied = TRUE;
       return result;
     }
   gg_event_log_add (GG_EVENT_NOTABLE, "hedge_sent",
                     "request=%s runner=%s beside=%s silent_ms=%" G_GUINT64_FORMAT " events=%u",
-                    self->caller.attempt_id, self->hedge->runner->record.id,
-                    send->runner->record.id,
+                    self->caller.attempt_id, gg_send_get_target (self->hedge),
+                    gg_send_get_target (send),
                     (guint64) (gg_clock_now_ms () - send->last_activity_ms), self->n_events);
   gg_metric_family_add (&hedges_total, "sent", 1);
   gg_counter_add (&repeats_total, 1);
@@ -484,6 +547,14 @@
   return gg_request_queue_add (queue, self);
 }
 
+gboolean
+gg_relay_needs_peer (const GgRelay *self)
+{
+  return !self->is_handed_over
+         && gg_link_monitor_get_state (self->router->link_monitor, self->service->name)
+                == GG_LINKS_DOWN;
+}
+
 void
 gg_relay_dispatch (GgRelay *self)
 {
@@ -498,6 +569,11 @@
       end_quarantined (self, reason);
       return;
     }
+  if (self->n_failed_peers == GG_MAX_FAILED_PEERS && gg_relay_needs_peer (self))
+    {
+      gg_relay_reject_queued (self);
+      return;
+    }
   /* A failed runner is suspended for a while anyway; after the wait any runner may be tried. */
   gg_fleet_runner_unref (self->failed_runner);
   self->failed_runner = NULL;
--- a/src/daemons/routerd/router.c
+++ b/src/daemons/routerd/router.c
@@ -8,6 +8,10 @@
 #define MS_PER_S 1000.0
 /* A request may take a little longer than the ones before it. */
 #define STOP_MARGIN_MS 100
+/* Fields that a handed-over request has in addition to those of its caller. */
+#define HANDOVER_HEAD_BYTES 1024
+/* Longer than peers keep idle connections, so that no request crosses a close. */
+#define PEER_IDLE_TIMEOUT_MS 30000
 
 static GgSendBudget *
 create_budget (const GgRouter *self)
@@ -52,6 +56,9 @@
                             .head_timeout_ms = limits->head_timeout_ms,
                             .idle_timeout_ms = limits->idle_timeout_ms };
   gg_loop_server_set_limits (self->caller_server, &server);
+  server.max_head_bytes += HANDOVER_HEAD_BYTES;
+  server.idle_timeout_ms = PEER_IDLE_TIMEOUT_MS;
+  gg_loop_server_set_limits (self->peer_server, &server);
 }
 
 void
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -132,6 +132,14 @@
   gg_loop_timer_start (self->log_timer, LOG_FLUSH_MS);
 }
 
+/* Returns the number of connections of callers and peers with work in progress. */
+static guint
+count_busy (const Daemon *self)
+{
+  return gg_loop_server_count_busy (self->router.caller_server)
+         + gg_loop_server_count_busy (self->router.peer_server);
+}
+
 static void
 on_stop_timer (void *data)
 {
@@ -139,7 +147,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   uint64_t stopped_ms = now_ms - self->stop_started_ms;
   gboolean is_over = now_ms >= self->router.stop_end_ms;
-  guint n_busy = gg_loop_server_count_busy (self->router.caller_server);
+  guint n_busy = count_busy (self);
   if (stopped_ms >= BALANCER_SETTLE_MS)
     {
       self->router.is_refusing = TRUE;
@@ -151,6 +159,7 @@
       self->has_ended_requests = TRUE;
       self->n_cut = n_busy;
       gg_loop_server_foreach_open (self->router.caller_server, gg_relay_end_for_stop);
+      gg_loop_server_foreach_open (self->router.peer_server, gg_relay_end_for_stop);
       gg_loop_timer_start (self->stop_timer, LAST_ANSWERS_MS);
       return;
     }
@@ -183,8 +192,9 @@
   self->stop_started_ms = gg_clock_now_ms ();
   self->router.stop_end_ms = self->stop_started_ms + get_stop_ms (self);
   gg_event_log_add (GG_EVENT_NOTABLE, "process_stopping", "signal=TERM requests=%u",
-                    gg_loop_server_count_busy (self->router.caller_server));
+                    count_busy (self));
   gg_loop_server_set_closing (self->router.caller_server);
+  gg_loop_server_set_closing (self->router.peer_server);
   gg_membership_leave (self->membership);
   gg_loop_timer_start (self->stop_timer, STOP_CHECK_MS);
 }
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -5,6 +5,7 @@
 #include "base/event_log.h"
 #include "core/plain_choice.h"
 #include "daemons/routerd/limit_exchange.h"
+#include "daemons/routerd/link_exchange.h"
 #include "daemons/routerd/request_queue.h"
 #include "daemons/routerd/stall_detector.h"
 
@@ -27,6 +28,18 @@
 static GgCounter sends_total
     = GG_COUNTER ("greengage_router_sends_total", "Requests sent to runners");
 
+const char *
+gg_send_get_target (const GgSend *self)
+{
+  return gg_send_is_handover (self) ? self->peer.name : self->runner->record.id;
+}
+
+gboolean
+gg_send_is_handover (const GgSend *self)
+{
+  return self->peer.name != NULL;
+}
+
 void
 gg_send_release (GgSend *self)
 {
@@ -58,6 +71,8 @@
   if (self->answer_body != NULL)
     g_byte_array_unref (self->answer_body);
   gg_event_buffer_destroy (self->events);
+  g_free (self->peer.name);
+  g_free (self->peer.address);
   g_free (self);
 }
 
@@ -132,6 +147,27 @@
   return GG_PATH_FOUND;
 }
 
+/* Chooses a peer that neither has the request already nor has failed to serve it. */
+static GgPathResult
+choose_peer (GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  const char *excluded[GG_MAX_FAILED_PEERS + 2] = { NULL };
+  GgHandoverOffer offer;
+  for (guint i = 0; i < relay->n_failed_peers; i++)
+    excluded[i] = relay->failed_peers[i];
+  if (relay->send != NULL && gg_send_is_handover (relay->send))
+    excluded[relay->n_failed_peers] = relay->send->peer.name;
+  if (relay->n_failed_peers == GG_MAX_FAILED_PEERS
+      || !gg_link_exchange_choose_peer (relay->router->link_exchange, relay->service->name,
+                                        excluded, g_random_int (), &offer))
+    return GG_PATH_NONE;
+  self->peer = (GgPeerTarget){ .name = g_strdup (offer.name),
+                               .address = g_strdup (offer.address),
+                               .token = offer.token };
+  return GG_PATH_FOUND;
+}
+
 /* Prints the runners of the path for the log, "RUNNER:FIRST-END,...". */
 static char *
 print_path (const GgSend *self)
@@ -162,8 +198,7 @@
     case GG_CALL_BROKEN:
     case GG_CALL_MALFORMED:
       /* A refusal is valid from its head on, even if its body was truncated. */
-      gg_relay_end_send (relay, self,
-                         self->answer_fields.is_refused ? GG_SEND_REFUSED : GG_SEND_LOST,
+      gg_relay_end_send (relay, self, gg_send_is_refused (self) ? GG_SEND_REFUSED : GG_SEND_LOST,
                          end == GG_CALL_BROKEN ? "closed" : "malformed");
       break;
     }
@@ -200,47 +235,58 @@
   uint64_t now_ms = gg_clock_now_ms ();
   GgSend *self = g_new0 (GgSend, 1);
   self->relay = relay;
-  *result_out = relay->service->model != NULL ? choose_path (self, excluded, now_ms)
-                                              : choose_plain_runner (self, excluded, now_ms);
+  if (gg_relay_needs_peer (relay))
+    *result_out = choose_peer (self);
+  else
+    *result_out = relay->service->model != NULL ? choose_path (self, excluded, now_ms)
+                                                : choose_plain_runner (self, excluded, now_ms);
   if (*result_out == GG_PATH_FOUND)
     return self;
   g_free (self);
   return NULL;
 }
 
-void
-gg_send_transmit (GgSend *self)
+static uint64_t
+get_time_left_ms (const GgRelay *relay, uint64_t now_ms)
+{
+  return relay->deadline_ms > now_ms ? relay->deadline_ms - now_ms : 1;
+}
+
+static GgMessageHead *
+build_runner_head (const GgSend *self, size_t body_bytes)
+{
+  const GgRelay *relay = self->relay;
+  GgRelaySend fields = { .runner_id = self->runner->record.id,
+                         .team = relay->team != NULL ? relay->team->name : NULL,
+                         .time_left_ms = get_time_left_ms (relay, self->sent_ms),
+                         .path = self->has_path ? &self->path : NULL,
+                         .has_last_event = relay->has_last_id,
+                         .last_event_id = relay->last_id,
+                         .urgency = MIN (gg_relay_get_priority (relay) + 3, 9) };
+  return gg_relay_wire_build_request (relay->head, &fields, body_bytes);
+}
+
+static GgMessageHead *
+build_handover_head (const GgSend *self, size_t body_bytes)
+{
+  const GgRelay *relay = self->relay;
+  GgHandoverFields fields = { .token = self->peer.token,
+                              .instance = relay->router->instance,
+                              .n_runs = relay->attempt.n_possible_runs,
+                              .time_left_ms = get_time_left_ms (relay, self->sent_ms),
+                              .has_last_event = relay->has_last_id,
+                              .last_event_id = relay->last_id };
+  return gg_relay_wire_build_handover (relay->head, &fields, body_bytes);
+}
+
+static void
+note_sent_to_runner (GgSend *self)
 {
   const GgRelay *relay = self->relay;
-  uint64_t now_ms = gg_clock_now_ms ();
-  GgRelaySend fields
-      = { .runner_id = self->runner->record.id,
-          .team = relay->team != NULL ? relay->team->name : NULL,
-          .time_left_ms = relay->deadline_ms > now_ms ? relay->deadline_ms - now_ms : 1,
-          .path = self->has_path ? &self->path : NULL,
-          .has_last_event = relay->has_last_id,
-          .last_event_id = relay->last_id,
-          .urgency = MIN (gg_relay_get_priority (relay) + 3, 9) };
-  size_t body_bytes = relay->body != NULL ? relay->body->len : 0;
-  GgMessageHead *head = gg_relay_wire_build_request (relay->head, &fields, body_bytes);
-  gboolean runs_once = relay->route->kind == GG_REQUEST_NON_IDEMPOTENT;
-  GgCallRequest request = { .address = self->runner->record.address,
-                            .head = head,
-                            .body = relay->body != NULL ? relay->body->data : NULL,
-                            .body_bytes = body_bytes,
-                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                            .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS,
-                            .used = &self->relay->used_connections };
   gg_fleet_runner_take_permit (self->runner, gg_clock_boot_ms ());
-  gg_retry_after_note_sent (&self->runner->retry_after, now_ms);
+  gg_retry_after_note_sent (&self->runner->retry_after, self->sent_ms);
   gg_limit_exchange_note_demand (relay->router->limit_exchange, relay->service->name,
                                  self->runner->record.data_centre);
-  self->sent_ms = now_ms;
-  self->sent_boot_ms = gg_clock_boot_ms ();
-  self->last_activity_ms = now_ms;
-  self->awaited_since_ms = now_ms;
-  self->call = gg_loop_client_call (relay->router->client, &request, on_call, self);
-  gg_message_head_destroy (head);
   gg_counter_add (&sends_total, 1);
   char *path = print_path (self);
   gg_event_log_add (
@@ -250,12 +296,52 @@
       relay->caller.attempt_id, self->runner->record.id, path,
       self->has_path ? self->path.n_hops : 1, self->has_path ? self->path.token_ms : 0,
       self->has_path ? self->path.tokens : 0, relay->attempt.n_possible_runs,
-      relay->attempt.n_not_run, (guint64) fields.time_left_ms,
+      relay->attempt.n_not_run, (guint64) get_time_left_ms (relay, self->sent_ms),
       (guint64) gg_fleet_get_revision (relay->router->fleet),
       (guint64) (gg_clock_boot_ms () - relay->router->runners_fresh_boot_ms));
   g_free (path);
 }
 
+static void
+note_handed_over (const GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  gg_event_log_add (GG_EVENT_NOTABLE, "request_handed_over",
+                    "request=%s peer=%s runs=%u misses=%u left_ms=%" G_GUINT64_FORMAT " events=%u",
+                    relay->caller.attempt_id, self->peer.name, relay->attempt.n_possible_runs,
+                    relay->attempt.n_not_run, (guint64) get_time_left_ms (relay, self->sent_ms),
+                    relay->n_events);
+}
+
+void
+gg_send_transmit (GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  gboolean is_handover = gg_send_is_handover (self);
+  gboolean runs_once = relay->route->kind == GG_REQUEST_NON_IDEMPOTENT;
+  size_t body_bytes = relay->body != NULL ? relay->body->len : 0;
+  self->sent_ms = gg_clock_now_ms ();
+  self->sent_boot_ms = gg_clock_boot_ms ();
+  self->last_activity_ms = self->sent_ms;
+  self->awaited_since_ms = self->sent_ms;
+  GgMessageHead *head
+      = is_handover ? build_handover_head (self, body_bytes) : build_runner_head (self, body_bytes);
+  GgCallRequest request
+      = { .address = is_handover ? self->peer.address : self->runner->record.address,
+          .head = head,
+          .body = relay->body != NULL ? relay->body->data : NULL,
+          .body_bytes = body_bytes,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS,
+          .used = &self->relay->used_connections };
+  self->call = gg_loop_client_call (relay->router->client, &request, on_call, self);
+  gg_message_head_destroy (head);
+  if (is_handover)
+    note_handed_over (self);
+  else
+    note_sent_to_runner (self);
+}
+
 GgStallState
 gg_send_get_stall_state (const GgSend *self)
 {
--- a/src/ports/relay_wire.h
+++ b/src/ports/relay_wire.h
@@ -30,6 +30,9 @@
 /** Reads the fields of a caller's request that the router uses. */
 void gg_relay_wire_read_caller_fields (const GgMessageHead *head, GgCallerFields *out);
 
+/** Returns the attempt id of a caller's request, or NULL. */
+const char *gg_relay_wire_get_attempt_id (const GgMessageHead *head);
+
 /** Fields that a send to a runner adds to the caller's request. */
 typedef struct
 {
@@ -81,6 +84,9 @@
   GG_HANDOVER_COMPLETE, /**< The answer is that of a runner. */
 } GgHandoverOutcome;
 
+/** For the field and for logs. */
+const char *gg_relay_wire_get_outcome_name (GgHandoverOutcome outcome);
+
 void gg_relay_wire_add_outcome (GgMessageHead *head, GgHandoverOutcome outcome);
 
 /** Reads the outcome. An answer without one comes from the HTTP server of an instance that has
