Bound the log lines of requests that are handed over

While an instance reaches no runner, each of its requests wrote three lines here and at the peer that are always written.

--- a/src/daemons/routerd/handover.c
+++ b/src/daemons/routerd/handover.c
@@ -33,7 +33,7 @@
          const char *detail)
 {
   const char *attempt_id = gg_relay_wire_get_attempt_id (event->request.head);
-  gg_event_log_add (GG_EVENT_NOTABLE, "handover_declined", "request=%s reason=%s",
+  gg_event_log_add (GG_EVENT_ORDINARY, "handover_declined", "request=%s reason=%s",
                     attempt_id != NULL ? attempt_id : "-", detail);
   gg_problem_reply_handover (connection, status, detail,
                              status == GG_STATUS_UNAVAILABLE ? GG_RETRY_AFTER_FULL_MS : 0,
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -335,7 +335,7 @@
   GgRelay *self = create (router, connection, event);
   self->is_handed_over = TRUE;
   router->n_handed_over++;
-  gg_event_log_add (GG_EVENT_NOTABLE, "request_taken_over",
+  gg_event_log_add (GG_EVENT_ORDINARY, "request_taken_over",
                     "request=%s from=%s runs=%u left_ms=%" G_GUINT64_FORMAT " open=%u",
                     self->caller.attempt_id != NULL ? self->caller.attempt_id : "-",
                     fields->instance, fields->n_runs, (guint64) self->caller.time_left_ms,
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -329,6 +329,8 @@
               const char *cause,
               uint64_t now_ms)
 {
+  if (result == GG_SEND_COMPLETE)
+    return;
   if (gg_send_is_handover (send))
     gg_event_log_add (
         GG_EVENT_NOTABLE, "handover_ended",
@@ -338,7 +340,7 @@
         send->answer_fields.status, gg_relay_wire_get_outcome_name (send->outcome),
         (guint64) (now_ms - send->sent_ms), (guint64) (now_ms - send->last_activity_ms),
         self->n_events);
-  else if (result != GG_SEND_COMPLETE)
+  else
     gg_event_log_add (
         GG_EVENT_NOTABLE, "send_ended",
         "request=%s end=%s cause=%s runner=%s status=%u at_fault=%s ms=%" G_GUINT64_FORMAT
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -306,7 +306,7 @@
 note_handed_over (const GgSend *self)
 {
   const GgRelay *relay = self->relay;
-  gg_event_log_add (GG_EVENT_NOTABLE, "request_handed_over",
+  gg_event_log_add (GG_EVENT_ORDINARY, "request_handed_over",
                     "request=%s peer=%s runs=%u misses=%u left_ms=%" G_GUINT64_FORMAT " events=%u",
                     relay->caller.attempt_id, self->peer.name, relay->attempt.n_possible_runs,
                     relay->attempt.n_not_run, (guint64) get_time_left_ms (relay, self->sent_ms),
--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -49,6 +49,9 @@
   { "no_attempt_id", "it carried no attempt id" },
   { "no_host", "it carried no host" },
   { "no_service", "its route names a service that the configuration does not hold" },
+  { "may_have_run",
+    "another instance handed it over after a send that may have run, but it may run "
+    "once only here; their configurations differ" },
   { "caller_left", "the caller closed its connection before the answer was complete" },
 };
 
