Send a hedge for streams whose peer is silent

A stream that was handed over waited until its deadline if the peer was suspended: the peer's kernel goes on to acknowledge, so the connection lives.

Sends to peers are now watched as those to runners of models. A peer is in doubt after 1.2 s, since it sends a hedge by itself within 0.65 s of silence of a runner. There is no report to request from it.

--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -25,6 +25,8 @@
  * at one runner are at different stages. */
 #define HINTED_ANSWER_FRACTION 0.7
 
+#define PEER_SILENCE_LIMIT_MS 1200
+
 static GgCounter sends_total
     = GG_COUNTER ("greengage_router_sends_total", "Requests sent to runners");
 
@@ -43,14 +45,14 @@
 void
 gg_send_release (GgSend *self)
 {
+  GgRouter *router = self->relay->router;
   gg_loop_call_cancel (self->reroute_call);
   self->reroute_call = NULL;
+  gg_stall_detector_remove (router->stall_detector, self);
   if (self->runner == NULL)
     return;
-  GgRouter *router = self->relay->router;
   if (self->has_path)
     {
-      gg_stall_detector_remove (router->stall_detector, self);
       gg_layer_path_release (&self->path);
       gg_layer_path_clear (&self->path);
       self->has_path = FALSE;
@@ -165,6 +167,8 @@
   self->peer = (GgPeerTarget){ .name = g_strdup (offer.name),
                                .address = g_strdup (offer.address),
                                .token = offer.token };
+  if (relay->service->model != NULL)
+    gg_stall_detector_add (relay->router->stall_detector, self);
   return GG_PATH_FOUND;
 }
 
@@ -342,12 +346,21 @@
     note_sent_to_runner (self);
 }
 
+/* Whether the peer has had the time to send a hedge for a silent runner, so that the peer itself is
+ * in doubt. It has no report that could be requested. */
+static gboolean
+is_peer_silent (const GgSend *self)
+{
+  return gg_send_is_handover (self)
+         && gg_clock_now_ms () - self->last_activity_ms >= PEER_SILENCE_LIMIT_MS;
+}
+
 GgStallState
 gg_send_get_stall_state (const GgSend *self)
 {
   return (GgStallState){ .has_events = self->events != NULL && self->relay->is_head_sent,
                          .is_resumable = self->relay->route->is_resumable,
-                         .is_suspected = self->is_suspected,
+                         .is_suspected = self->is_suspected || is_peer_silent (self),
                          .is_paused = self->is_paused,
                          .last_activity_ms = self->last_activity_ms,
                          .last_event_ms
--- a/src/daemons/routerd/send.h
+++ b/src/daemons/routerd/send.h
@@ -19,7 +19,7 @@
 /** Returns the progress of a send to a model's runners. */
 GgStallState gg_send_get_stall_state (const GgSend *self);
 
-/** First runner of its path, borrowed. */
+/** First runner of its path, borrowed; NULL if the request was handed over to a peer. */
 GgFleetRunner *gg_send_get_runner (const GgSend *self);
 const char *gg_send_get_attempt_id (const GgSend *self);
 
--- a/src/daemons/routerd/stall_detector.c
+++ b/src/daemons/routerd/stall_detector.c
@@ -151,6 +151,8 @@
 static void
 query_runner (GgStallDetector *self, GgFleetRunner *runner, uint64_t now_ms)
 {
+  if (runner == NULL)
+    return;
   ReportQuery *query = g_hash_table_lookup (self->queries, runner);
   if (query == NULL)
     {
