Test the address for peers against forged handovers

A sender that knows no token must not have a request run at the address for peers, and a caller's address must ignore the fields.

--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -201,23 +201,22 @@
 add_router (Site *self)
 {
   SiteRouter *router = &self->routers[self->n_routers];
-  char *peers = gg_process_reserve_address ();
   router->name = g_strdup_printf ("router-%u", self->n_routers);
   router->callers_address = gg_process_reserve_address ();
   router->ready_address = gg_process_reserve_address ();
   router->metrics_address = gg_process_reserve_address ();
+  router->peers_address = gg_process_reserve_address ();
   router->settings_path = g_strdup_printf ("%s/%s.ini", self->folder, router->name);
   char *text = g_strdup_printf ("[instance]\nname = %s\ndata_centre = %s\n"
                                 "[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n"
                                 "[store]\naddress = %s\n[stop]\ngrace_s = 5\n"
                                 "[retries]\nextra = %u\n[instance]\n%s",
                                 router->name, self->n_routers % 2 == 0 ? "north" : "south",
-                                router->callers_address, router->ready_address, peers,
-                                router->metrics_address, self->store_address, self->extra_retries,
-                                get_size_settings (self, self->n_routers));
+                                router->callers_address, router->ready_address,
+                                router->peers_address, router->metrics_address, self->store_address,
+                                self->extra_retries, get_size_settings (self, self->n_routers));
   g_file_set_contents (router->settings_path, text, -1, NULL);
   g_free (text);
-  g_free (peers);
   site_start_router (self, self->n_routers++);
 }
 
@@ -307,6 +306,7 @@
       g_free (router->callers_address);
       g_free (router->ready_address);
       g_free (router->metrics_address);
+      g_free (router->peers_address);
     }
   for (guint i = 0; i < self->n_runners; i++)
     {
@@ -403,7 +403,13 @@
 char *
 site_send_raw (const Site *self, guint router, const char *text)
 {
-  int fd = connect_to (self->routers[router].callers_address);
+  return site_send_raw_to (self->routers[router].callers_address, text);
+}
+
+char *
+site_send_raw_to (const char *address, const char *text)
+{
+  int fd = connect_to (address);
   if (fd < 0)
     return NULL;
   GString *raw = g_string_new (NULL);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -28,6 +28,7 @@
   char *callers_address;
   char *ready_address;
   char *metrics_address;
+  char *peers_address;
   char *settings_path;
   GgProcess *process;
 } SiteRouter;
@@ -100,6 +101,9 @@
 /** As site_call(), with @p text sent verbatim. */
 char *site_send_raw (const Site *self, guint router, const char *text);
 
+/** As site_send_raw(), to any address. */
+char *site_send_raw_to (const char *address, const char *text);
+
 /** These write or delete a key of the store, as an operator or another writer does. The key stands
  * in JSON as it is. */
 void site_put (const Site *self, const char *key, const char *value);
