Decide whether an instance's own links to the runners are down

Callers of an instance that was partitioned from all runners had failures and refusals for as long as the partition lasted, since the instance took each miss for the fault of a runner and had no notion of its own links.

The links are in doubt if nothing is heard although answers are due, or if several sends fail. They are down only if a probe has failed too and a peer has heard a runner since, so that an outage of the runners themselves changes nothing. Bytes of any runner end both states, and a failure of an attempt that began before the last bytes is no evidence.

--- a/src/core/link_health.h
+++ b/src/core/link_health.h
@@ -27,21 +27,24 @@
 void gg_link_health_note_sent (GgLinkHealth *self, const char *service, uint64_t now_ms);
 
 /** Records that an answer is no longer awaited: it has ended, or was given up. */
-void gg_link_health_note_ended (GgLinkHealth *self, const char *service, uint64_t now_ms);
+void gg_link_health_note_ended (GgLinkHealth *self, const char *service);
 
 /** Records bytes of a runner: the links to it are up. */
 void gg_link_health_note_heard (GgLinkHealth *self, const char *service, uint64_t now_ms);
 
-/** Records that a runner could not be reached, or closed the connection without an answer. */
+/** Records that a runner could not be reached, or closed the connection without an answer.
+ * @param since_ms when the attempt began: bytes heard since then show that the links are up. */
 void gg_link_health_note_missed (GgLinkHealth *self,
                                  const char *service,
                                  const char *runner_id,
+                                 uint64_t since_ms,
                                  uint64_t now_ms);
 
-/** Records that a probe of a runner had no answer. */
+/** Records that a probe of a runner that was sent at @p since_ms had no answer. */
 void gg_link_health_note_probe_failed (GgLinkHealth *self,
                                        const char *service,
                                        const char *runner_id,
+                                       uint64_t since_ms,
                                        uint64_t now_ms);
 
 /** Records that a peer has heard from a runner of a service.
@@ -60,7 +63,17 @@
 uint64_t
 gg_link_health_get_heard_age_ms (const GgLinkHealth *self, const char *service, uint64_t now_ms);
 
-/** Returns whether a miss at a runner at @p missed_ms is evidence against that runner: this
- * instance has heard from a runner later, and its links are not in doubt. */
+/** Returns whether sends to or probes of runners have failed since one was last heard; of a
+ * service, or of all for NULL. */
 gboolean
-gg_link_health_blames_runner (const GgLinkHealth *self, uint64_t missed_ms, uint64_t now_ms);
+gg_link_health_has_failures (const GgLinkHealth *self, const char *service, uint64_t now_ms);
+
+/** Returns whether any answer is awaited. */
+gboolean gg_link_health_is_awaiting (const GgLinkHealth *self);
+
+/** Returns whether a miss at a runner of a service at @p missed_ms is evidence against that runner:
+ * this instance has heard from a runner later, and the links to the service are not in doubt. */
+gboolean gg_link_health_blames_runner (const GgLinkHealth *self,
+                                       const char *service,
+                                       uint64_t missed_ms,
+                                       uint64_t now_ms);
--- a/src/daemons/routerd/link_monitor.h
+++ b/src/daemons/routerd/link_monitor.h
@@ -33,5 +33,11 @@
 /** Returns how long ago a runner of the service was heard; G_MAXUINT64 for never. */
 uint64_t gg_link_monitor_get_heard_age_ms (const GgLinkMonitor *self, const char *service);
 
-/** Returns whether a miss at @p missed_ms is evidence against its runner. */
-gboolean gg_link_monitor_blames_runner (const GgLinkMonitor *self, uint64_t missed_ms);
+/** Probes a runner of a service unless one was heard within the last few hundred milliseconds, so
+ * that an idle instance can soon tell a peer whether it reaches them. */
+void gg_link_monitor_refresh (GgLinkMonitor *self, const char *service);
+
+/** Returns whether a miss at a runner of a service at @p missed_ms is evidence against it. */
+gboolean gg_link_monitor_blames_runner (const GgLinkMonitor *self,
+                                        const char *service,
+                                        uint64_t missed_ms);
