Watch this instance's own links to the runners

An instance had no sign of a partition between itself and all runners: each hanging or broken send counted against its runner alone.

The link monitor feeds the evidence of sends, reports and orders into the link health.

When the links come back after a partition, the failures, silences and misses that it had counted against the runners are cleared, so that they are used at once.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -283,6 +283,22 @@
   return low;
 }
 
+void
+gg_fleet_forgive_failures (GgFleet *self, const char *service)
+{
+  for (guint i = 0; i < self->runners->len; i++)
+    {
+      GgFleetRunner *runner = g_ptr_array_index (self->runners, i);
+      if (service != NULL && strcmp (runner->record.service, service) != 0)
+        continue;
+      runner->failures = 0;
+      runner->silent_failures = 0;
+      runner->suspended_until_ms = 0;
+      runner->silent_until_ms = 0;
+      runner->misses = 0;
+    }
+}
+
 GgFleetRunner *
 gg_fleet_find (const GgFleet *self, const char *id)
 {
--- a/src/daemons/routerd/link_exchange.c
+++ b/src/daemons/routerd/link_exchange.c
@@ -154,7 +154,7 @@
       if (gg_link_monitor_get_state (monitor, service) == GG_LINKS_UP)
         add_service (answer, g_str_hash (service), age_ms);
       if (age_ms > PROBE_AGE_MS)
-        gg_link_monitor_probe (monitor, service);
+        gg_link_monitor_refresh (monitor, service);
     }
 }
 
--- a/src/daemons/routerd/link_monitor.h
+++ b/src/daemons/routerd/link_monitor.h
@@ -16,17 +16,15 @@
 /** Records bytes from @p runner. */
 void gg_link_monitor_note_heard (GgLinkMonitor *self, const GgFleetRunner *runner);
 
-/** Records that @p runner could not be reached, or closed without an answer. */
-void gg_link_monitor_note_missed (GgLinkMonitor *self, const GgFleetRunner *runner);
+/** Records that @p runner could not be reached, or closed without an answer.
+ * @param since_ms when the attempt began, or now if it was answered in part. */
+void
+gg_link_monitor_note_missed (GgLinkMonitor *self, const GgFleetRunner *runner, uint64_t since_ms);
 
 /** Records that a peer has heard from a runner of a service. */
 void
 gg_link_monitor_note_peer_heard (GgLinkMonitor *self, const char *service, uint64_t heard_age_ms);
 
-/** Probes a runner of the service, unless one was heard within the last 300 ms or a probe is under
- * way. */
-void gg_link_monitor_probe (GgLinkMonitor *self, const char *service);
-
 /** Returns the state of the links to the runners of a service; of all links for NULL. */
 GgLinkState gg_link_monitor_get_state (const GgLinkMonitor *self, const char *service);
 
@@ -38,6 +36,5 @@
 void gg_link_monitor_refresh (GgLinkMonitor *self, const char *service);
 
 /** Returns whether a miss at a runner of a service at @p missed_ms is evidence against it. */
-gboolean gg_link_monitor_blames_runner (const GgLinkMonitor *self,
-                                        const char *service,
-                                        uint64_t missed_ms);
+gboolean
+gg_link_monitor_blames_runner (const GgLinkMonitor *self, const char *service, uint64_t missed_ms);
--- a/src/daemons/routerd/placement_controller.c
+++ b/src/daemons/routerd/placement_controller.c
@@ -4,6 +4,7 @@
 #include "base/counters.h"
 #include "base/event_log.h"
 #include "core/placement.h"
+#include "daemons/routerd/link_monitor.h"
 #include "loop/fetch.h"
 #include "ports/relay_wire.h"
 
@@ -42,7 +43,8 @@
   GgLayerRange target;
   double load_ms;
   JobStep step;
-  GgLoopFetch *fetch;      /* NULL while no call is pending */
+  GgLoopFetch *fetch; /* NULL while no call is pending */
+  uint64_t sent_ms;
   GgLoopTimer *timer;      /* runs during JOB_SETTLE */
   uint64_t fencing_number; /* sent with the order */
   uint64_t n_orders;       /* orders that the runner was expected to have accepted before */
@@ -152,11 +154,26 @@
   wait_job (job, JOB_SETTLE, job->step == JOB_ORDER ? UNANSWERED_MS : RETRY_MS);
 }
 
+/* Records what the end of a call shows about the link to the runner. */
+static void
+note_link (const Job *job, GgFetchEnd end)
+{
+  const GgRouter *router = job->controller->router;
+  const GgFleetRunner *runner = gg_fleet_find (router->fleet, job->id);
+  if (runner == NULL)
+    return;
+  if (end == GG_FETCH_ANSWERED)
+    gg_link_monitor_note_heard (router->link_monitor, runner);
+  else
+    gg_link_monitor_note_missed (router->link_monitor, runner, job->sent_ms);
+}
+
 static void
 on_fetched (void *data, const GgFetchResult *result)
 {
   Job *job = data;
   job->fetch = NULL;
+  note_link (job, result->end);
   if (result->end != GG_FETCH_ANSWERED)
     on_no_answer (job);
   else if (job->step == JOB_REPORT)
@@ -203,6 +220,7 @@
                                    .timeout_ms = ANSWER_TIMEOUT_MS,
                                    .max_body_bytes = MAX_BODY_BYTES };
   job->step = step;
+  job->sent_ms = gg_clock_now_ms ();
   job->fetch = gg_loop_fetch (self->router->loop, self->router->client, &request, on_fetched, job);
   gg_message_head_destroy (head);
   g_free (body);
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -54,6 +54,7 @@
   uint64_t awaited_since_ms; /* since when an event is awaited: sent, rerouted or read again last */
   gboolean is_trial;         /* of a request in quarantine */
   gboolean is_suspected;     /* without an answer to a query, or a path that could be repaired */
+  gboolean is_awaited;       /* the link monitor waits for bytes of the answer */
   gboolean is_paused;        /* reading is paused, as the caller is slow */
   GgLoopCall *reroute_call;  /* the order to change the path, NULL if none */
   GgOrderResult reroute_result;
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -7,6 +7,7 @@
 #include "daemons/routerd/leaving_exchange.h"
 #include "daemons/routerd/limit_exchange.h"
 #include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/placement_controller.h"
 #include "daemons/routerd/problem.h"
 #include "daemons/routerd/quarantine_exchange.h"
@@ -234,6 +235,7 @@
                                            (GDestroyNotify) gg_send_budget_destroy);
   router->request_queue = gg_request_queue_create (router->loop);
   router->stall_detector = gg_stall_detector_create (router);
+  router->link_monitor = gg_link_monitor_create (router);
   if (gg_settings_get_boolean (self->settings, "keys", "strict"))
     {
       uint64_t revoke_ms = (uint64_t) gg_settings_get_decimal (self->settings, "keys", "revoke_ms");
@@ -339,6 +341,7 @@
   /* Deferred calls still use the components that are destroyed below. */
   gg_loop_run_deferred (router->loop);
   gg_stall_detector_destroy (router->stall_detector);
+  gg_link_monitor_destroy (router->link_monitor);
   gg_request_queue_destroy (router->request_queue);
   gg_loop_client_destroy (router->client);
   gg_loop_run_deferred (router->loop);
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -6,6 +6,7 @@
 #include "core/plain_choice.h"
 #include "daemons/routerd/limit_exchange.h"
 #include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/request_queue.h"
 #include "daemons/routerd/stall_detector.h"
 
@@ -42,6 +43,19 @@
   return self->peer.name != NULL;
 }
 
+/* Records whether bytes of the runner are awaited; those of a peer say nothing about runners. */
+static void
+set_awaited (GgSend *self, gboolean is_awaited)
+{
+  if (self->is_awaited == is_awaited || gg_send_is_handover (self))
+    return;
+  self->is_awaited = is_awaited;
+  if (is_awaited)
+    gg_link_monitor_note_sent (self->relay->router->link_monitor, self->runner);
+  else
+    gg_link_monitor_note_ended (self->relay->router->link_monitor, self->runner);
+}
+
 void
 gg_send_release (GgSend *self)
 {
@@ -51,6 +65,7 @@
   gg_stall_detector_remove (router->stall_detector, self);
   if (self->runner == NULL)
     return;
+  set_awaited (self, FALSE);
   if (self->has_path)
     {
       gg_layer_path_release (&self->path);
@@ -186,10 +201,33 @@
   return g_string_free (text, FALSE);
 }
 
+/* Records what the end of a call shows about the link to the runner. */
+static void
+note_link (const GgSend *self, GgCallEnd end)
+{
+  GgLinkMonitor *monitor = self->relay->router->link_monitor;
+  if (gg_send_is_handover (self))
+    return;
+  switch (end)
+    {
+    case GG_CALL_COMPLETE:
+    case GG_CALL_MALFORMED:
+      gg_link_monitor_note_heard (monitor, self->runner);
+      break;
+    case GG_CALL_UNREACHABLE:
+      gg_link_monitor_note_missed (monitor, self->runner, self->sent_ms);
+      break;
+    case GG_CALL_BROKEN:
+      gg_link_monitor_note_missed (monitor, self->runner, gg_clock_now_ms ());
+      break;
+    }
+}
+
 static void
 on_end (GgSend *self, GgCallEnd end)
 {
   GgRelay *relay = self->relay;
+  note_link (self, end);
   self->is_closed_by_runner = end == GG_CALL_BROKEN || end == GG_CALL_COMPLETE;
   switch (end)
     {
@@ -208,6 +246,16 @@
     }
 }
 
+/* Records bytes of the runner. */
+static void
+note_heard (GgSend *self)
+{
+  gg_link_monitor_note_heard (self->relay->router->link_monitor, self->runner);
+  if (self->is_suspected)
+    gg_fleet_runner_note_heard (self->runner);
+  self->is_suspected = FALSE;
+}
+
 static gboolean
 on_call (void *data, const GgCallEvent *event)
 {
@@ -215,9 +263,8 @@
   if (event->kind != GG_CALL_END)
     {
       self->last_activity_ms = gg_clock_now_ms ();
-      if (self->is_suspected)
-        gg_fleet_runner_note_heard (self->runner);
-      self->is_suspected = FALSE;
+      if (!gg_send_is_handover (self))
+        note_heard (self);
     }
   switch (event->kind)
     {
@@ -291,6 +338,7 @@
   gg_retry_after_note_sent (&self->runner->retry_after, self->sent_ms);
   gg_limit_exchange_note_demand (relay->router->limit_exchange, relay->service->name,
                                  self->runner->record.data_centre);
+  set_awaited (self, TRUE);
   gg_counter_add (&sends_total, 1);
   char *path = print_path (self);
   gg_event_log_add (
@@ -409,6 +457,7 @@
   if (self->call == NULL || self->is_paused == is_paused)
     return;
   self->is_paused = is_paused;
+  set_awaited (self, !is_paused);
   self->last_activity_ms = self->awaited_since_ms = gg_clock_now_ms ();
   gg_loop_call_set_reading (self->call, !is_paused);
 }
--- a/src/daemons/routerd/stall_detector.c
+++ b/src/daemons/routerd/stall_detector.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "daemons/routerd/link_monitor.h"
 #include "loop/fetch.h"
 #include "ports/relay_wire.h"
 
@@ -136,8 +137,13 @@
 on_fetched (void *data, const GgFetchResult *result)
 {
   ReportQuery *self = data;
+  GgLinkMonitor *link_monitor = self->detector->router->link_monitor;
   GgRunnerReport report;
   self->fetch = NULL;
+  if (result->end == GG_FETCH_ANSWERED)
+    gg_link_monitor_note_heard (link_monitor, self->runner);
+  else
+    gg_link_monitor_note_missed (link_monitor, self->runner, self->sent_ms);
   if (result->end != GG_FETCH_ANSWERED)
     act_on_no_answer (self);
   else if (result->status == 200
--- a/src/ports/relay_wire.h
+++ b/src/ports/relay_wire.h
@@ -155,6 +155,9 @@
 
 GgOrderResult gg_relay_wire_read_order_status (uint32_t status);
 
+/** Builds a health check of a runner. */
+GgMessageHead *gg_relay_wire_build_health_request (const char *runner_id, const char *path);
+
 /** Builds the request for a runner's report. */
 GgMessageHead *gg_relay_wire_build_report_request (const char *runner_id);
 
