Answer health checks in the fake runner without counting a run

test_platform's case "platform-lookups" counts the runs of look-ups whose runners break off. Two such runners in a row put the links in doubt, and the probe that follows is a health check, which the fake runner ran and counted like a request of a caller: 6 runs instead of 5. By the protocol a health check waits for a slot like a request, but runs nothing. It still counts as an arrival.

The check of the test is unchanged.

--- a/tests/fakes/fake_runner.c
+++ b/tests/fakes/fake_runner.c
@@ -516,6 +516,11 @@
       gg_message_head_destroy (head);
       return;
     }
+  if (strcmp (target, "/health") == 0)
+    {
+      gg_fake_loop_reply (connection, runner.is_leaving ? 503 : 200, "");
+      return;
+    }
   runner.n_runs++;
   if (strstr (target, "lose") != NULL)
     gg_server_connection_abort (connection);
