Report misses only as far as they are evidence against the runner

Instances report their misses at each runner to the others, which then avoid it. An instance that was partitioned from all runners reported misses at all of them, so instances that reached them avoided sound runners and refused requests.

A miss says something about a link. It is reported only once the instance has heard from a runner of some service after it, and not while its links to the service are in doubt or down.

--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "core/peer_load.h"
 #include "daemons/routerd/delegated_watch.h"
+#include "daemons/routerd/link_monitor.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -265,12 +266,16 @@
   return TRUE;
 }
 
-/* Returns the load that this instance has given to a runner, with its misses. */
+/* Returns the load that this instance has given to a runner, with its misses as far as they are
+ * evidence against the runner: those of an instance without links would make the others avoid sound
+ * runners. */
 static GgRunnerLoad
-get_own_load (const GgFleetRunner *runner)
+get_own_load (const GgLoadExchange *self, const GgFleetRunner *runner)
 {
   GgRunnerLoad load = runner->own;
-  load.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
+  if (gg_link_monitor_blames_runner (self->router->link_monitor, runner->record.service,
+                                     runner->last_miss_ms))
+    load.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
   return load;
 }
 
@@ -290,7 +295,7 @@
     entry_out->assigned_range = runner->assigned_range;
   if (kind == REPORT_ORDERS)
     return is_assigned;
-  entry_out->load = get_own_load (runner);
+  entry_out->load = get_own_load (self, runner);
   if (kind == REPORT_SUM)
     {
       GgRunnerLoad local = gg_peer_load_get (self->local_load, hash);
@@ -400,7 +405,7 @@
     {
       const GgFleetRunner *runner = gg_fleet_get (fleet, i);
       uint32_t hash = gg_load_report_hash (runner->record.id, runner->record.started_ms);
-      GgLoadReportEntry entry = { .runner_hash = hash, .load = get_own_load (runner) };
+      GgLoadReportEntry entry = { .runner_hash = hash, .load = get_own_load (self, runner) };
       GgRunnerLoad local = gg_peer_load_get (self->local_load, hash);
       gg_runner_load_add (&entry.load, &local);
       if (is_due (self->reported_to_members, hash, &entry.load))
