Give up leading while the links to the runners are down

A leader that is partitioned from the runners counted them as lost after two failures each and planned the layers anew, and nobody else could lead as long as it renewed its lease.

While the links to a service are in doubt, the leader plans nothing new for it. Once all links are down, it resigns and deletes the key of the leader if it is still its own, so that another instance is elected at once; a lost reply is followed by another try. It does not campaign while its links are down: as one of the first in rank it could win again right away.

--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -4,6 +4,7 @@
 #include "base/event_log.h"
 #include "core/backoff.h"
 #include "core/store_position.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/quarantine_exchange.h"
 #include "loop/address.h"
 
@@ -31,6 +32,9 @@
 /* Instances campaign for leadership one after another, so that one write is mostly enough. */
 #define CAMPAIGN_STEP_MS 60
 #define CAMPAIGN_DELAY_MS 10
+/* Pause before an instance whose links to the runners are down tries again to give up leading, or
+ * checks whether it may campaign. */
+#define LINKS_CHECK_MS 500
 /* A process that has just started knows the instances that start with it only after it has read the
  * list twice. */
 #define FIRST_CAMPAIGN_DELAY_MS (WATCH_PAUSE_MS + 50)
@@ -62,7 +66,8 @@
   GgRole role;
   gboolean is_joined; /* this instance's key is written under the current lease */
   gboolean is_leaving;
-  uint64_t fencing_number; /* revision of this process's write of the leader key; 0: not leader */
+  uint64_t fencing_number;  /* revision of this process's write of the leader key; 0: not leader */
+  gboolean is_handing_over; /* the key of the leader is still to be deleted */
   uint64_t last_fencing_number; /* highest token with which this process has led */
 
   GgRoster *roster;
@@ -127,6 +132,7 @@
                       self->fencing_number != 0);
   self->lease = 0;
   self->is_joined = FALSE;
+  self->is_handing_over = FALSE;
   self->fencing_number = 0;
 }
 
@@ -269,6 +275,38 @@
   self->fencing_number = 0;
 }
 
+static void
+on_leader_deleted (void *data, const GgStoreReply *reply)
+{
+  GgMembership *self = data;
+  self->leader_call = NULL;
+  if (reply->result == GG_STORE_OK || reply->result == GG_STORE_CONFLICT)
+    self->is_handing_over = FALSE;
+  gg_loop_timer_start (self->campaign_timer, LINKS_CHECK_MS);
+}
+
+/* Deletes the key of the leader that this instance has written. Otherwise its lease would hold the
+ * key, and no other instance would lead. */
+static void
+delete_leader_key (GgMembership *self)
+{
+  if (self->leader_call == NULL && !self->router->is_store_unavailable)
+    self->leader_call = gg_store_delete (self->router->store, LEADER_KEY, self->last_fencing_number,
+                                         on_leader_deleted, self);
+  else
+    gg_loop_timer_start (self->campaign_timer, LINKS_CHECK_MS);
+}
+
+void
+gg_membership_hand_over_leading (GgMembership *self)
+{
+  if (self->fencing_number == 0 || self->is_leaving)
+    return;
+  gg_membership_resign (self);
+  self->is_handing_over = TRUE;
+  delete_leader_key (self);
+}
+
 static void
 set_leading (GgMembership *self, uint64_t revision)
 {
@@ -304,6 +342,17 @@
       gg_loop_timer_start (self->campaign_timer, free_ms - now_ms);
       return;
     }
+  if (self->is_handing_over && !self->is_leaving)
+    {
+      delete_leader_key (self);
+      return;
+    }
+  /* An instance that can't reach the runners leaves the election to those that can. */
+  if (gg_link_monitor_get_state (self->router->link_monitor, NULL) == GG_LINKS_DOWN)
+    {
+      gg_loop_timer_start (self->campaign_timer, LINKS_CHECK_MS);
+      return;
+    }
   if (self->leader_revision != 0 || self->leader_call != NULL || !self->is_joined
       || !is_lease_valid (self) || self->is_leaving)
     return;
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -39,6 +39,10 @@
 /** Resigns from leading, since a runner has seen a higher fencing token. */
 void gg_membership_resign (GgMembership *self);
 
+/** Resigns from leading and deletes the key of the leader, so that another instance leads: this one
+ * can't reach the runners. It leads again only once its links are up. */
+void gg_membership_hand_over_leading (GgMembership *self);
+
 /** Whether this instance is registered under a lease that has not expired. */
 gboolean gg_membership_has_lease (const GgMembership *self);
 
--- a/src/daemons/routerd/placement_controller.c
+++ b/src/daemons/routerd/placement_controller.c
@@ -331,10 +331,18 @@
   if (config == NULL || !self->router->has_runner_list
       || !gg_membership_is_leader (self->membership))
     return;
+  if (gg_link_monitor_get_state (self->router->link_monitor, NULL) == GG_LINKS_DOWN)
+    {
+      gg_membership_hand_over_leading (self->membership);
+      return;
+    }
   for (guint i = 0; i < gg_routing_config_count_services (config); i++)
     {
       const GgRoutedService *service = gg_routing_config_get_service (config, i);
-      if (service->model != NULL && !is_fleet_starting (self, service->name))
+      /* While links are in doubt, the failures of runners may be this instance's own. */
+      if (service->model != NULL
+          && gg_link_monitor_get_state (self->router->link_monitor, service->name) == GG_LINKS_UP
+          && !is_fleet_starting (self, service->name))
         place_service (self, service);
     }
 }
--- a/src/ports/store.h
+++ b/src/ports/store.h
@@ -87,6 +87,11 @@
                              GgStoreFunc func,
                              void *data);
 
+/** Deletes a key if its revision is @p expected_revision, else gives GG_STORE_CONFLICT with the
+ * current item. */
+GgStoreCall *gg_store_delete (
+    GgStore *self, const char *key, uint64_t expected_revision, GgStoreFunc func, void *data);
+
 /** Checks that a key still has @p revision: GG_STORE_OK if so, else GG_STORE_CONFLICT with the
  * current item. Nothing is written. */
 GgStoreCall *
