--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -53,6 +53,7 @@
     "another instance handed it over after a send that may have run, but it may run "
     "once only here; their configurations differ" },
   { "caller_left", "the caller closed its connection before the answer was complete" },
+  { "caller_stalled", "the caller accepted nothing more of its answer for too long" },
 };
 
 static void
