--- a/src/daemons/routerd/link_exchange.c
+++ b/src/daemons/routerd/link_exchange.c
@@ -175,7 +175,7 @@
   answer.message.token = self->token;
   answer.message.room = gg_handover_get_room (self->router);
   answer.message.load_permille
-      = get_load_permille (gg_handover_count_open (self->router), answer.message.room);
+      = get_load_permille (self->router->n_handed_over, answer.message.room);
   add_own_services (self, &answer);
   send_message (self, &answer.message, query->address);
   gg_link_message_clear (&answer.message);
