--- a/tests/process/test_platform_cut_links.c
+++ b/tests/process/test_platform_cut_links.c
@@ -68,6 +68,7 @@
 {
   guint n;
   guint n_served;
+  guint n_served_late; /* of these, tries sent less than PATIENCE_MS before the cut healed */
   uint64_t longest_failure_ms;
 } Tally;
 
@@ -196,6 +197,8 @@
     {
       Tally *tally = &self->tallies[try->window][self->is_cut[try->router] ? 1 : 0];
       tally->n_served += is_served ? 1 : 0;
+      if (is_served && try->sent_ms + PATIENCE_MS >= self->started_ms + HEAL_AT_MS)
+        tally->n_served_late++;
       if (!is_served)
         tally->longest_failure_ms = MAX (tally->longest_failure_ms, took_ms);
       if (!is_served && try->window == WINDOW_CUT)
@@ -513,6 +516,9 @@
               "failures %u ms, %u ms\n",
               windows[w], t[1].n_served, t[1].n, t[0].n_served, t[0].n,
               (guint) t[1].longest_failure_ms, (guint) t[0].longest_failure_ms);
+      if (w == WINDOW_CUT)
+        printf ("  of those at cut routers %u were sent in the last %u ms of the cut\n",
+                t[1].n_served_late, PATIENCE_MS);
     }
   printf ("  %u of %u repeats served; %u connections cut; not ready:", self->n_repeats_served,
           self->n_repeats, site_count_cut (self->site));
