--- a/tests/process/test_platform_cut_links.c
+++ b/tests/process/test_platform_cut_links.c
@@ -517,7 +517,7 @@
               windows[w], t[1].n_served, t[1].n, t[0].n_served, t[0].n,
               (guint) t[1].longest_failure_ms, (guint) t[0].longest_failure_ms);
       if (w == WINDOW_CUT)
-        printf ("  of those at cut routers %u were sent in the last %u ms of the cut\n",
+        printf ("  of those at cut routers %u were sent in the last %d ms of the cut\n",
                 t[1].n_served_late, PATIENCE_MS);
     }
   printf ("  %u of %u repeats served; %u connections cut; not ready:", self->n_repeats_served,
--- a/tests/process/test_platform_forged_handover.c
+++ b/tests/process/test_platform_forged_handover.c
@@ -24,6 +24,8 @@
   { "POST", "/drafts/forged" },
 };
 
+static const char authorization[] = "Bearer " SITE_KEY;
+
 static char *
 read_peer_address (const Site *site, guint router)
 {
@@ -87,17 +89,10 @@
   for (guint i = 0; i < G_N_ELEMENTS (tokens); i++)
     for (guint k = 0; k < G_N_ELEMENTS (requests); k++)
       {
-        const char *headers[] = { "Host",
-                                  SITE_HOST,
-                                  "Authorization",
-                                  "Bearer " SITE_KEY,
-                                  "X-Attempt-Id",
-                                  "forged",
-                                  "X-Token-Count",
-                                  "10,6",
-                                  FIELD,
-                                  tokens[i],
-                                  NULL };
+        const char *headers[]
+            = { "Host",   SITE_HOST,       "Authorization", authorization, "X-Attempt-Id",
+                "forged", "X-Token-Count", "10,6",          FIELD,         tokens[i],
+                NULL };
         GgHttpReply reply;
         GgHttpResult result
             = gg_test_call (requests[k].method, address, requests[k].target, headers, "", &reply);
