Take a refused connection as proof of a crash only while the links are up

In a partition that resets and refuses connections, streams that broke off just before their first event, followed by a refused connection, counted as crashes of their runners, which puts sound requests and parts of prompts into quarantine.

Restarts and removed entries remain proof by themselves.

--- a/src/core/link_health.h
+++ b/src/core/link_health.h
@@ -72,7 +72,8 @@
 gboolean gg_link_health_is_awaiting (const GgLinkHealth *self);
 
 /** Returns whether a miss at a runner of a service at @p missed_ms is evidence against that runner:
- * this instance has heard from a runner later, and the links to the service are not in doubt. */
+ * this instance has heard from a runner later, and the links are not in doubt.
+ * @param service NULL to judge by all links. */
 gboolean gg_link_health_blames_runner (const GgLinkHealth *self,
                                        const char *service,
                                        uint64_t missed_ms,
--- a/src/daemons/routerd/crash_detector.c
+++ b/src/daemons/routerd/crash_detector.c
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "base/event_log.h"
 #include "core/request_digest.h"
+#include "daemons/routerd/link_monitor.h"
 #include "loop/socket.h"
 
 #include <string.h>
@@ -14,6 +15,9 @@
 /* Attempts to connect to a process; its listening socket may close a little after its connections.
  * From then on its entry has to tell. */
 #define MAX_PROBES 6
+/* In a partition of this instance all connections are refused too. By this attempt that shows at
+ * other runners, unless nothing is sent to them. */
+#define SETTLED_PROBES 3
 #define CONNECT_TIMEOUT_MS 400
 
 /* An attempt to connect to a process. */
@@ -24,6 +28,7 @@
   uint64_t started_ms;
   GgLoopSocket *socket; /* NULL between two attempts */
   uint64_t begun_ms;
+  uint64_t broken_ms; /* when the first send was broken off (monotonic) */
   uint32_t n_attempts;
 } Probe;
 
@@ -85,6 +90,17 @@
     }
 }
 
+/* Whether a refused connection shows that the process has ended, and not that the link to it is
+ * down. */
+static gboolean
+is_refusal_proof (const Probe *probe)
+{
+  const GgLinkMonitor *monitor = probe->detector->router->link_monitor;
+  return gg_link_monitor_blames_runner (monitor, NULL, probe->broken_ms + 1)
+         || (probe->n_attempts >= SETTLED_PROBES
+             && gg_link_monitor_get_state (monitor, NULL) == GG_LINKS_UP);
+}
+
 static void
 on_probe (void *data, const GgSocketEvent *event)
 {
@@ -95,7 +111,7 @@
   gboolean is_refused = event->kind == GG_SOCKET_RESET && event->is_refused;
   gg_loop_socket_destroy (probe->socket, FALSE);
   probe->socket = NULL;
-  if (!is_refused)
+  if (!is_refused || !is_refusal_proof (probe))
     return;
   gg_crash_evidence_note_refused (self->evidence, probe->runner_id, probe->started_ms);
   g_ptr_array_remove (self->probes, probe);
@@ -176,6 +192,7 @@
       probe->detector = self;
       probe->runner_id = g_strdup (process->runner_id);
       probe->started_ms = process->started_ms;
+      probe->broken_ms = gg_clock_now_ms ();
       g_ptr_array_add (self->probes, probe);
       update_probe (probe, now_ms);
     }
