Request no permits for waiting requests while the links are down

An instance without links to the runners sends them nothing, but requested permits of limited runners for the requests that waited. Those permits were missing at the instances that serve its callers meanwhile.

--- a/src/daemons/routerd/limit_exchange.c
+++ b/src/daemons/routerd/limit_exchange.c
@@ -8,6 +8,7 @@
 #include "base/metric_family.h"
 #include "core/limit_allocator.h"
 #include "daemons/routerd/delegated_watch.h"
+#include "daemons/routerd/link_monitor.h"
 
 #include <string.h>
 
@@ -479,6 +480,9 @@
 gg_limit_exchange_note_waiting (GgLimitExchange *self, const char *service, uint32_t random)
 {
   GgFleet *fleet = self->router->fleet;
+  /* Permits would be of no use here, and would be missing at the others. */
+  if (gg_link_monitor_get_state (self->router->link_monitor, service) == GG_LINKS_DOWN)
+    return;
   GPtrArray *limited = g_ptr_array_new ();
   for (guint i = 0; i < gg_fleet_get_size (fleet) && self->has_limits; i++)
     if (is_limited (gg_fleet_get (fleet, i), service))
