Count awaited answers by the service of the request

A runner's entry may change its service while an answer is awaited; the end of the answer would then be counted for another service than its beginning.

--- a/src/daemons/routerd/link_monitor.c
+++ b/src/daemons/routerd/link_monitor.c
@@ -324,17 +324,17 @@
 }
 
 void
-gg_link_monitor_note_sent (GgLinkMonitor *self, const GgFleetRunner *runner)
+gg_link_monitor_note_sent (GgLinkMonitor *self, const char *service)
 {
-  get_links (self, runner->record.service);
-  gg_link_health_note_sent (self->health, runner->record.service, gg_clock_now_ms ());
+  get_links (self, service);
+  gg_link_health_note_sent (self->health, service, gg_clock_now_ms ());
   schedule_check (self);
 }
 
 void
-gg_link_monitor_note_ended (GgLinkMonitor *self, const GgFleetRunner *runner)
+gg_link_monitor_note_ended (GgLinkMonitor *self, const char *service)
 {
-  gg_link_health_note_ended (self->health, runner->record.service);
+  gg_link_health_note_ended (self->health, service);
 }
 
 void
--- a/src/daemons/routerd/link_monitor.h
+++ b/src/daemons/routerd/link_monitor.h
@@ -9,9 +9,10 @@
 GgLinkMonitor *gg_link_monitor_create (GgRouter *router);
 void gg_link_monitor_destroy (GgLinkMonitor *self);
 
-/** Records that an answer of @p runner is awaited, or no longer awaited. */
-void gg_link_monitor_note_sent (GgLinkMonitor *self, const GgFleetRunner *runner);
-void gg_link_monitor_note_ended (GgLinkMonitor *self, const GgFleetRunner *runner);
+/** Records that an answer of a runner of @p service is awaited, or no longer awaited. The name is
+ * that of the request's configuration, since a runner's entry may change in the meantime. */
+void gg_link_monitor_note_sent (GgLinkMonitor *self, const char *service);
+void gg_link_monitor_note_ended (GgLinkMonitor *self, const char *service);
 
 /** Records bytes from @p runner. */
 void gg_link_monitor_note_heard (GgLinkMonitor *self, const GgFleetRunner *runner);
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -50,10 +50,11 @@
   if (self->is_awaited == is_awaited || gg_send_is_handover (self))
     return;
   self->is_awaited = is_awaited;
+  const GgRelay *relay = self->relay;
   if (is_awaited)
-    gg_link_monitor_note_sent (self->relay->router->link_monitor, self->runner);
+    gg_link_monitor_note_sent (relay->router->link_monitor, relay->service->name);
   else
-    gg_link_monitor_note_ended (self->relay->router->link_monitor, self->runner);
+    gg_link_monitor_note_ended (relay->router->link_monitor, relay->service->name);
 }
 
 void
