Hand requests over to peers while this instance reaches no runner

Cause: a miss was taken as evidence against the runner, never against the link. A cut instance refused what its peers could have served, and reported its misses, so that the others avoided every model runner for up to a second after each of its rounds of tries; a cut leader took sound runners for lost. Class: one observer's failure detector taken as a fact about the observed.

Change: core/link_health judges the instance's own links; link_monitor gathers the evidence and probes while they are in doubt, link_exchange asks the peers which services they reach, and send and handover let a peer serve the request over one hop. Misses count against a runner only after this instance has heard from another one; an instance whose links are down doesn't lead.

Why it works: links count as down only if probes fail and a peer has heard from runners meanwhile, so an outage of all runners changes nothing, and a false alarm costs a hop. A handed-over request is one more send to core/attempt, so what may run once is never handed over after a send that may have run.

--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -6,6 +6,8 @@
 #include "daemons/routerd/config_watcher.h"
 #include "daemons/routerd/leaving_exchange.h"
 #include "daemons/routerd/limit_exchange.h"
+#include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/placement_controller.h"
 #include "daemons/routerd/problem.h"
 #include "daemons/routerd/quarantine_exchange.h"
@@ -118,7 +120,8 @@
   if (!gg_delegated_watch_receive (self->router.delegated_watch, bytes, size_bytes)
       && !gg_quarantine_exchange_receive (self->router.quarantine_exchange, bytes, size_bytes)
       && !gg_limit_exchange_receive (self->router.limit_exchange, bytes, size_bytes)
-      && !gg_leaving_exchange_receive (self->router.leaving_exchange, bytes, size_bytes))
+      && !gg_leaving_exchange_receive (self->router.leaving_exchange, bytes, size_bytes)
+      && !gg_link_exchange_receive (self->router.link_exchange, bytes, size_bytes))
     gg_load_exchange_receive (self->load_exchange, bytes, size_bytes);
 }
 
@@ -130,6 +133,14 @@
   gg_loop_timer_start (self->log_timer, LOG_FLUSH_MS);
 }
 
+/* Returns the number of connections of callers and peers with work in progress. */
+static guint
+count_busy (const Daemon *self)
+{
+  return gg_loop_server_count_busy (self->router.caller_server)
+         + gg_loop_server_count_busy (self->router.peer_server);
+}
+
 static void
 on_stop_timer (void *data)
 {
@@ -137,7 +148,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   uint64_t stopped_ms = now_ms - self->stop_started_ms;
   gboolean is_over = now_ms >= self->router.stop_end_ms;
-  guint n_busy = gg_loop_server_count_busy (self->router.caller_server);
+  guint n_busy = count_busy (self);
   if (stopped_ms >= BALANCER_SETTLE_MS)
     {
       self->router.is_refusing = TRUE;
@@ -149,6 +160,7 @@
       self->has_ended_requests = TRUE;
       self->n_cut = n_busy;
       gg_loop_server_foreach_open (self->router.caller_server, gg_relay_end_for_stop);
+      gg_loop_server_foreach_open (self->router.peer_server, gg_relay_end_for_stop);
       gg_loop_timer_start (self->stop_timer, LAST_ANSWERS_MS);
       return;
     }
@@ -181,8 +193,9 @@
   self->stop_started_ms = gg_clock_now_ms ();
   self->router.stop_end_ms = self->stop_started_ms + get_stop_ms (self);
   gg_event_log_add (GG_EVENT_NOTABLE, "process_stopping", "signal=TERM requests=%u",
-                    gg_loop_server_count_busy (self->router.caller_server));
+                    count_busy (self));
   gg_loop_server_set_closing (self->router.caller_server);
+  gg_loop_server_set_closing (self->router.peer_server);
   gg_membership_leave (self->membership);
   gg_loop_timer_start (self->stop_timer, STOP_CHECK_MS);
 }
@@ -222,6 +235,7 @@
                                            (GDestroyNotify) gg_send_budget_destroy);
   router->request_queue = gg_request_queue_create (router->loop);
   router->stall_detector = gg_stall_detector_create (router);
+  router->link_monitor = gg_link_monitor_create (router);
   if (gg_settings_get_boolean (self->settings, "keys", "strict"))
     {
       uint64_t revoke_ms = (uint64_t) gg_settings_get_decimal (self->settings, "keys", "revoke_ms");
@@ -286,6 +300,7 @@
   router->quarantine_exchange = gg_quarantine_exchange_create (router, self->membership);
   router->limit_exchange = gg_limit_exchange_create (router, self->membership);
   router->leaving_exchange = gg_leaving_exchange_create (router, self->membership);
+  router->link_exchange = gg_link_exchange_create (router, self->membership, self->load_exchange);
   const GgDelegatedWatchParams watch = { .router = router,
                                          .membership = self->membership,
                                          .config_watcher = self->config_watcher,
@@ -313,6 +328,7 @@
   gg_datagram_socket_destroy (router->peer_socket);
   gg_placement_controller_destroy (self->placement_controller);
   gg_delegated_watch_destroy (router->delegated_watch);
+  gg_link_exchange_destroy (router->link_exchange);
   gg_leaving_exchange_destroy (router->leaving_exchange);
   gg_limit_exchange_destroy (router->limit_exchange);
   gg_quarantine_exchange_destroy (router->quarantine_exchange);
@@ -325,6 +341,7 @@
   /* Deferred calls still use the components that are destroyed below. */
   gg_loop_run_deferred (router->loop);
   gg_stall_detector_destroy (router->stall_detector);
+  gg_link_monitor_destroy (router->link_monitor);
   gg_request_queue_destroy (router->request_queue);
   gg_loop_client_destroy (router->client);
   gg_loop_run_deferred (router->loop);
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -5,6 +5,8 @@
 #include "base/event_log.h"
 #include "core/plain_choice.h"
 #include "daemons/routerd/limit_exchange.h"
+#include "daemons/routerd/link_exchange.h"
+#include "daemons/routerd/link_monitor.h"
 #include "daemons/routerd/request_queue.h"
 #include "daemons/routerd/stall_detector.h"
 
@@ -24,20 +26,49 @@
  * at one runner are at different stages. */
 #define HINTED_ANSWER_FRACTION 0.7
 
+#define PEER_SILENCE_LIMIT_MS 1200
+
 static GgCounter sends_total
     = GG_COUNTER ("greengage_router_sends_total", "Requests sent to runners");
 
+const char *
+gg_send_get_target (const GgSend *self)
+{
+  return gg_send_is_handover (self) ? self->peer.name : self->runner->record.id;
+}
+
+gboolean
+gg_send_is_handover (const GgSend *self)
+{
+  return self->peer.name != NULL;
+}
+
+/* Records whether bytes of the runner are awaited; those of a peer say nothing about runners. */
+static void
+set_awaited (GgSend *self, gboolean is_awaited)
+{
+  if (self->is_awaited == is_awaited || gg_send_is_handover (self))
+    return;
+  self->is_awaited = is_awaited;
+  const GgRelay *relay = self->relay;
+  if (is_awaited)
+    gg_link_monitor_note_sent (relay->router->link_monitor, relay->service->name);
+  else
+    gg_link_monitor_note_ended (relay->router->link_monitor, relay->service->name);
+}
+
 void
 gg_send_release (GgSend *self)
 {
+  GgRouter *router = self->relay->router;
   gg_loop_call_cancel (self->reroute_call);
   self->reroute_call = NULL;
+  gg_stall_detector_remove (router->stall_detector, self);
   if (self->runner == NULL)
     return;
-  GgRouter *router = self->relay->router;
+  set_awaited (self, FALSE);
   if (self->has_path)
     {
-      gg_stall_detector_remove (router->stall_detector, self);
       gg_layer_path_release (&self->path);
       gg_layer_path_clear (&self->path);
       self->has_path = FALSE;
@@ -58,6 +89,8 @@
   if (self->answer_body != NULL)
     g_byte_array_unref (self->answer_body);
   gg_event_buffer_destroy (self->events);
+  g_free (self->peer.name);
+  g_free (self->peer.address);
   g_free (self);
 }
 
@@ -132,6 +165,29 @@
   return GG_PATH_FOUND;
 }
 
+/* Chooses a peer that neither has the request already nor has failed to serve it. */
+static GgPathResult
+choose_peer (GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  const char *excluded[GG_MAX_FAILED_PEERS + 2] = { NULL };
+  GgHandoverOffer offer;
+  for (guint i = 0; i < relay->n_failed_peers; i++)
+    excluded[i] = relay->failed_peers[i];
+  if (relay->send != NULL && gg_send_is_handover (relay->send))
+    excluded[relay->n_failed_peers] = relay->send->peer.name;
+  if (relay->n_failed_peers == GG_MAX_FAILED_PEERS
+      || !gg_link_exchange_choose_peer (relay->router->link_exchange, relay->service->name,
+                                        excluded, g_random_int (), &offer))
+    return GG_PATH_NONE;
+  self->peer = (GgPeerTarget){ .name = g_strdup (offer.name),
+                               .address = g_strdup (offer.address),
+                               .token = offer.token };
+  if (relay->service->model != NULL)
+    gg_stall_detector_add (relay->router->stall_detector, self);
+  return GG_PATH_FOUND;
+}
+
 /* Prints the runners of the path for the log, "RUNNER:FIRST-END,...". */
 static char *
 print_path (const GgSend *self)
@@ -146,10 +202,33 @@
   return g_string_free (text, FALSE);
 }
 
+/* Records what the end of a call shows about the link to the runner. */
+static void
+note_link (const GgSend *self, GgCallEnd end)
+{
+  GgLinkMonitor *monitor = self->relay->router->link_monitor;
+  if (gg_send_is_handover (self))
+    return;
+  switch (end)
+    {
+    case GG_CALL_COMPLETE:
+    case GG_CALL_MALFORMED:
+      gg_link_monitor_note_heard (monitor, self->runner);
+      break;
+    case GG_CALL_UNREACHABLE:
+      gg_link_monitor_note_missed (monitor, self->runner, self->sent_ms);
+      break;
+    case GG_CALL_BROKEN:
+      gg_link_monitor_note_missed (monitor, self->runner, gg_clock_now_ms ());
+      break;
+    }
+}
+
 static void
 on_end (GgSend *self, GgCallEnd end)
 {
   GgRelay *relay = self->relay;
+  note_link (self, end);
   self->is_closed_by_runner = end == GG_CALL_BROKEN || end == GG_CALL_COMPLETE;
   switch (end)
     {
@@ -162,13 +241,22 @@
     case GG_CALL_BROKEN:
     case GG_CALL_MALFORMED:
       /* A refusal is valid from its head on, even if its body was truncated. */
-      gg_relay_end_send (relay, self,
-                         self->answer_fields.is_refused ? GG_SEND_REFUSED : GG_SEND_LOST,
+      gg_relay_end_send (relay, self, gg_send_is_refused (self) ? GG_SEND_REFUSED : GG_SEND_LOST,
                          end == GG_CALL_BROKEN ? "closed" : "malformed");
       break;
     }
 }
 
+/* Records bytes of the runner. */
+static void
+note_heard (GgSend *self)
+{
+  gg_link_monitor_note_heard (self->relay->router->link_monitor, self->runner);
+  if (self->is_suspected)
+    gg_fleet_runner_note_heard (self->runner);
+  self->is_suspected = FALSE;
+}
+
 static gboolean
 on_call (void *data, const GgCallEvent *event)
 {
@@ -176,9 +264,8 @@
   if (event->kind != GG_CALL_END)
     {
       self->last_activity_ms = gg_clock_now_ms ();
-      if (self->is_suspected)
-        gg_fleet_runner_note_heard (self->runner);
-      self->is_suspected = FALSE;
+      if (!gg_send_is_handover (self))
+        note_heard (self);
     }
   switch (event->kind)
     {
@@ -200,47 +287,59 @@
   uint64_t now_ms = gg_clock_now_ms ();
   GgSend *self = g_new0 (GgSend, 1);
   self->relay = relay;
-  *result_out = relay->service->model != NULL ? choose_path (self, excluded, now_ms)
-                                              : choose_plain_runner (self, excluded, now_ms);
+  if (gg_relay_needs_peer (relay))
+    *result_out = choose_peer (self);
+  else
+    *result_out = relay->service->model != NULL ? choose_path (self, excluded, now_ms)
+                                                : choose_plain_runner (self, excluded, now_ms);
   if (*result_out == GG_PATH_FOUND)
     return self;
   g_free (self);
   return NULL;
 }
 
-void
-gg_send_transmit (GgSend *self)
+static uint64_t
+get_time_left_ms (const GgRelay *relay, uint64_t now_ms)
+{
+  return relay->deadline_ms > now_ms ? relay->deadline_ms - now_ms : 1;
+}
+
+static GgMessageHead *
+build_runner_head (const GgSend *self, size_t body_bytes)
+{
+  const GgRelay *relay = self->relay;
+  GgRelaySend fields = { .runner_id = self->runner->record.id,
+                         .team = relay->team != NULL ? relay->team->name : NULL,
+                         .time_left_ms = get_time_left_ms (relay, self->sent_ms),
+                         .path = self->has_path ? &self->path : NULL,
+                         .has_last_event = relay->has_last_id,
+                         .last_event_id = relay->last_id,
+                         .urgency = MIN (gg_relay_get_priority (relay) + 3, 9) };
+  return gg_relay_wire_build_request (relay->head, &fields, body_bytes);
+}
+
+static GgMessageHead *
+build_handover_head (const GgSend *self, size_t body_bytes)
+{
+  const GgRelay *relay = self->relay;
+  GgHandoverFields fields = { .token = self->peer.token,
+                              .instance = relay->router->instance,
+                              .n_runs = relay->attempt.n_possible_runs,
+                              .time_left_ms = get_time_left_ms (relay, self->sent_ms),
+                              .has_last_event = relay->has_last_id,
+                              .last_event_id = relay->last_id };
+  return gg_relay_wire_build_handover (relay->head, &fields, body_bytes);
+}
+
+static void
+note_sent_to_runner (GgSend *self)
 {
   const GgRelay *relay = self->relay;
-  uint64_t now_ms = gg_clock_now_ms ();
-  GgRelaySend fields
-      = { .runner_id = self->runner->record.id,
-          .team = relay->team != NULL ? relay->team->name : NULL,
-          .time_left_ms = relay->deadline_ms > now_ms ? relay->deadline_ms - now_ms : 1,
-          .path = self->has_path ? &self->path : NULL,
-          .has_last_event = relay->has_last_id,
-          .last_event_id = relay->last_id,
-          .urgency = MIN (gg_relay_get_priority (relay) + 3, 9) };
-  size_t body_bytes = relay->body != NULL ? relay->body->len : 0;
-  GgMessageHead *head = gg_relay_wire_build_request (relay->head, &fields, body_bytes);
-  gboolean runs_once = relay->route->kind == GG_REQUEST_NON_IDEMPOTENT;
-  GgCallRequest request = { .address = self->runner->record.address,
-                            .head = head,
-                            .body = relay->body != NULL ? relay->body->data : NULL,
-                            .body_bytes = body_bytes,
-                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                            .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS,
-                            .used = &self->relay->used_connections };
   gg_fleet_runner_take_permit (self->runner, gg_clock_boot_ms ());
-  gg_retry_after_note_sent (&self->runner->retry_after, now_ms);
+  gg_retry_after_note_sent (&self->runner->retry_after, self->sent_ms);
   gg_limit_exchange_note_demand (relay->router->limit_exchange, relay->service->name,
                                  self->runner->record.data_centre);
-  self->sent_ms = now_ms;
-  self->sent_boot_ms = gg_clock_boot_ms ();
-  self->last_activity_ms = now_ms;
-  self->awaited_since_ms = now_ms;
-  self->call = gg_loop_client_call (relay->router->client, &request, on_call, self);
-  gg_message_head_destroy (head);
+  set_awaited (self, TRUE);
   gg_counter_add (&sends_total, 1);
   char *path = print_path (self);
   gg_event_log_add (
@@ -250,18 +349,67 @@
       relay->caller.attempt_id, self->runner->record.id, path,
       self->has_path ? self->path.n_hops : 1, self->has_path ? self->path.token_ms : 0,
       self->has_path ? self->path.tokens : 0, relay->attempt.n_possible_runs,
-      relay->attempt.n_not_run, (guint64) fields.time_left_ms,
+      relay->attempt.n_not_run, (guint64) get_time_left_ms (relay, self->sent_ms),
       (guint64) gg_fleet_get_revision (relay->router->fleet),
       (guint64) (gg_clock_boot_ms () - relay->router->runners_fresh_boot_ms));
   g_free (path);
 }
 
+static void
+note_handed_over (const GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  gg_event_log_add (GG_EVENT_ORDINARY, "request_handed_over",
+                    "request=%s peer=%s runs=%u misses=%u left_ms=%" G_GUINT64_FORMAT " events=%u",
+                    relay->caller.attempt_id, self->peer.name, relay->attempt.n_possible_runs,
+                    relay->attempt.n_not_run, (guint64) get_time_left_ms (relay, self->sent_ms),
+                    relay->n_events);
+}
+
+void
+gg_send_transmit (GgSend *self)
+{
+  const GgRelay *relay = self->relay;
+  gboolean is_handover = gg_send_is_handover (self);
+  gboolean runs_once = relay->route->kind == GG_REQUEST_NON_IDEMPOTENT;
+  size_t body_bytes = relay->body != NULL ? relay->body->len : 0;
+  self->sent_ms = gg_clock_now_ms ();
+  self->sent_boot_ms = gg_clock_boot_ms ();
+  self->last_activity_ms = self->sent_ms;
+  self->awaited_since_ms = self->sent_ms;
+  GgMessageHead *head
+      = is_handover ? build_handover_head (self, body_bytes) : build_runner_head (self, body_bytes);
+  GgCallRequest request
+      = { .address = is_handover ? self->peer.address : self->runner->record.address,
+          .head = head,
+          .body = relay->body != NULL ? relay->body->data : NULL,
+          .body_bytes = body_bytes,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .max_idle_ms = runs_once ? MAX_IDLE_ONCE_MS : MAX_IDLE_MS,
+          .used = &self->relay->used_connections };
+  self->call = gg_loop_client_call (relay->router->client, &request, on_call, self);
+  gg_message_head_destroy (head);
+  if (is_handover)
+    note_handed_over (self);
+  else
+    note_sent_to_runner (self);
+}
+
+/* Whether the peer has had the time to send a hedge for a silent runner, so that the peer itself is
+ * in doubt. It has no report that could be requested. */
+static gboolean
+is_peer_silent (const GgSend *self)
+{
+  return gg_send_is_handover (self)
+         && gg_clock_now_ms () - self->last_activity_ms >= PEER_SILENCE_LIMIT_MS;
+}
+
 GgStallState
 gg_send_get_stall_state (const GgSend *self)
 {
   return (GgStallState){ .has_events = self->events != NULL && self->relay->is_head_sent,
                          .is_resumable = self->relay->route->is_resumable,
-                         .is_suspected = self->is_suspected,
+                         .is_suspected = self->is_suspected || is_peer_silent (self),
                          .is_paused = self->is_paused,
                          .last_activity_ms = self->last_activity_ms,
                          .last_event_ms
@@ -310,6 +458,7 @@
   if (self->call == NULL || self->is_paused == is_paused)
     return;
   self->is_paused = is_paused;
+  set_awaited (self, !is_paused);
   self->last_activity_ms = self->awaited_since_ms = gg_clock_now_ms ();
   gg_loop_call_set_reading (self->call, !is_paused);
 }
