Add a soak of cuts beside stops, kills and configurations

Checks that no booking runs twice or is refused although it runs, that no stream holds events of two runs, and that all first tries are served once the links have healed.

--- a/tests/process/test_platform_cut_links.c
+++ b/tests/process/test_platform_cut_links.c
@@ -8,6 +8,7 @@
 #include "prove.h"
 #include "site.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,6 +39,13 @@
 #define N_LONG_EVENTS 40
 #define READY_INTERVAL_MS 200
 #define MAX_TARGET_BYTES 64
+/* Of the soak: interval of its disturbances, and the last times at which a router may be stopped or
+ * killed and still be back when the cut has healed. */
+#define DISTURBANCE_MIN_MS 150
+#define DISTURBANCE_MAX_MS 700
+#define LAST_TERM_MS (HEAL_AT_MS - 5500)
+#define LAST_KILL_MS (HEAL_AT_MS - 500)
+#define DEFAULT_SEED 1
 
 typedef enum
 {
@@ -64,6 +72,16 @@
   N_WINDOWS,
 } Window;
 
+typedef enum
+{
+  DISTURB_CUT, /* some routers, in a mode of fake_links.c */
+  DISTURB_HEAL,
+  DISTURB_TERM,
+  DISTURB_KILL,
+  DISTURB_CONFIG,
+  N_DISTURBANCES,
+} Disturbance;
+
 typedef struct
 {
   guint n;
@@ -94,6 +112,12 @@
   guint n_repeats_served;
   int is_watching;              /* atomic */
   guint n_not_ready[N_ROUTERS]; /* answers of the readiness check in the cut */
+  /* Of the soak: */
+  GRand *random; /* NULL for a single cut */
+  GgLoopTimer *disturbance_timer;
+  gboolean is_terminated[N_ROUTERS];
+  guint config_version;
+  guint n_disturbances[N_DISTURBANCES];
 } Play;
 
 /* One try of a caller. */
@@ -342,6 +366,70 @@
     gg_loop_timer_start (self->try_timer, TRY_INTERVAL_MS / 2);
 }
 
+static void
+cut_some (Play *self)
+{
+  static const char *const modes[] = { "silent", "reset", "refuse-new" };
+  gboolean is_cut[N_ROUTERS];
+  for (guint i = 0; i < N_ROUTERS; i++)
+    is_cut[i] = g_rand_boolean (self->random);
+  site_cut (self->site, is_cut, modes[g_rand_int_range (self->random, 0, G_N_ELEMENTS (modes))]);
+}
+
+static void
+disturb (Play *self, Disturbance disturbance, uint64_t at_ms)
+{
+  guint i = (guint) g_rand_int_range (self->random, 0, N_ROUTERS);
+  self->n_disturbances[disturbance]++;
+  switch (disturbance)
+    {
+    case DISTURB_CUT:
+      cut_some (self);
+      break;
+    case DISTURB_HEAL:
+      site_heal (self->site);
+      break;
+    case DISTURB_TERM:
+      if (at_ms < LAST_TERM_MS && !self->is_terminated[i])
+        {
+          gg_process_signal (self->site->routers[i].process, SIGTERM);
+          self->is_terminated[i] = TRUE;
+        }
+      break;
+    case DISTURB_KILL:
+      if (at_ms < LAST_KILL_MS && !self->is_terminated[i])
+        {
+          gg_process_signal (self->site->routers[i].process, SIGKILL);
+          self->is_terminated[i] = TRUE;
+        }
+      break;
+    case DISTURB_CONFIG:
+      site_write_config (self->site, ++self->config_version, TRUE);
+      break;
+    case N_DISTURBANCES:
+      break;
+    }
+}
+
+static void
+on_disturbance_due (void *data)
+{
+  Play *self = data;
+  uint64_t at_ms = gg_clock_now_ms () - self->started_ms;
+  for (guint i = 0; i < N_ROUTERS; i++)
+    if (self->is_terminated[i] && gg_process_wait_exit (self->site->routers[i].process, 0))
+      {
+        site_start_router (self->site, i);
+        self->is_terminated[i] = FALSE;
+      }
+  if (at_ms < HEAL_AT_MS)
+    disturb (self, (Disturbance) g_rand_int_range (self->random, 0, N_DISTURBANCES), at_ms);
+  if (at_ms < END_AT_MS)
+    gg_loop_timer_start (
+        self->disturbance_timer,
+        (uint64_t) g_rand_int_range (self->random, DISTURBANCE_MIN_MS, DISTURBANCE_MAX_MS));
+}
+
 static void
 on_cut_due (void *data)
 {
@@ -353,6 +441,12 @@
       return;
     }
   self->is_healed = TRUE;
+  if (self->random != NULL)
+    {
+      on_disturbance_due (self);
+      gg_loop_timer_start (self->cut_timer, HEAL_AT_MS - CUT_AT_MS);
+      return;
+    }
   if (!site_cut (self->site, self->is_cut, self->mode))
     fprintf (stderr, "the links can't be cut\n");
   gg_loop_timer_start (self->cut_timer, HEAL_AT_MS - CUT_AT_MS);
@@ -497,6 +591,11 @@
   if (n_failed_others > FAILURES_ALLOWED + others->n / FAILURES_ALLOWED_FACTOR)
     gg_proof_fail (proof, "routers in touch served %u of %u first tries", others->n_served,
                    others->n);
+}
+
+static void
+check_healed (GgProof *proof, const Play *self)
+{
   const Tally *healed = self->tallies[WINDOW_HEALED];
   if (healed[0].n_served < healed[0].n || healed[1].n_served < healed[1].n)
     gg_proof_fail (proof,
@@ -550,6 +649,7 @@
   self->faults = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->try_timer = gg_loop_timer_create (self->loop, on_try_due, self);
   self->cut_timer = gg_loop_timer_create (self->loop, on_cut_due, self);
+  self->disturbance_timer = gg_loop_timer_create (self->loop, on_disturbance_due, self);
   self->started_ms = gg_clock_now_ms ();
   gg_loop_timer_start (self->try_timer, 0);
   gg_loop_timer_start (self->cut_timer, CUT_AT_MS);
@@ -566,6 +666,7 @@
   g_hash_table_unref (self->faults);
   gg_loop_timer_destroy (self->try_timer);
   gg_loop_timer_destroy (self->cut_timer);
+  gg_loop_timer_destroy (self->disturbance_timer);
   gg_loop_client_destroy (self->client);
   gg_loop_run_deferred (self->loop);
   gg_loop_destroy (self->loop);
@@ -590,6 +691,7 @@
           n_orders, count_log (self.site, "event=runner_crashed"), n_quarantined);
   gg_proof_check (proof, site_count_cut (self.site) > 0);
   check_served (proof, &self);
+  check_healed (proof, &self);
   check_bookings (proof, &self);
   if (self.n_mixed > 0)
     gg_proof_fail (proof, "%u streams had events of several runs", self.n_mixed);
@@ -640,6 +742,33 @@
   run_cut (proof, "refuse-new", 4, TRUE);
 }
 
+/* Guards against bookings that run twice, or are refused although they run, against streams of
+ * mixed runs and against routers that don't recover, when cuts begin and heal again and again,
+ * beside stops, kills and changes of the configuration. */
+static void
+run_soak (GgProof *proof)
+{
+  const char *text = g_getenv ("GG_SEED");
+  guint32 seed = text != NULL ? (guint32) atoi (text) : DEFAULT_SEED;
+  Play self = { .random = g_rand_new_with_seed (seed), .config_version = 100 };
+  self.site = site_create_with_links (N_ROUTERS);
+  if (!gg_proof_check (proof, self.site != NULL))
+    return;
+  play (&self);
+  print_play (&self);
+  printf ("  seed %u: %u cuts, %u times healed, %u SIGTERM, %u SIGKILL, %u configurations\n", seed,
+          self.n_disturbances[DISTURB_CUT], self.n_disturbances[DISTURB_HEAL],
+          self.n_disturbances[DISTURB_TERM], self.n_disturbances[DISTURB_KILL],
+          self.n_disturbances[DISTURB_CONFIG]);
+  check_healed (proof, &self);
+  check_bookings (proof, &self);
+  if (self.n_mixed > 0)
+    gg_proof_fail (proof, "%u streams had events of several runs", self.n_mixed);
+  free_play (&self);
+  g_rand_free (self.random);
+  site_destroy (self.site);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -649,6 +778,7 @@
     { "served", "four-of-six-reset", run_four_reset },
     { "served", "all-six-silent", run_all_silent },
     { "served", "four-of-six-refuse-new", run_four_refuse_new },
+    { "served", "soak", run_soak },
   };
   return gg_prove_main ("platform cut links", cases, G_N_ELEMENTS (cases), argc, argv);
 }
