--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -25,7 +25,7 @@
  * its answer grows: on average it holds its prompt and about half of its answer, and the requests
  * at one runner are at different stages. */
 #define HINTED_ANSWER_FRACTION 0.7
-
+/* A peer sends a hedge beside a silent runner before this time, so the silence is its own. */
 #define PEER_SILENCE_LIMIT_MS 1200
 
 static GgCounter sends_total
