Reword names and comments of link health

"Heard" becomes "received", "blames" "is at fault", "forgives" "clears"; the log field heard_ms of links_changed, which is new, becomes received_ms. No change of logic.

--- a/src/adapters/rpc/link_message.c
+++ b/src/adapters/rpc/link_message.c
@@ -13,7 +13,7 @@
 gg_link_message_init (GgLinkMessage *self, GgLinkMessageKind kind)
 {
   *self = (GgLinkMessage){ .kind = kind,
-                           .services = g_array_new (FALSE, FALSE, sizeof (GgHeardService)) };
+                           .services = g_array_new (FALSE, FALSE, sizeof (GgReachedService)) };
 }
 
 void
@@ -53,9 +53,9 @@
   g_array_set_size (self->services, n);
   for (uint32_t i = 0; i < n; i++)
     {
-      GgHeardService *service = &g_array_index (self->services, GgHeardService, i);
+      GgReachedService *service = &g_array_index (self->services, GgReachedService, i);
       if (!xdr_uint32_t (xdr, &service->service_hash)
-          || !xdr_uint32_t (xdr, &service->heard_age_ms))
+          || !xdr_uint32_t (xdr, &service->received_age_ms))
         return FALSE;
     }
   return TRUE;
--- a/src/adapters/rpc/link_message.h
+++ b/src/adapters/rpc/link_message.h
@@ -20,12 +20,12 @@
   GG_LINK_MESSAGE_ANSWER = 2,
 } GgLinkMessageKind;
 
-/** A service of which the sender has heard a runner. */
+/** A service of which the sender has reached a runner. */
 typedef struct
 {
-  uint32_t service_hash; /**< g_str_hash() of its name. */
-  uint32_t heard_age_ms; /**< How long ago. */
-} GgHeardService;
+  uint32_t service_hash;    /**< g_str_hash() of its name. */
+  uint32_t received_age_ms; /**< How long ago. */
+} GgReachedService;
 
 typedef struct
 {
@@ -37,7 +37,7 @@
   uint64_t token;         /**< Answers only: to be sent with requests that are handed over. */
   uint32_t room;          /**< Answers only: requests that the peer would still take over. */
   uint32_t load_permille; /**< Answers only. */
-  GArray *services;       /**< Answers only: GgHeardService. */
+  GArray *services;       /**< Answers only: GgReachedService. */
 } GgLinkMessage;
 
 /** The texts are allocated with g_malloc() and owned by the message. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -284,7 +284,7 @@
 }
 
 void
-gg_fleet_forgive_failures (GgFleet *self, const char *service)
+gg_fleet_clear_failures (GgFleet *self, const char *service)
 {
   for (guint i = 0; i < self->runners->len; i++)
     {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -150,7 +150,7 @@
 
 /** Clears the failures, silences and misses that this process has counted against the runners of a
  * service, or against all for NULL: a partition of this instance was their cause. */
-void gg_fleet_forgive_failures (GgFleet *self, const char *service);
+void gg_fleet_clear_failures (GgFleet *self, const char *service);
 
 /** Returns the time until the first of a service's runners takes requests again, in milliseconds,
  * if all of them have named a Retry-After; 0 otherwise. Model runners count that can be the first
--- a/src/core/handover_offers.c
+++ b/src/core/handover_offers.c
@@ -16,7 +16,7 @@
   uint32_t n_handed_over; /* since the offer was renewed */
   uint64_t put_ms;
   uint64_t avoided_until_ms;
-  GHashTable *services; /* hash of its name -> time at which it was heard (uint64_t) */
+  GHashTable *services; /* hash of its name -> time at which it was reached (uint64_t) */
 } Entry;
 
 struct _GgHandoverOffers
@@ -94,15 +94,15 @@
 gg_handover_offers_put_service (GgHandoverOffers *self,
                                 const char *name,
                                 uint32_t service_hash,
-                                uint64_t heard_age_ms,
+                                uint64_t received_age_ms,
                                 uint64_t now_ms)
 {
   Entry *entry = g_hash_table_lookup (self->entries, name);
   if (entry == NULL)
     return;
-  if (entry->offer.room > 0 && heard_age_ms <= GG_HANDOVER_MAX_HEARD_AGE_MS)
+  if (entry->offer.room > 0 && received_age_ms <= GG_HANDOVER_MAX_RECEIVED_AGE_MS)
     self->last_room_ms = now_ms;
-  uint64_t heard_ms = now_ms > heard_age_ms ? now_ms - heard_age_ms : 0;
+  uint64_t received_ms = now_ms > received_age_ms ? now_ms - received_age_ms : 0;
   void *key = GUINT_TO_POINTER (service_hash);
   uint64_t *known_ms = g_hash_table_lookup (entry->services, key);
   if (known_ms == NULL)
@@ -110,7 +110,7 @@
       known_ms = g_new0 (uint64_t, 1);
       g_hash_table_insert (entry->services, key, known_ms);
     }
-  *known_ms = MAX (*known_ms, heard_ms);
+  *known_ms = MAX (*known_ms, received_ms);
 }
 
 void
@@ -124,10 +124,11 @@
 static gboolean
 is_usable (const Entry *entry, uint32_t service_hash, const char *const *excluded, uint64_t now_ms)
 {
-  const uint64_t *heard_ms = g_hash_table_lookup (entry->services, GUINT_TO_POINTER (service_hash));
+  const uint64_t *received_ms
+      = g_hash_table_lookup (entry->services, GUINT_TO_POINTER (service_hash));
   return is_valid (entry, now_ms) && now_ms >= entry->avoided_until_ms
-         && entry->n_handed_over < entry->offer.room && heard_ms != NULL
-         && now_ms <= *heard_ms + GG_HANDOVER_MAX_HEARD_AGE_MS
+         && entry->n_handed_over < entry->offer.room && received_ms != NULL
+         && now_ms <= *received_ms + GG_HANDOVER_MAX_RECEIVED_AGE_MS
          && (excluded == NULL || !g_strv_contains (excluded, entry->offer.name));
 }
 
@@ -232,7 +233,7 @@
                                     uint64_t now_ms,
                                     void (*func) (void *data,
                                                   uint32_t service_hash,
-                                                  uint64_t heard_age_ms),
+                                                  uint64_t received_age_ms),
                                     void *data)
 {
   const Entry *entry = g_hash_table_lookup (self->entries, name);
--- a/src/core/handover_offers.h
+++ b/src/core/handover_offers.h
@@ -18,7 +18,7 @@
 } GgPeerOffer;
 
 /** Age of the latest answer up to which a peer is known to reach a service's runners. */
-#define GG_HANDOVER_MAX_HEARD_AGE_MS 1000
+#define GG_HANDOVER_MAX_RECEIVED_AGE_MS 1000
 
 typedef struct _GgHandoverOffers GgHandoverOffers;
 
@@ -26,20 +26,20 @@
 GgHandoverOffers *gg_handover_offers_create (const char *data_centre);
 void gg_handover_offers_destroy (GgHandoverOffers *self);
 
-/** Adds or renews an offer, which is copied. What is known of the services that the peer has heard
- * is kept.
+/** Adds or renews an offer, which is copied. What is known of the services that the peer has
+ * reached is kept.
  * @param is_relayed another instance has passed the offer on. */
 void gg_handover_offers_put (GgHandoverOffers *self,
                              const GgPeerOffer *offer,
                              gboolean is_relayed,
                              uint64_t now_ms);
 
-/** Records that a peer with an offer has heard from a service's runners.
- * @param heard_age_ms how long ago at the most. */
+/** Records that a peer with an offer has reached a service's runners.
+ * @param received_age_ms how long ago at the most. */
 void gg_handover_offers_put_service (GgHandoverOffers *self,
                                      const char *name,
                                      uint32_t service_hash,
-                                     uint64_t heard_age_ms,
+                                     uint64_t received_age_ms,
                                      uint64_t now_ms);
 
 /** Excludes a peer until a time; one without an offer is ignored. */
@@ -68,11 +68,11 @@
                                         void (*func) (void *data, const GgPeerOffer *offer),
                                         void *data);
 
-/** Calls @p func with each service that a peer has heard, and how long ago. */
+/** Calls @p func with each service that a peer has reached, and how long ago. */
 void gg_handover_offers_foreach_service (const GgHandoverOffers *self,
                                          const char *name,
                                          uint64_t now_ms,
                                          void (*func) (void *data,
                                                        uint32_t service_hash,
-                                                       uint64_t heard_age_ms),
+                                                       uint64_t received_age_ms),
                                          void *data);
--- a/src/core/link_health.c
+++ b/src/core/link_health.c
@@ -1,7 +1,7 @@
 #include "core/link_health.h"
 
-/* An awaited answer of which nothing is heard for so long puts the links in doubt. A service of
- * which the others are heard has longer, since its answers may take that long. */
+/* An awaited answer of which nothing arrives for so long puts the links in doubt. A service of
+ * which the others answer has longer, since its answers may take that long. */
 #define SILENCE_MS 400
 #define SERVICE_SILENCE_MS 800
 /* Failures at one runner count as one unless they are so far apart. */
@@ -12,8 +12,8 @@
 #define DOWN_FAILURES_AT_ONE 4
 /* Failures count for so long if none follows: without probes nothing would end the doubt. */
 #define FAILURES_EXPIRY_MS 3000
-/* A peer must have heard from a runner within this time for the links to count as down, and to
- * remain so. The second is longer, since a report of a peer may be lost. */
+/* A peer must have received bytes of a runner within this time for the links to count as down, and
+ * to remain so. The second is longer, since a report of a peer may be lost. */
 #define PROOF_MS 1000
 #define PROOF_EXPIRY_MS 1500
 
@@ -23,12 +23,12 @@
   uint64_t silence_ms;
   uint32_t n_awaited;
   uint64_t awaited_since_ms; /* an answer has been awaited all the time since then */
-  gboolean is_heard;         /* at least once */
-  uint64_t heard_ms;
-  gboolean is_peer_heard;
-  uint64_t peer_heard_ms; /* latest time at which a peer has heard a runner */
-  gboolean is_down;       /* as long as the peers' proof lasts */
-  /* Since a runner was last heard: */
+  gboolean has_received;     /* at least once */
+  uint64_t received_ms;
+  gboolean has_peer_received;
+  uint64_t peer_received_ms; /* latest time at which a peer received bytes of a runner */
+  gboolean is_down;          /* as long as the peers' proof lasts */
+  /* Since bytes of a runner were last received: */
   uint32_t n_failures; /* at one runner, FAILURE_INTERVAL_MS apart */
   gboolean is_spread;  /* at more than one runner */
   gboolean is_probed;  /* a probe has failed */
@@ -95,17 +95,18 @@
 {
   if (links->n_awaited == 0)
     return FALSE;
-  uint64_t since_ms
-      = links->is_heard ? MAX (links->heard_ms, links->awaited_since_ms) : links->awaited_since_ms;
+  uint64_t since_ms = links->has_received ? MAX (links->received_ms, links->awaited_since_ms)
+                                          : links->awaited_since_ms;
   return now_ms >= since_ms + links->silence_ms;
 }
 
-/* Whether a peer has heard a runner after this instance did, and within the last @p max_age_ms. */
+/* Whether a peer has received bytes of a runner after this instance did, and within the last @p
+ * max_age_ms. */
 static gboolean
 has_proof (const Links *links, uint64_t max_age_ms, uint64_t now_ms)
 {
-  return links->is_peer_heard && now_ms <= links->peer_heard_ms + max_age_ms
-         && (!links->is_heard || links->peer_heard_ms > links->heard_ms);
+  return links->has_peer_received && now_ms <= links->peer_received_ms + max_age_ms
+         && (!links->has_received || links->peer_received_ms > links->received_ms);
 }
 
 static gboolean
@@ -171,25 +172,25 @@
 }
 
 static void
-add_heard (Links *links, uint64_t now_ms)
+add_received (Links *links, uint64_t now_ms)
 {
-  links->is_heard = TRUE;
-  links->heard_ms = now_ms;
+  links->has_received = TRUE;
+  links->received_ms = now_ms;
   clear_failures (links);
 }
 
 void
-gg_link_health_note_heard (GgLinkHealth *self, const char *service, uint64_t now_ms)
+gg_link_health_note_received (GgLinkHealth *self, const char *service, uint64_t now_ms)
 {
-  add_heard (&self->all, now_ms);
-  add_heard (get_links (self, service), now_ms);
+  add_received (&self->all, now_ms);
+  add_received (get_links (self, service), now_ms);
 }
 
 static void
 add_failure (Links *links, const Failure *failure, uint64_t now_ms)
 {
-  /* What was heard since shows that the links were up. */
-  if (links->is_heard && links->heard_ms > failure->since_ms)
+  /* What was received since shows that the links were up. */
+  if (links->has_received && links->received_ms > failure->since_ms)
     return;
   if (!has_failures (links, now_ms))
     clear_failures (links);
@@ -230,23 +231,23 @@
 }
 
 static void
-add_peer_heard (Links *links, uint64_t heard_ms, uint64_t now_ms)
+add_peer_received (Links *links, uint64_t received_ms, uint64_t now_ms)
 {
-  if (!links->is_peer_heard || heard_ms > links->peer_heard_ms)
-    links->peer_heard_ms = heard_ms;
-  links->is_peer_heard = TRUE;
+  if (!links->has_peer_received || received_ms > links->peer_received_ms)
+    links->peer_received_ms = received_ms;
+  links->has_peer_received = TRUE;
   update_down (links, now_ms);
 }
 
 void
-gg_link_health_note_peer_heard (GgLinkHealth *self,
-                                const char *service,
-                                uint64_t heard_age_ms,
-                                uint64_t now_ms)
+gg_link_health_note_peer_received (GgLinkHealth *self,
+                                   const char *service,
+                                   uint64_t received_age_ms,
+                                   uint64_t now_ms)
 {
-  uint64_t heard_ms = now_ms > heard_age_ms ? now_ms - heard_age_ms : 0;
-  add_peer_heard (&self->all, heard_ms, now_ms);
-  add_peer_heard (get_links (self, service), heard_ms, now_ms);
+  uint64_t received_ms = now_ms > received_age_ms ? now_ms - received_age_ms : 0;
+  add_peer_received (&self->all, received_ms, now_ms);
+  add_peer_received (get_links (self, service), received_ms, now_ms);
 }
 
 GgLinkState
@@ -258,10 +259,10 @@
 }
 
 uint64_t
-gg_link_health_get_heard_age_ms (const GgLinkHealth *self, const char *service, uint64_t now_ms)
+gg_link_health_get_received_age_ms (const GgLinkHealth *self, const char *service, uint64_t now_ms)
 {
   const Links *links = find_links (self, service);
-  return links != NULL && links->is_heard ? now_ms - links->heard_ms : G_MAXUINT64;
+  return links != NULL && links->has_received ? now_ms - links->received_ms : G_MAXUINT64;
 }
 
 gboolean
@@ -278,11 +279,11 @@
 }
 
 gboolean
-gg_link_health_blames_runner (const GgLinkHealth *self,
-                              const char *service,
-                              uint64_t missed_ms,
-                              uint64_t now_ms)
+gg_link_health_is_runner_at_fault (const GgLinkHealth *self,
+                                   const char *service,
+                                   uint64_t missed_ms,
+                                   uint64_t now_ms)
 {
-  return self->all.is_heard && self->all.heard_ms >= missed_ms
+  return self->all.has_received && self->all.received_ms >= missed_ms
          && gg_link_health_get_state (self, service, now_ms) == GG_LINKS_UP;
 }
--- a/src/daemons/routerd/crash_detector.c
+++ b/src/daemons/routerd/crash_detector.c
@@ -96,7 +96,7 @@
 is_refusal_proof (const Probe *probe)
 {
   const GgLinkMonitor *monitor = probe->detector->router->link_monitor;
-  return gg_link_monitor_blames_runner (monitor, NULL, probe->broken_ms + 1)
+  return gg_link_monitor_is_runner_at_fault (monitor, NULL, probe->broken_ms + 1)
          || (probe->n_attempts >= SETTLED_PROBES
              && gg_link_monitor_get_state (monitor, NULL) == GG_LINKS_UP);
 }
--- a/src/daemons/routerd/link_exchange.c
+++ b/src/daemons/routerd/link_exchange.c
@@ -14,10 +14,10 @@
 #define QUERY_INTERVAL_MS 200
 /* Answers to this number of the latest queries are accepted. */
 #define MAX_PENDING_QUERIES 4
-/* Services that were not heard for this long are left out of answers. */
+/* Services whose runners have sent nothing for this long are left out of answers. */
 #define MAX_ANSWERED_AGE_MS 2000
 /* A service without traffic for this long is probed at a query, so that the peer knows that it is
- * reached before GG_HANDOVER_MAX_HEARD_AGE_MS is over. */
+ * reached before GG_HANDOVER_MAX_RECEIVED_AGE_MS is over. */
 #define PROBE_AGE_MS 500
 /* Offers that are passed on in answer to one query. All members of a data centre may query at once;
  * the offers take turns, so that all are used. */
@@ -129,13 +129,13 @@
 } Relay;
 
 static void
-add_service (void *data, uint32_t service_hash, uint64_t heard_age_ms)
+add_service (void *data, uint32_t service_hash, uint64_t received_age_ms)
 {
   Answer *answer = data;
-  if (heard_age_ms > MAX_ANSWERED_AGE_MS)
+  if (received_age_ms > MAX_ANSWERED_AGE_MS)
     return;
-  GgHeardService heard = { service_hash, (uint32_t) heard_age_ms };
-  g_array_append_val (answer->message.services, heard);
+  GgReachedService reached = { service_hash, (uint32_t) received_age_ms };
+  g_array_append_val (answer->message.services, reached);
   if (answer->message.services->len < GG_LINK_MESSAGE_MAX_SERVICES)
     return;
   send_message (answer->exchange, &answer->message, answer->address);
@@ -150,7 +150,7 @@
   for (guint i = 0; i < gg_routing_config_count_services (config); i++)
     {
       const char *service = gg_routing_config_get_service (config, i)->name;
-      uint64_t age_ms = gg_link_monitor_get_heard_age_ms (monitor, service);
+      uint64_t age_ms = gg_link_monitor_get_received_age_ms (monitor, service);
       if (gg_link_monitor_get_state (monitor, service) == GG_LINKS_UP)
         add_service (answer, g_str_hash (service), age_ms);
       if (age_ms > PROBE_AGE_MS)
@@ -247,7 +247,7 @@
     relay_offers (self, query);
 }
 
-/* Reports to the link monitor what a peer has heard. */
+/* Reports to the link monitor which services a peer reaches. */
 static void
 note_services (const GgLinkExchange *self, const GgLinkMessage *answer, uint64_t round_trip_ms)
 {
@@ -258,10 +258,10 @@
       uint32_t hash = g_str_hash (service);
       for (guint k = 0; k < answer->services->len; k++)
         {
-          const GgHeardService *heard = &g_array_index (answer->services, GgHeardService, k);
-          if (heard->service_hash == hash)
-            gg_link_monitor_note_peer_heard (self->router->link_monitor, service,
-                                             heard->heard_age_ms + round_trip_ms);
+          const GgReachedService *reached = &g_array_index (answer->services, GgReachedService, k);
+          if (reached->service_hash == hash)
+            gg_link_monitor_note_peer_received (self->router->link_monitor, service,
+                                                reached->received_age_ms + round_trip_ms);
         }
     }
 }
@@ -288,9 +288,9 @@
   gg_handover_offers_put (self->offers, &offer, is_relayed, now_ms);
   for (guint i = 0; i < answer->services->len; i++)
     {
-      const GgHeardService *heard = &g_array_index (answer->services, GgHeardService, i);
-      gg_handover_offers_put_service (self->offers, answer->name, heard->service_hash,
-                                      heard->heard_age_ms + round_trip_ms, now_ms);
+      const GgReachedService *reached = &g_array_index (answer->services, GgReachedService, i);
+      gg_handover_offers_put_service (self->offers, answer->name, reached->service_hash,
+                                      reached->received_age_ms + round_trip_ms, now_ms);
     }
   note_services (self, answer, round_trip_ms);
 }
--- a/src/daemons/routerd/link_exchange.h
+++ b/src/daemons/routerd/link_exchange.h
@@ -24,7 +24,7 @@
 /** Starts or stops the queries. Each answer is reported to the link monitor. */
 void gg_link_exchange_set_querying (GgLinkExchange *self, gboolean is_querying);
 
-/** Chooses a peer that has heard from the service's runners recently and has room: one of those
+/** Chooses a peer that has reached the service's runners recently and has room: one of those
  * with the least load, those of this data centre before others.
  * @param excluded names of peers not to choose, NULL-terminated; NULL for none.
  * @param offer_out valid until the next callback of the event loop.
--- a/src/daemons/routerd/link_monitor.c
+++ b/src/daemons/routerd/link_monitor.c
@@ -18,7 +18,7 @@
 #define CONNECT_TIMEOUT_MS 300
 #define ANSWER_TIMEOUT_MS 400
 #define MAX_BODY_BYTES (256 * 1024)
-/* What was heard so long ago is too old for a peer that asks. */
+/* What was received so long ago is too old for the answer to a peer. */
 #define REFRESH_MS 300
 /* Links that were in doubt for so long have failed, even if no peer reports that it reaches
  * runners: what was counted against the runners meanwhile is no evidence against them. */
@@ -123,7 +123,7 @@
   probe->fetch = NULL;
   /* Any status shows that the runner can be reached. */
   if (result->end == GG_FETCH_ANSWERED)
-    gg_link_health_note_heard (self->health, record->service, gg_clock_now_ms ());
+    gg_link_health_note_received (self->health, record->service, gg_clock_now_ms ());
   else
     gg_link_health_note_probe_failed (self->health, record->service, record->id, probe->sent_ms,
                                       gg_clock_now_ms ());
@@ -232,10 +232,10 @@
 static void
 log_change (const GgLinkMonitor *self, const Links *links, GgEventClass class, uint64_t now_ms)
 {
-  uint64_t age_ms = gg_link_health_get_heard_age_ms (self->health, links->service, now_ms);
+  uint64_t age_ms = gg_link_health_get_received_age_ms (self->health, links->service, now_ms);
   char *age = age_ms == G_MAXUINT64 ? g_strdup ("-")
                                     : g_strdup_printf ("%" G_GUINT64_FORMAT, (guint64) age_ms);
-  gg_event_log_add (class, "links_changed", "state=%s service=%s heard_ms=%s probes=%u",
+  gg_event_log_add (class, "links_changed", "state=%s service=%s received_ms=%s probes=%u",
                     get_state_name (links->state), links->service != NULL ? links->service : "-",
                     age, links->n_probes);
   g_free (age);
@@ -255,7 +255,7 @@
     {
     case GG_LINKS_UP:
       if (links->has_been_down || now_ms - links->doubted_ms >= PARTITION_MS)
-        gg_fleet_forgive_failures (self->router->fleet, links->service);
+        gg_fleet_clear_failures (self->router->fleet, links->service);
       links->has_been_down = FALSE;
       links->n_probes = 0;
       break;
@@ -338,9 +338,9 @@
 }
 
 void
-gg_link_monitor_note_heard (GgLinkMonitor *self, const GgFleetRunner *runner)
+gg_link_monitor_note_received (GgLinkMonitor *self, const GgFleetRunner *runner)
 {
-  gg_link_health_note_heard (self->health, runner->record.service, gg_clock_now_ms ());
+  gg_link_health_note_received (self->health, runner->record.service, gg_clock_now_ms ());
   if (self->is_doubted)
     schedule_check_now (self);
 }
@@ -355,9 +355,11 @@
 }
 
 void
-gg_link_monitor_note_peer_heard (GgLinkMonitor *self, const char *service, uint64_t heard_age_ms)
+gg_link_monitor_note_peer_received (GgLinkMonitor *self,
+                                    const char *service,
+                                    uint64_t received_age_ms)
 {
-  gg_link_health_note_peer_heard (self->health, service, heard_age_ms, gg_clock_now_ms ());
+  gg_link_health_note_peer_received (self->health, service, received_age_ms, gg_clock_now_ms ());
   if (self->is_doubted)
     schedule_check_now (self);
 }
@@ -368,7 +370,7 @@
   uint64_t now_ms = gg_clock_now_ms ();
   if (self->router->config == NULL
       || gg_routing_config_find_service (self->router->config, service) == NULL
-      || gg_link_monitor_get_heard_age_ms (self, service) < REFRESH_MS)
+      || gg_link_monitor_get_received_age_ms (self, service) < REFRESH_MS)
     return;
   Links *links = get_links (self, service);
   if (now_ms - links->probed_ms >= REFRESH_MS)
@@ -382,15 +384,17 @@
 }
 
 uint64_t
-gg_link_monitor_get_heard_age_ms (const GgLinkMonitor *self, const char *service)
+gg_link_monitor_get_received_age_ms (const GgLinkMonitor *self, const char *service)
 {
-  return gg_link_health_get_heard_age_ms (self->health, service, gg_clock_now_ms ());
+  return gg_link_health_get_received_age_ms (self->health, service, gg_clock_now_ms ());
 }
 
 gboolean
-gg_link_monitor_blames_runner (const GgLinkMonitor *self, const char *service, uint64_t missed_ms)
+gg_link_monitor_is_runner_at_fault (const GgLinkMonitor *self,
+                                    const char *service,
+                                    uint64_t missed_ms)
 {
-  return gg_link_health_blames_runner (self->health, service, missed_ms, gg_clock_now_ms ());
+  return gg_link_health_is_runner_at_fault (self->health, service, missed_ms, gg_clock_now_ms ());
 }
 
 GgLinkMonitor *
--- a/src/daemons/routerd/link_monitor.h
+++ b/src/daemons/routerd/link_monitor.h
@@ -15,27 +15,29 @@
 void gg_link_monitor_note_ended (GgLinkMonitor *self, const char *service);
 
 /** Records bytes from @p runner. */
-void gg_link_monitor_note_heard (GgLinkMonitor *self, const GgFleetRunner *runner);
+void gg_link_monitor_note_received (GgLinkMonitor *self, const GgFleetRunner *runner);
 
 /** Records that @p runner could not be reached, or closed without an answer.
  * @param since_ms when the attempt began, or now if it was answered in part. */
 void
 gg_link_monitor_note_missed (GgLinkMonitor *self, const GgFleetRunner *runner, uint64_t since_ms);
 
-/** Records that a peer has heard from a runner of a service. */
-void
-gg_link_monitor_note_peer_heard (GgLinkMonitor *self, const char *service, uint64_t heard_age_ms);
+/** Records that a peer has received bytes of a runner of a service. */
+void gg_link_monitor_note_peer_received (GgLinkMonitor *self,
+                                         const char *service,
+                                         uint64_t received_age_ms);
 
 /** Returns the state of the links to the runners of a service; of all links for NULL. */
 GgLinkState gg_link_monitor_get_state (const GgLinkMonitor *self, const char *service);
 
-/** Returns how long ago a runner of the service was heard; G_MAXUINT64 for never. */
-uint64_t gg_link_monitor_get_heard_age_ms (const GgLinkMonitor *self, const char *service);
+/** Returns how long ago bytes of a runner of the service were received; G_MAXUINT64 for never. */
+uint64_t gg_link_monitor_get_received_age_ms (const GgLinkMonitor *self, const char *service);
 
-/** Probes a runner of a service unless one was heard within the last few hundred milliseconds, so
- * that an idle instance can soon tell a peer whether it reaches them. */
+/** Probes a runner of a service unless bytes of one were received within the last few hundred
+ * milliseconds, so that an idle instance can soon tell a peer whether it reaches them. */
 void gg_link_monitor_refresh (GgLinkMonitor *self, const char *service);
 
 /** Returns whether a miss at a runner of a service at @p missed_ms is evidence against it. */
-gboolean
-gg_link_monitor_blames_runner (const GgLinkMonitor *self, const char *service, uint64_t missed_ms);
+gboolean gg_link_monitor_is_runner_at_fault (const GgLinkMonitor *self,
+                                             const char *service,
+                                             uint64_t missed_ms);
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -273,8 +273,8 @@
 get_own_load (const GgLoadExchange *self, const GgFleetRunner *runner)
 {
   GgRunnerLoad load = runner->own;
-  if (gg_link_monitor_blames_runner (self->router->link_monitor, runner->record.service,
-                                     runner->last_miss_ms))
+  if (gg_link_monitor_is_runner_at_fault (self->router->link_monitor, runner->record.service,
+                                          runner->last_miss_ms))
     load.n_misses = gg_fleet_runner_get_misses (runner, gg_clock_now_ms ());
   return load;
 }
--- a/src/daemons/routerd/placement_controller.c
+++ b/src/daemons/routerd/placement_controller.c
@@ -163,7 +163,7 @@
   if (runner == NULL)
     return;
   if (end == GG_FETCH_ANSWERED)
-    gg_link_monitor_note_heard (router->link_monitor, runner);
+    gg_link_monitor_note_received (router->link_monitor, runner);
   else
     gg_link_monitor_note_missed (router->link_monitor, runner, job->sent_ms);
 }
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -213,7 +213,7 @@
     {
     case GG_CALL_COMPLETE:
     case GG_CALL_MALFORMED:
-      gg_link_monitor_note_heard (monitor, self->runner);
+      gg_link_monitor_note_received (monitor, self->runner);
       break;
     case GG_CALL_UNREACHABLE:
       gg_link_monitor_note_missed (monitor, self->runner, self->sent_ms);
@@ -249,9 +249,9 @@
 
 /* Records bytes of the runner. */
 static void
-note_heard (GgSend *self)
+note_received (GgSend *self)
 {
-  gg_link_monitor_note_heard (self->relay->router->link_monitor, self->runner);
+  gg_link_monitor_note_received (self->relay->router->link_monitor, self->runner);
   if (self->is_suspected)
     gg_fleet_runner_note_heard (self->runner);
   self->is_suspected = FALSE;
@@ -265,7 +265,7 @@
     {
       self->last_activity_ms = gg_clock_now_ms ();
       if (!gg_send_is_handover (self))
-        note_heard (self);
+        note_received (self);
     }
   switch (event->kind)
     {
--- a/src/daemons/routerd/stall_detector.c
+++ b/src/daemons/routerd/stall_detector.c
@@ -141,7 +141,7 @@
   GgRunnerReport report;
   self->fetch = NULL;
   if (result->end == GG_FETCH_ANSWERED)
-    gg_link_monitor_note_heard (link_monitor, self->runner);
+    gg_link_monitor_note_received (link_monitor, self->runner);
   else
     gg_link_monitor_note_missed (link_monitor, self->runner, self->sent_ms);
   if (result->end != GG_FETCH_ANSWERED)
--- a/tests/adapters/test_link_message.c
+++ b/tests/adapters/test_link_message.c
@@ -22,7 +22,7 @@
   message.load_permille = 350;
   for (uint32_t i = 0; i < n_services; i++)
     {
-      GgHeardService service = { .service_hash = i * 2654435761U, .heard_age_ms = i };
+      GgReachedService service = { .service_hash = i * 2654435761U, .received_age_ms = i };
       g_array_append_val (message.services, service);
     }
   return message;
@@ -49,7 +49,7 @@
       CU_ASSERT_EQUAL (got.load_permille, sent.load_permille);
       CU_ASSERT_EQUAL_FATAL (got.services->len, n_services);
       CU_ASSERT_EQUAL (
-          memcmp (got.services->data, sent.services->data, n_services * sizeof (GgHeardService)),
+          memcmp (got.services->data, sent.services->data, n_services * sizeof (GgReachedService)),
           0);
     }
   gg_link_message_clear (&got);
--- a/tests/core/test_fleet.c
+++ b/tests/core/test_fleet.c
@@ -300,7 +300,7 @@
 
 /* Guards against sound runners that stay unused after a partition of this instance has healed. */
 static void
-test_forgiven_failures (void)
+test_cleared_failures (void)
 {
   GgFleet *fleet = gg_fleet_create ();
   fixture_add_runners (fleet, "north", "a100", 2);
@@ -311,9 +311,9 @@
       gg_fleet_runner_note_silent (gg_fleet_get (fleet, i), now_ms + 550, now_ms);
       CU_ASSERT_FALSE (gg_fleet_runner_is_usable (gg_fleet_get (fleet, i), now_ms));
     }
-  gg_fleet_forgive_failures (fleet, "another service");
+  gg_fleet_clear_failures (fleet, "another service");
   CU_ASSERT_FALSE (gg_fleet_runner_is_usable (gg_fleet_get (fleet, 0), now_ms));
-  gg_fleet_forgive_failures (fleet, FIXTURE_SERVICE);
+  gg_fleet_clear_failures (fleet, FIXTURE_SERVICE);
   for (guint i = 0; i < 2; i++)
     {
       CU_ASSERT_TRUE (gg_fleet_runner_is_usable (gg_fleet_get (fleet, i), now_ms));
@@ -322,7 +322,7 @@
     }
   /* What a runner has refused by itself still counts. */
   gg_fleet_runner_note_refusal (gg_fleet_get (fleet, 0), FALSE, now_ms);
-  gg_fleet_forgive_failures (fleet, NULL);
+  gg_fleet_clear_failures (fleet, NULL);
   CU_ASSERT_FALSE (gg_fleet_runner_is_usable (gg_fleet_get (fleet, 0), now_ms));
   gg_fleet_destroy (fleet);
 }
@@ -344,7 +344,7 @@
     { "short silence is one failure", test_short_silence_is_one_failure },
     { "simultaneous failures count once", test_simultaneous_failures_count_once },
     { "pauses grow with consecutive refusals", test_pauses_grow_with_consecutive_refusals },
-    { "forgiven failures", test_forgiven_failures },
+    { "cleared failures", test_cleared_failures },
     { "plain choice", test_plain_choice },
   };
   return gg_test_run ("fleet", cases, G_N_ELEMENTS (cases));
--- a/tests/core/test_handover_offers.c
+++ b/tests/core/test_handover_offers.c
@@ -8,7 +8,7 @@
 #define NOW 10000
 #define SERVICE 7
 #define OTHER_SERVICE 8
-#define HEARD_AGE_MS 100
+#define RECEIVED_AGE_MS 100
 #define EXPIRY_MS 700
 
 static void
@@ -21,7 +21,7 @@
                         .room = room,
                         .load_permille = load };
   gg_handover_offers_put (o, &offer, FALSE, NOW);
-  gg_handover_offers_put_service (o, name, SERVICE, HEARD_AGE_MS, NOW);
+  gg_handover_offers_put_service (o, name, SERVICE, RECEIVED_AGE_MS, NOW);
 }
 
 /* Returns the name of the chosen peer; an empty text for none. */
@@ -94,7 +94,7 @@
   put (o, "east-1", "east", 0, 1000);
   gg_handover_offers_put (o, &unreached, FALSE, NOW);
   CU_ASSERT_EQUAL (gg_handover_offers_get_last_room_ms (o), 0);
-  gg_handover_offers_put_service (o, "east-3", SERVICE, GG_HANDOVER_MAX_HEARD_AGE_MS + 1, NOW);
+  gg_handover_offers_put_service (o, "east-3", SERVICE, GG_HANDOVER_MAX_RECEIVED_AGE_MS + 1, NOW);
   CU_ASSERT_EQUAL (gg_handover_offers_get_last_room_ms (o), 0);
   put (o, "east-2", "east", 1, 1000);
   CU_ASSERT_EQUAL (gg_handover_offers_get_last_room_ms (o), NOW);
@@ -145,12 +145,12 @@
 }
 
 static void
-test_service_not_heard (void)
+test_service_not_reached (void)
 {
   GgHandoverOffers *o = gg_handover_offers_create ("north");
   put (o, "east-1", "east", 100, 0);
   CU_ASSERT_STRING_EQUAL (choose_at (o, OTHER_SERVICE, NULL, NOW), "");
-  gg_handover_offers_put_service (o, "east-1", OTHER_SERVICE, GG_HANDOVER_MAX_HEARD_AGE_MS - 100,
+  gg_handover_offers_put_service (o, "east-1", OTHER_SERVICE, GG_HANDOVER_MAX_RECEIVED_AGE_MS - 100,
                                   NOW);
   CU_ASSERT_STRING_EQUAL (choose_at (o, OTHER_SERVICE, NULL, NOW + 100), "east-1");
   CU_ASSERT_STRING_EQUAL (choose_at (o, OTHER_SERVICE, NULL, NOW + 101), "");
@@ -191,11 +191,11 @@
 }
 
 static void
-check_age (void *data, uint32_t service_hash, uint64_t heard_age_ms)
+check_age (void *data, uint32_t service_hash, uint64_t received_age_ms)
 {
   guint *n = data;
   CU_ASSERT_EQUAL (service_hash, SERVICE);
-  CU_ASSERT_EQUAL (heard_age_ms, HEARD_AGE_MS + 50);
+  CU_ASSERT_EQUAL (received_age_ms, RECEIVED_AGE_MS + 50);
   *n += 1;
 }
 
@@ -228,7 +228,7 @@
     { "excluded and avoided", test_excluded_and_avoided },
     { "avoided beyond expiry", test_avoided_beyond_expiry },
     { "expiry", test_expiry },
-    { "service not heard", test_service_not_heard },
+    { "service not reached", test_service_not_reached },
     { "own data centre first", test_own_data_centre_first },
     { "spill over", test_spill_over },
     { "relayed", test_relayed },
--- a/tests/core/test_link_health.c
+++ b/tests/core/test_link_health.c
@@ -10,10 +10,10 @@
 {
   SENT,
   ENDED,
-  HEARD,
+  RECEIVED,
   MISSED,
-  PROBE_FAILED, /* sent 400 ms before */
-  PEER_HEARD,   /* just now */
+  PROBE_FAILED,  /* sent 400 ms before */
+  PEER_RECEIVED, /* just now */
   EXPECT,
 } Kind;
 
@@ -40,8 +40,8 @@
     case ENDED:
       gg_link_health_note_ended (h, step->service);
       break;
-    case HEARD:
-      gg_link_health_note_heard (h, step->service, now_ms);
+    case RECEIVED:
+      gg_link_health_note_received (h, step->service, now_ms);
       break;
     case MISSED:
       gg_link_health_note_missed (h, step->service, step->runner, now_ms, now_ms);
@@ -49,8 +49,8 @@
     case PROBE_FAILED:
       gg_link_health_note_probe_failed (h, step->service, step->runner, now_ms - 400, now_ms);
       break;
-    case PEER_HEARD:
-      gg_link_health_note_peer_heard (h, step->service, 0, now_ms);
+    case PEER_RECEIVED:
+      gg_link_health_note_peer_received (h, step->service, 0, now_ms);
       break;
     case EXPECT:
       CU_ASSERT_EQUAL (gg_link_health_get_state (h, step->service, now_ms), step->state);
@@ -76,13 +76,13 @@
 {
   static const Step steps[] = {
     { 0, SENT, "a", NULL, 0 },
-    { 50, HEARD, "a", NULL, 0 },
+    { 50, RECEIVED, "a", NULL, 0 },
     { 100, SENT, "a", NULL, 0 },
     { 449, EXPECT, NULL, NULL, GG_LINKS_UP },
     { 500, EXPECT, NULL, NULL, GG_LINKS_DOUBT },
     { 500, EXPECT, "b", NULL, GG_LINKS_DOUBT },
     { 900, PROBE_FAILED, "a", "a1", 0 },
-    { 900, PEER_HEARD, "b", NULL, 0 },
+    { 900, PEER_RECEIVED, "b", NULL, 0 },
     { 900, EXPECT, NULL, NULL, GG_LINKS_DOUBT },
     { 950, PROBE_FAILED, "b", "b1", 0 },
     { 950, EXPECT, NULL, NULL, GG_LINKS_DOWN },
@@ -90,9 +90,9 @@
     { 950, EXPECT, "unused", NULL, GG_LINKS_DOWN },
     { 2350, EXPECT, NULL, NULL, GG_LINKS_DOWN },
     { 2450, EXPECT, NULL, NULL, GG_LINKS_DOUBT }, /* the proof has expired */
-    { 2500, PEER_HEARD, "a", NULL, 0 },
+    { 2500, PEER_RECEIVED, "a", NULL, 0 },
     { 2500, EXPECT, NULL, NULL, GG_LINKS_DOWN },
-    { 2600, HEARD, "a", NULL, 0 },
+    { 2600, RECEIVED, "a", NULL, 0 },
     { 2600, EXPECT, NULL, NULL, GG_LINKS_UP },
     { 2600, EXPECT, "b", NULL, GG_LINKS_UP },
   };
@@ -105,8 +105,8 @@
 {
   static const Step steps[] = {
     { 0, SENT, "a", NULL, 0 },
-    { 0, PEER_HEARD, "a", NULL, 0 }, /* before this instance heard a runner last */
-    { 50, HEARD, "a", NULL, 0 },
+    { 0, PEER_RECEIVED, "a", NULL, 0 }, /* before this instance received bytes last */
+    { 50, RECEIVED, "a", NULL, 0 },
     { 850, PROBE_FAILED, "a", "a1", 0 },
     { 900, PROBE_FAILED, "a", "a2", 0 },
     { 950, PROBE_FAILED, "a", "a3", 0 },
@@ -123,12 +123,12 @@
     { 0, SENT, "a", NULL, 0 },
     { 0, SENT, "a", NULL, 0 },
     { 10, MISSED, "a", "a1", 0 },
-    { 20, HEARD, "a", NULL, 0 },
+    { 20, RECEIVED, "a", NULL, 0 },
     { 300, MISSED, "a", "a1", 0 },
-    { 300, PEER_HEARD, "a", NULL, 0 },
+    { 300, PEER_RECEIVED, "a", NULL, 0 },
     { 310, EXPECT, NULL, NULL, GG_LINKS_UP },
-    { 320, HEARD, "a", NULL, 0 },
-    { 600, PROBE_FAILED, "a", "a1", 0 }, /* others were heard after it was sent */
+    { 320, RECEIVED, "a", NULL, 0 },
+    { 600, PROBE_FAILED, "a", "a1", 0 }, /* others answered after it was sent */
     { 610, PROBE_FAILED, "a", "a2", 0 },
     { 610, EXPECT, NULL, NULL, GG_LINKS_UP },
   };
@@ -145,7 +145,7 @@
     { 100, MISSED, "a", "a1", 0 },
     { 100, EXPECT, "a", NULL, GG_LINKS_UP },
     { 250, MISSED, "a", "a1", 0 },
-    { 250, PEER_HEARD, "a", NULL, 0 },
+    { 250, PEER_RECEIVED, "a", NULL, 0 },
     { 250, EXPECT, "a", NULL, GG_LINKS_DOUBT },
     { 550, PROBE_FAILED, "a", "a1", 0 },
     { 550, EXPECT, "a", NULL, GG_LINKS_DOUBT },
@@ -159,15 +159,15 @@
 test_reset_of_all (void)
 {
   static const Step steps[] = {
-    { 0, HEARD, "a", NULL, 0 },
+    { 0, RECEIVED, "a", NULL, 0 },
     { 100, MISSED, "a", "a1", 0 },
     { 100, EXPECT, NULL, NULL, GG_LINKS_UP },
     { 101, MISSED, "b", "b1", 0 },
     { 101, EXPECT, NULL, NULL, GG_LINKS_DOUBT },
-    { 102, PEER_HEARD, "a", NULL, 0 },
+    { 102, PEER_RECEIVED, "a", NULL, 0 },
     { 102, EXPECT, NULL, NULL, GG_LINKS_DOUBT }, /* no probe has failed yet */
     { 103, PROBE_FAILED, "a", "a2", 0 },
-    { 103, EXPECT, NULL, NULL, GG_LINKS_UP }, /* a runner was heard after it was sent */
+    { 103, EXPECT, NULL, NULL, GG_LINKS_UP }, /* a runner answered after it was sent */
     { 403, PROBE_FAILED, "a", "a2", 0 },
     { 403, EXPECT, NULL, NULL, GG_LINKS_DOWN },
   };
@@ -186,10 +186,10 @@
   static const Step steps[] = {
     { 0, EXPECT, NULL, NULL, GG_LINKS_UP },
     { 0, SENT, "a", NULL, 0 },
-    { 100, HEARD, "a", NULL, 0 },
+    { 100, RECEIVED, "a", NULL, 0 },
     { 100, ENDED, "a", NULL, 0 },
     { 60000, EXPECT, NULL, NULL, GG_LINKS_UP },
-    { 60000, PEER_HEARD, "a", NULL, 0 },
+    { 60000, PEER_RECEIVED, "a", NULL, 0 },
     { 60000, EXPECT, "a", NULL, GG_LINKS_UP },
     { 60000, SENT, "a", NULL, 0 }, /* silence is counted from here */
     { 60399, EXPECT, NULL, NULL, GG_LINKS_UP },
@@ -209,19 +209,19 @@
   static const Step steps[] = {
     { 0, SENT, "a", NULL, 0 },
     { 0, SENT, "b", NULL, 0 },
-    { 300, HEARD, "a", NULL, 0 },
-    { 600, HEARD, "a", NULL, 0 },
+    { 300, RECEIVED, "a", NULL, 0 },
+    { 600, RECEIVED, "a", NULL, 0 },
     { 700, EXPECT, "b", NULL, GG_LINKS_UP },
-    { 850, HEARD, "a", NULL, 0 },
+    { 850, RECEIVED, "a", NULL, 0 },
     { 850, EXPECT, "b", NULL, GG_LINKS_DOUBT },
     { 1250, PROBE_FAILED, "b", "b1", 0 },
     { 1250, PROBE_FAILED, "b", "b2", 0 },
-    { 1250, PEER_HEARD, "b", NULL, 0 },
-    { 1251, HEARD, "a", NULL, 0 },
+    { 1250, PEER_RECEIVED, "b", NULL, 0 },
+    { 1251, RECEIVED, "a", NULL, 0 },
     { 1260, EXPECT, "b", NULL, GG_LINKS_DOWN },
     { 1260, EXPECT, "a", NULL, GG_LINKS_UP },
     { 1260, EXPECT, NULL, NULL, GG_LINKS_UP },
-    { 1300, HEARD, "b", NULL, 0 },
+    { 1300, RECEIVED, "b", NULL, 0 },
     { 1300, EXPECT, "b", NULL, GG_LINKS_UP },
   };
   PLAY (steps);
@@ -234,16 +234,16 @@
   for (uint64_t at_ms = 0; at_ms < 10000; at_ms += 2000)
     {
       const Step cut[] = {
-        { at_ms, HEARD, "a", NULL, 0 },
+        { at_ms, RECEIVED, "a", NULL, 0 },
         { at_ms + 1, SENT, "a", NULL, 0 },
         { at_ms + 900, PROBE_FAILED, "a", "a1", 0 },
         { at_ms + 900, PROBE_FAILED, "a", "a2", 0 },
-        { at_ms + 900, PEER_HEARD, "a", NULL, 0 },
+        { at_ms + 900, PEER_RECEIVED, "a", NULL, 0 },
         { at_ms + 900, EXPECT, "a", NULL, GG_LINKS_DOWN },
-        { at_ms + 1000, HEARD, "a", NULL, 0 },
+        { at_ms + 1000, RECEIVED, "a", NULL, 0 },
         { at_ms + 1000, ENDED, "a", NULL, 0 },
         { at_ms + 1000, EXPECT, "a", NULL, GG_LINKS_UP },
-        { at_ms + 1000, PEER_HEARD, "a", NULL, 0 },
+        { at_ms + 1000, PEER_RECEIVED, "a", NULL, 0 },
         { at_ms + 1999, EXPECT, "a", NULL, GG_LINKS_UP },
       };
       for (size_t i = 0; i < G_N_ELEMENTS (cut); i++)
@@ -254,20 +254,20 @@
 
 /* Guards against misses of a cut instance that make others avoid sound runners. */
 static void
-test_a_miss_counts_once_another_runner_is_heard (void)
+test_a_miss_counts_once_another_runner_answers (void)
 {
   GgLinkHealth *h = gg_link_health_create ();
-  CU_ASSERT_FALSE (gg_link_health_blames_runner (h, "a", 1000, 1000));
+  CU_ASSERT_FALSE (gg_link_health_is_runner_at_fault (h, "a", 1000, 1000));
   gg_link_health_note_missed (h, "a", "a1", 1000, 1000);
-  CU_ASSERT_FALSE (gg_link_health_blames_runner (h, "a", 1000, 1010));
-  gg_link_health_note_heard (h, "b", 1000);
-  CU_ASSERT_TRUE (gg_link_health_blames_runner (h, "a", 1000, 1010));
-  CU_ASSERT_FALSE (gg_link_health_blames_runner (h, "a", 1005, 1010));
+  CU_ASSERT_FALSE (gg_link_health_is_runner_at_fault (h, "a", 1000, 1010));
+  gg_link_health_note_received (h, "b", 1000);
+  CU_ASSERT_TRUE (gg_link_health_is_runner_at_fault (h, "a", 1000, 1010));
+  CU_ASSERT_FALSE (gg_link_health_is_runner_at_fault (h, "a", 1005, 1010));
   gg_link_health_note_missed (h, "a", "a1", 1020, 1020);
   gg_link_health_note_missed (h, "a", "a2", 1020, 1020);
-  CU_ASSERT_FALSE (gg_link_health_blames_runner (h, "a", 1000, 1020));
-  CU_ASSERT_EQUAL (gg_link_health_get_heard_age_ms (h, "b", 1030), 30);
-  CU_ASSERT_EQUAL (gg_link_health_get_heard_age_ms (h, "a", 1030), G_MAXUINT64);
+  CU_ASSERT_FALSE (gg_link_health_is_runner_at_fault (h, "a", 1000, 1020));
+  CU_ASSERT_EQUAL (gg_link_health_get_received_age_ms (h, "b", 1030), 30);
+  CU_ASSERT_EQUAL (gg_link_health_get_received_age_ms (h, "a", 1030), G_MAXUINT64);
   gg_link_health_destroy (h);
 }
 
@@ -286,8 +286,7 @@
     { "quiet instance stays up", test_quiet_instance_stays_up },
     { "half path", test_half_path },
     { "flapping links", test_flapping_links },
-    { "a miss counts once another runner is heard",
-      test_a_miss_counts_once_another_runner_is_heard },
+    { "a miss counts once another runner answers", test_a_miss_counts_once_another_runner_answers },
   };
   return gg_test_run ("link health", cases, G_N_ELEMENTS (cases));
 }
