--- a/src/daemons/routerd/handover.h
+++ b/src/daemons/routerd/handover.h
@@ -5,7 +5,7 @@
  * The request goes over HTTP to the peer's own address, as the caller sent it, with the caller's
  * attempt id and key, the time that is left, the runs that may have taken place and the peer's
  * token. The peer authorizes it like any other, serves it by itself and never hands it over again.
- * Its answers that are no answers of a runner say whether the request may have run. */
+ * Where the peer refuses or fails, its answer states whether the request may have run. */
 #pragma once
 
 #include "loop/server.h"
--- a/src/daemons/routerd/router_settings.c
+++ b/src/daemons/routerd/router_settings.c
@@ -17,8 +17,7 @@
     "Address at which the platform's balancer polls for readiness." },
   { "listen", "peers", GG_SETTING_ADDRESS, NULL, 0, 0, "",
     "Address for the other instances: load reports and watch messages (UDP), documents and "
-    "requests "
-    "that are handed over (TCP)." },
+    "requests that are handed over (TCP)." },
   { "listen", "metrics", GG_SETTING_ADDRESS, NULL, 0, 0, "", "Address for metrics." },
   { "store", "address", GG_SETTING_ADDRESS, NULL, 0, 0, "", "Address of the platform's store." },
   { "store", "lease_floor_ms", GG_SETTING_DECIMAL, "1000", 1, 10 * MINUTE_MS, "ms",
