Review stand-ins: ports that no outgoing connection takes

A port of the kernel's range for outgoing connections can be taken between its reservation and the start of the router, or while a runner is down.

--- a/review/standins-2/rig.c
+++ b/review/standins-2/rig.c
@@ -25,6 +25,8 @@
 #define MAX_RUNNERS 8
 #define MAX_ATTEMPTS 20000
 #define GRACE_S 8
+#define FIRST_PORT 20000
+#define N_PORTS 12000
 
 static FILE *record;
 static pthread_mutex_t record_mutex = PTHREAD_MUTEX_INITIALIZER;
@@ -178,15 +180,25 @@
   snprintf (address, size, "127.0.0.1:%u", ntohs (local.sin_port));
 }
 
-/* Finds a port that is free now. */
+/* Finds a port that is free now, below those that the kernel gives to outgoing connections, so that
+ * none of these takes it before the router does. */
 static void
 reserve_address (char *address, size_t size)
 {
-  int fd = listen_at ("127.0.0.1:0");
-  if (fd < 0)
-    give_up ("no free port");
-  get_local (fd, address, size);
-  close (fd);
+  static unsigned next;
+  if (next == 0)
+    next = (unsigned) getpid () * 37 + (unsigned) wall_ms ();
+  for (int i = 0; i < 200; i++)
+    {
+      next += 7;
+      snprintf (address, size, "127.0.0.1:%u", FIRST_PORT + next % N_PORTS);
+      int fd = listen_at (address);
+      if (fd < 0)
+        continue;
+      close (fd);
+      return;
+    }
+  give_up ("no free port");
 }
 
 bool
@@ -1058,10 +1070,10 @@
   self->slots = 6;
   self->behave = behave;
   self->born = wall_ms ();
-  self->listener = listen_at ("127.0.0.1:0");
+  reserve_address (self->address, sizeof self->address);
+  self->listener = listen_at (self->address);
   if (self->listener < 0)
     give_up ("a runner can't listen");
-  get_local (self->listener, self->address, sizeof self->address);
   self->is_listening = true;
   runners[n_runners++] = self;
   start_thread (run_runner, self);
