--- a/review/standins-2/crash.c
+++ b/review/standins-2/crash.c
@@ -34,7 +34,6 @@
 main (int argc, char **argv)
 {
   rig_start (argc, argv);
-  alarm (110);
   char *config = config_print (1, TENANTS, "");
   store_put ("op/config", config);
   free (config);
--- a/review/standins-2/keys.c
+++ b/review/standins-2/keys.c
@@ -63,7 +63,6 @@
 main (int argc, char **argv)
 {
   rig_start (argc, argv);
-  alarm (110);
   write_config (1, BOTH);
   runner_start ("desk-1", "desk", "north", serve);
   runner_start ("desk-2", "desk", "south", serve);
--- a/review/standins-2/refused.c
+++ b/review/standins-2/refused.c
@@ -99,7 +99,6 @@
 {
   const char *how = getenv ("HOW");
   rig_start (argc, argv);
-  alarm (110);
   is_spoiling = how != NULL && strcmp (how, "spoiled") == 0;
   int n_orders = is_spoiling ? N_ORDERS_SPOILED : N_ORDERS;
   char *config = config_print (1, TENANTS, HEALTH);
--- a/review/standins-2/rig.c
+++ b/review/standins-2/rig.c
@@ -25,6 +25,7 @@
 #define MAX_RUNNERS 8
 #define MAX_ATTEMPTS 20000
 #define GRACE_S 8
+#define MAX_S 110
 #define FIRST_PORT 20000
 #define N_PORTS 12000
 
@@ -1295,6 +1296,20 @@
 
 /* Start and end */
 
+/* Ends the routers; nothing else is safe in a signal handler. */
+static void
+on_time_over (int number)
+{
+  static const char text[] = "could not run: the time is over\n";
+  (void) number;
+  for (int i = 0; i < n_routers; i++)
+    if (routers[i]->ended == -1)
+      kill (routers[i]->pid, SIGKILL);
+  ssize_t ignored = write (STDERR_FILENO, text, sizeof text - 1);
+  (void) ignored;
+  _exit (2);
+}
+
 bool
 rig_has_trouble (void)
 {
@@ -1313,6 +1328,10 @@
       exit (2);
     }
   signal (SIGPIPE, SIG_IGN);
+  signal (SIGALRM, on_time_over);
+  signal (SIGTERM, on_time_over);
+  signal (SIGINT, on_time_over);
+  alarm (MAX_S);
   started_ms = now_ms ();
   has_trouble = trouble == NULL || strcmp (trouble, "0") != 0;
   if (other != NULL)
