--- a/review/standins-2/crash.c
+++ b/review/standins-2/crash.c
@@ -16,6 +16,8 @@
 #define N_RUNNERS 3
 #define CALM_MS 4000
 #define DOWN_MS 4500
+/* The entry of a silent runner goes after three heartbeat intervals. */
+#define EXPIRY_MS 3600
 #define AFTER_MS 4000
 #define CALL_MS 60
 #define RESTART_MS 400
@@ -59,7 +61,7 @@
   uint64_t ended_ms[N_ROUTERS] = { 0 };
   int n_ends[N_ROUTERS] = { 0 };
   int n_before = 0, n_after = 0;
-  bool is_down = false, is_back = false;
+  bool is_down = false, is_expired = false, is_back = false;
   for (int n = 0; now_ms () < start_ms + CALM_MS + DOWN_MS + AFTER_MS; n++)
     {
       uint64_t passed_ms = now_ms () - start_ms;
@@ -69,6 +71,16 @@
           for (int i = 0; i < N_RUNNERS && rig_has_trouble (); i++)
             runner_kill (runners[i]);
         }
+      if (!is_expired && passed_ms >= CALM_MS + EXPIRY_MS)
+        {
+          is_expired = true;
+          for (int i = 0; i < N_RUNNERS && rig_has_trouble (); i++)
+            {
+              char key[64];
+              snprintf (key, sizeof key, "servers/%.40s", runners[i]->id);
+              store_delete (key);
+            }
+        }
       if (!is_back && passed_ms >= CALM_MS + DOWN_MS)
         {
           is_back = true;
--- a/review/standins-2/pipelined.c
+++ b/review/standins-2/pipelined.c
@@ -94,6 +94,7 @@
           || !call (channels[i].fd, "GET", "/lookups/0", fields, NULL, &message, 4000)
           || message.status != 200)
         give_up ("no answer before the stop");
+      note ("look-up %s, alone on its channel, is answered %d", attempt, message.status);
       message_clear (&message);
     }
   for (int i = 0; i < N_CHANNELS; i++)
--- a/review/standins-2/rig.c
+++ b/review/standins-2/rig.c
@@ -1261,9 +1261,18 @@
   snprintf (all, sizeof all, "X-Attempt-Id: %s\r\n%s", attempt_out, fields);
   int fd = connect_to (router->callers);
   if (fd < 0)
-    return false;
+    {
+      note ("%s %s can't be sent to %s: no channel", method, target, router->name);
+      return false;
+    }
+  note ("%s %s is sent to %s, attempt %s", method, target, router->name, attempt_out);
   bool is_answered = call (fd, method, target, all, body, answer, timeout_ms);
   close (fd);
+  if (is_answered)
+    note ("attempt %s is answered %d%s", attempt_out, answer->status,
+          answer->is_whole ? "" : ", cut");
+  else
+    note ("attempt %s has no answer", attempt_out);
   return is_answered;
 }
 
