Answer 502 where a refusal of a runner is not confirmed

Cause: gg_send_classify_answer() took such an answer for an error of the runner, which is forwarded with its status; 429 and 408 counted as complete answers. That a status states something to callers, which the runner has not stated, was looked at nowhere.

Change: an answer with 408, 421, 429 or 503 without the runner's statement that it has not run the request ends the send as GG_SEND_UNCONFIRMED, if the request may run once only: bookings, and streams that can't be resumed. Its caller gets 502 (refusal_unconfirmed), which promises nothing. Requests that may run again get the runner's answer as before, 503 after the repeats that their route allows.

"The runner's status, body and X-Response-Signature are returned unchanged" and "Status codes 429 and 503 are a promise" (PROTOCOL.md) meet here.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -20,6 +20,7 @@
     case GG_SEND_COMPLETE:
     case GG_SEND_FAILED:
     case GG_SEND_LOST:
+    case GG_SEND_UNCONFIRMED:
       self->n_possible_runs++;
       break;
     case GG_SEND_UNSENT:
@@ -45,6 +46,12 @@
   return FALSE;
 }
 
+gboolean
+gg_attempt_may_deliver_unconfirmed (const GgAttempt *self)
+{
+  return may_run_again (self);
+}
+
 gboolean
 gg_attempt_may_hedge (const GgAttempt *self)
 {
@@ -84,6 +91,7 @@
       break;
     case GG_SEND_FAILED:
     case GG_SEND_LOST:
+    case GG_SEND_UNCONFIRMED:
       may_retry = may_run_again (self) && self->n_possible_runs < self->max_attempts;
       break;
     }
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -13,6 +13,8 @@
   GG_SEND_UNSENT,   /**< Nothing can have reached the runner. */
   GG_SEND_REFUSED,  /**< The runner answered that it has not executed the request and will not. */
   GG_SEND_LOST,     /**< The request may have been executed; there is no usable answer. */
+  GG_SEND_UNCONFIRMED, /**< The answer has a status that tells callers that the request was not
+                        * executed, but the runner does not state so. It may have been. */
 } GgSendResult;
 
 /** State of one caller attempt over all its sends. */
@@ -46,6 +48,11 @@
 gboolean
 gg_attempt_owns_answer (const char *attempt_id, const char *answered_id, gboolean is_first_answer);
 
+/** Returns whether the caller may receive an answer whose status says that the request was not
+ * executed, although it may have been. A caller sends such a request again, so this is limited to
+ * those that may be executed again. */
+gboolean gg_attempt_may_deliver_unconfirmed (const GgAttempt *self);
+
 /** Counts a finished send by its result. Call it before a decision about that send. */
 void gg_attempt_note_send (GgAttempt *self, GgSendResult result);
 
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -207,6 +207,8 @@
     return GG_SEND_REFUSED;
   if (gg_send_is_handover (self) && self->outcome == GG_HANDOVER_UNKNOWN)
     return GG_SEND_LOST;
+  if (fields->has_refusal_status && !gg_attempt_may_deliver_unconfirmed (&relay->attempt))
+    return GG_SEND_UNCONFIRMED;
   /* A peer has sent the request again after an error, where that is allowed. */
   if (fields->status >= GG_STATUS_SERVER_ERROR && !gg_send_is_handover (self))
     return GG_SEND_FAILED;
--- a/src/daemons/routerd/relay_send.c
+++ b/src/daemons/routerd/relay_send.c
@@ -96,9 +96,10 @@
   return self->n_cuts_at_start >= MAX_CUTS_AT_START ? "cut_at_start" : "budget";
 }
 
-/* @p send is the one that has ended; its answer is discarded unless it is delivered. */
+/* @p send is the one that has ended with @p result; its answer is discarded unless it is delivered.
+ */
 static void
-apply_action (GgRelay *self, GgSend *send, GgAttemptAction action)
+apply_action (GgRelay *self, GgSend *send, GgSendResult result, GgAttemptAction action)
 {
   switch (action)
     {
@@ -118,7 +119,8 @@
                        get_retry_after_refusal_ms (self, send));
       break;
     case GG_ATTEMPT_FAIL:
-      gg_relay_fail (self, GG_STATUS_BAD_GATEWAY, "answer_lost");
+      gg_relay_fail (self, GG_STATUS_BAD_GATEWAY,
+                     result == GG_SEND_UNCONFIRMED ? "refusal_unconfirmed" : "answer_lost");
       break;
     case GG_ATTEMPT_ABORT:
       gg_relay_abort_answer (self, "stream_lost");
@@ -141,6 +143,8 @@
       return "refused";
     case GG_SEND_LOST:
       return "lost";
+    case GG_SEND_UNCONFIRMED:
+      return "unconfirmed";
     }
   return "?";
 }
@@ -175,6 +179,7 @@
         gg_fleet_runner_note_success (runner, send->sent_ms);
       return;
     case GG_SEND_FAILED:
+    case GG_SEND_UNCONFIRMED:
       break;
     case GG_SEND_REFUSED:
       if (send->answer_fields.is_misdirected)
@@ -266,7 +271,9 @@
 static void
 note_answered (GgRelay *self, const GgSend *send, GgSendResult result)
 {
-  if ((result == GG_SEND_COMPLETE || result == GG_SEND_FAILED) && send->n_events < GG_BEGUN_EVENTS)
+  gboolean is_answered
+      = result == GG_SEND_COMPLETE || result == GG_SEND_FAILED || result == GG_SEND_UNCONFIRMED;
+  if (is_answered && send->n_events < GG_BEGUN_EVENTS)
     gg_relay_note_served (self, send->has_event);
 }
 
@@ -410,7 +417,7 @@
     }
   if (action == GG_ATTEMPT_RETRY)
     gg_counter_add (&repeats_total, 1);
-  apply_action (self, send, action);
+  apply_action (self, send, result, action);
 }
 
 /* Decides whether the request may be sent to a runner.
--- a/src/ports/relay_wire.h
+++ b/src/ports/relay_wire.h
@@ -97,9 +97,11 @@
 typedef struct
 {
   uint32_t status;
-  const char *attempt_id;     /**< Of the request that is answered. */
-  gboolean is_signed;         /**< It has a signature of the runner. */
-  gboolean is_refused;        /**< The runner has not run the request and will not. */
+  const char *attempt_id;      /**< Of the request that is answered. */
+  gboolean is_signed;          /**< It has a signature of the runner. */
+  gboolean is_refused;         /**< The runner has not run the request and will not. */
+  gboolean has_refusal_status; /**< Callers take its status for the statement that the request was
+                                * not run and will not be, whether or not is_refused is set. */
   gboolean is_misdirected;    /**< Another runner is at the address, or the runner does not hold its
                                * layers of the path. */
   const char *faulty_address; /**< The runner on the path that is at fault. */
--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -41,6 +41,9 @@
     "and request_quarantined lines" },
   { "answer_lost",
     "it was sent, and the answer was lost, truncated or not signed; it may have run" },
+  { "refusal_unconfirmed",
+    "its runner answered with a status that says that it did not run (408, 429 or 503), but did "
+    "not state so; it may have run" },
   { "stream_lost", "its stream was cut and could not go on elsewhere" },
   { "deadline", "its deadline, or the time limit of its route, passed" },
   { "keys_not_fresh",
--- a/tests/core/test_attempt.c
+++ b/tests/core/test_attempt.c
@@ -4,8 +4,8 @@
 #include "core/attempt.h"
 #include "test_main.h"
 
-static const GgSendResult results[]
-    = { GG_SEND_COMPLETE, GG_SEND_FAILED, GG_SEND_UNSENT, GG_SEND_REFUSED, GG_SEND_LOST };
+static const GgSendResult results[] = { GG_SEND_COMPLETE, GG_SEND_FAILED, GG_SEND_UNSENT,
+                                        GG_SEND_REFUSED,  GG_SEND_LOST,   GG_SEND_UNCONFIRMED };
 
 static GgAttemptAction
 send_and_decide (GgAttempt *a, GgSendResult result)
@@ -107,10 +107,30 @@
   CU_ASSERT_FALSE (gg_attempt_owns_answer ("a1", NULL, FALSE));
 }
 
+/* Guards against a caller that is told that its request was not executed, and sends it again,
+ * although it may have been and must not be executed twice. */
+static void
+test_unconfirmed_refusal_is_not_delivered (void)
+{
+  const GgAttempt once[] = { { .kind = GG_REQUEST_NON_IDEMPOTENT, .max_attempts = 3 },
+                             { .kind = GG_REQUEST_STREAMING, .max_attempts = 3 } };
+  for (gsize i = 0; i < G_N_ELEMENTS (once); i++)
+    {
+      GgAttempt a = once[i];
+      CU_ASSERT_FALSE (gg_attempt_may_deliver_unconfirmed (&a));
+      CU_ASSERT_EQUAL (send_and_decide (&a, GG_SEND_UNCONFIRMED), GG_ATTEMPT_FAIL);
+    }
+  const GgAttempt repeatable[]
+      = { { .kind = GG_REQUEST_IDEMPOTENT, .max_attempts = 1 },
+          { .kind = GG_REQUEST_STREAMING, .is_resumable = TRUE, .max_attempts = 1 } };
+  for (gsize i = 0; i < G_N_ELEMENTS (repeatable); i++)
+    CU_ASSERT_TRUE (gg_attempt_may_deliver_unconfirmed (&repeatable[i]));
+}
+
 static gboolean
 may_have_run (GgSendResult result)
 {
-  return result == GG_SEND_COMPLETE || result == GG_SEND_FAILED || result == GG_SEND_LOST;
+  return result != GG_SEND_UNSENT && result != GG_SEND_REFUSED;
 }
 
 /* With any sequence of results, the guarantees hold and the attempt ends after a limited number of
@@ -167,6 +187,7 @@
     { "nothing is sent after the deadline", test_nothing_is_sent_after_the_deadline },
     { "hedge counts as a run", test_hedge_counts_as_a_run },
     { "answers of other requests are not owned", test_answers_of_other_requests_are_not_owned },
+    { "unconfirmed refusal is not delivered", test_unconfirmed_refusal_is_not_delivered },
     { "random histories", test_random_histories },
   };
   return gg_test_run ("attempt", cases, G_N_ELEMENTS (cases));
--- a/tests/platform/test_relay_wire.c
+++ b/tests/platform/test_relay_wire.c
@@ -215,6 +215,18 @@
   GgRunnerAnswerFields fields;
   gg_relay_wire_read_answer_fields (head, &fields);
   CU_ASSERT_FALSE (fields.is_refused); /* a 503 without the runner's field may have run */
+  static const struct
+  {
+    uint32_t status;
+    gboolean has_refusal_status;
+  } statuses[] = { { 200, FALSE }, { 404, FALSE }, { 408, TRUE },  { 421, TRUE }, { 429, TRUE },
+                   { 500, FALSE }, { 502, FALSE }, { 504, FALSE }, { 503, TRUE } };
+  for (guint i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      gg_message_head_set_status (head, statuses[i].status);
+      gg_relay_wire_read_answer_fields (head, &fields);
+      CU_ASSERT_EQUAL (fields.has_refusal_status, statuses[i].has_refusal_status);
+    }
   gg_message_head_add (head, "X-Not-Executed", "1");
   gg_message_head_add (head, "At-Server", "10.0.0.9:80");
   gg_relay_wire_read_answer_fields (head, &fields);
