Take no answer without an id for the caller's

Cause: gg_attempt_owns_answer() took an answer that names no attempt for the caller's if it was the first on its connection.

Change: gg_attempt_find_owner() tells three cases apart. An answer that names no attempt is never the caller's own. As the first on a connection it stands in the place of the answer, so the send ends at once as lost (answer_unidentified, cause=unidentified): a request that may run once gets 502, others are sent again. A later one is skipped, as before, since the own answer may still come.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -6,10 +6,12 @@
  * time. */
 #define MAX_UNEXECUTED_SENDS 8
 
-gboolean
-gg_attempt_owns_answer (const char *attempt_id, const char *answered_id, gboolean is_first_answer)
+GgAnswerOwner
+gg_attempt_find_owner (const char *attempt_id, const char *answered_id, gboolean is_first_answer)
 {
-  return answered_id != NULL ? strcmp (answered_id, attempt_id) == 0 : is_first_answer;
+  if (answered_id != NULL)
+    return strcmp (answered_id, attempt_id) == 0 ? GG_ANSWER_OWN : GG_ANSWER_FOREIGN;
+  return is_first_answer ? GG_ANSWER_UNIDENTIFIED : GG_ANSWER_FOREIGN;
 }
 
 void
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -17,6 +17,14 @@
                         * executed, but the runner does not state so. It may have been. */
 } GgSendResult;
 
+/** Whether an answer that came on a connection is the one to the send that waits there. */
+typedef enum
+{
+  GG_ANSWER_OWN,
+  GG_ANSWER_FOREIGN,      /**< It answers another request, or none; the own answer may follow. */
+  GG_ANSWER_UNIDENTIFIED, /**< It came in the place of the own answer and can't be told to be it. */
+} GgAnswerOwner;
+
 /** State of one caller attempt over all its sends. */
 typedef struct
 {
@@ -39,14 +47,12 @@
   GG_ATTEMPT_ABORT,   /**< Abort the partly delivered answer, so that it can't look complete. */
 } GgAttemptAction;
 
-/** Returns whether an answer that came on a connection belongs to the send that waits there. A
- * runner names the attempt in its answers, but may send bytes after an answer that belong to no
- * request. An answer without a name is the one to the send only if nothing was answered on the
- * connection before.
+/** Decides whose answer has come on a connection. A runner names the attempt in all its answers,
+ * but may send bytes that belong to no request, also in the place of an answer.
  * @param answered_id the attempt that the answer names; NULL for none.
  * @param is_first_answer on its connection. */
-gboolean
-gg_attempt_owns_answer (const char *attempt_id, const char *answered_id, gboolean is_first_answer);
+GgAnswerOwner
+gg_attempt_find_owner (const char *attempt_id, const char *answered_id, gboolean is_first_answer);
 
 /** Returns whether the caller may receive an answer whose status says that the request was not
  * executed, although it may have been. A caller sends such a request again, so this is limited to
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -281,42 +281,53 @@
                                 gg_clock_now_ms ());
 }
 
-/* Handles the fields of a runner's answer that concern the runner.
- * @return FALSE if it answers another request. */
-static gboolean
+static void
+log_other_answer (const GgSend *self, const GgRunnerAnswerFields *fields, GgAnswerOwner owner)
+{
+  char answered_id[GG_EVENT_LOG_ID_BYTES + 1];
+  gg_event_log_format_id (fields->attempt_id, answered_id);
+  if (owner == GG_ANSWER_FOREIGN)
+    gg_event_log_add (GG_EVENT_NOTABLE, "foreign_answer_skipped",
+                      "request=%s answers=%s status=%u runner=%s", self->relay->log_id, answered_id,
+                      fields->status, self->runner->record.id);
+  else
+    gg_event_log_add (GG_EVENT_NOTABLE, "answer_unidentified", "request=%s status=%u runner=%s",
+                      self->relay->log_id, fields->status, self->runner->record.id);
+}
+
+/* Handles the fields of a runner's answer that concern the runner. */
+static void
 note_runner_answer (GgSend *self, const GgRunnerAnswerFields *fields)
 {
   const GgRelay *relay = self->relay;
-  if (!gg_attempt_owns_answer (relay->caller.attempt_id, fields->attempt_id,
-                               gg_loop_call_is_first_answer (self->call)))
-    {
-      char answered_id[GG_EVENT_LOG_ID_BYTES + 1];
-      gg_event_log_format_id (fields->attempt_id, answered_id);
-      gg_event_log_add (GG_EVENT_NOTABLE, "foreign_answer_skipped",
-                        "request=%s answers=%s runner=%s", relay->log_id, answered_id,
-                        self->runner->record.id);
-      return FALSE;
-    }
   gg_limit_exchange_note_answer (relay->router->limit_exchange, self->runner, fields,
                                  self->sent_boot_ms);
   gg_leaving_exchange_note_answer (relay->router->leaving_exchange, self->runner, fields);
   note_retry_after (self, fields);
-  return TRUE;
 }
 
 gboolean
 gg_send_receive_head (GgSend *self, GgMessageHead *head)
 {
   GgRunnerAnswerFields fields;
+  GgAnswerOwner owner = GG_ANSWER_OWN;
   gg_relay_wire_read_answer_fields (head, &fields);
   /* An instance answers each request once, and has handled the fields that concern the runner. */
   if (gg_send_is_handover (self))
     self->outcome = gg_relay_wire_read_outcome (head);
-  else if (!note_runner_answer (self, &fields))
+  else
+    owner = gg_attempt_find_owner (self->relay->caller.attempt_id, fields.attempt_id,
+                                   gg_loop_call_is_first_answer (self->call));
+  if (owner != GG_ANSWER_OWN)
     {
+      log_other_answer (self, &fields, owner);
       gg_message_head_destroy (head);
+      if (owner == GG_ANSWER_UNIDENTIFIED)
+        gg_send_abandon (self, "unidentified");
       return FALSE;
     }
+  if (!gg_send_is_handover (self))
+    note_runner_answer (self, &fields);
   gg_message_head_destroy (self->answer);
   self->answer = head;
   self->answer_fields = fields;
--- a/tests/core/test_attempt.c
+++ b/tests/core/test_attempt.c
@@ -92,19 +92,19 @@
     CU_ASSERT_FALSE (gg_attempt_may_hedge (&never[i]));
 }
 
-/* Guards against bytes that a runner sends after a complete answer being taken for the answer to
- * the next request on the connection. */
+/* Guards against bytes that a runner sends after a complete answer, or in the place of one, being
+ * taken for the answer to the request that waits on the connection. */
 static void
 test_answers_of_other_requests_are_not_owned (void)
 {
   for (int is_first = 0; is_first <= 1; is_first++)
     {
-      CU_ASSERT_TRUE (gg_attempt_owns_answer ("a1", "a1", is_first));
-      CU_ASSERT_FALSE (gg_attempt_owns_answer ("a1", "a2", is_first));
-      CU_ASSERT_FALSE (gg_attempt_owns_answer ("a1", "", is_first));
+      CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", "a1", is_first), GG_ANSWER_OWN);
+      CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", "a2", is_first), GG_ANSWER_FOREIGN);
+      CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", "", is_first), GG_ANSWER_FOREIGN);
     }
-  CU_ASSERT_TRUE (gg_attempt_owns_answer ("a1", NULL, TRUE));
-  CU_ASSERT_FALSE (gg_attempt_owns_answer ("a1", NULL, FALSE));
+  CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", NULL, TRUE), GG_ANSWER_UNIDENTIFIED);
+  CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", NULL, FALSE), GG_ANSWER_FOREIGN);
 }
 
 /* Guards against a caller that is told that its request was not executed, and sends it again,
--- a/tests/process/test_platform_runner_answers.c
+++ b/tests/process/test_platform_runner_answers.c
@@ -133,6 +133,25 @@
   check_rows (proof, rows, G_N_ELEMENTS (rows));
 }
 
+/* Guards against bytes in the place of the first answer on a connection that name no request. */
+static void
+run_unidentified_answer (GgProof *proof)
+{
+  static const Row rows[] = {
+    { "503", "bookings", "{503}{error}{close}", 502, FALSE },
+    { "503-not-run", "bookings", "{503}{not-run}{error}{close}", 502, FALSE },
+    { "421", "bookings", "HTTP/1.1 421 Not here\r\n{error}{close}", 502, FALSE },
+    { "429", "bookings", "HTTP/1.1 429 Slow down\r\n{error}{close}", 502, FALSE },
+    { "404", "bookings", "HTTP/1.1 404 Not Found\r\n{error}{close}", 502, FALSE },
+    { "500", "bookings", "{500}{error}{close}", 502, FALSE },
+    { "200", "bookings", "HTTP/1.1 200 OK\r\n{signed}{error}{close}", 502, FALSE },
+    { "503", "once", "{503}{error}{close}", 502, FALSE },
+    { "503-then-200", "lookups", "{503}{error}{close}|" SERVED, 200, TRUE },
+    { "404-then-200", "lookups", "HTTP/1.1 404 Not Found\r\n{error}{close}|" SERVED, 200, TRUE },
+  };
+  check_rows (proof, rows, G_N_ELEMENTS (rows));
+}
+
 static void
 append_routes (GString *config, guint service)
 {
@@ -204,6 +223,7 @@
 {
   static const GgProofCase cases[] = {
     { "not-run", "unconfirmed-refusal", run_unconfirmed_refusal },
+    { "own-answer", "unidentified-answer", run_unidentified_answer },
   };
   site = site_create (1);
   if (site == NULL)
