Require keys while the list of teams is empty

The key that it revoked, one revoked before and one that never was ran bookings and look-ups at all routers. check-config said "key revoked", 0 findings.

Cause: gg_routing_config_has_teams() derived from the number of teams whether requests need a key, and the decoder takes a missing list and an empty one for the same.

--- a/src/core/config_check.c
+++ b/src/core/config_check.c
@@ -211,6 +211,9 @@
 static void
 check_teams (const GgRoutingConfig *config, GPtrArray *findings)
 {
+  if (gg_routing_config_requires_keys (config) && gg_routing_config_count_teams (config) == 0)
+    gg_config_findings_add (findings, GG_CONFIG_TEAMS_EMPTY, GG_CONFIG_DOCUMENT, "",
+                            GG_CONFIG_FIELD_TEAMS, NULL, NULL);
   GHashTable *with_key = g_hash_table_new (NULL, NULL);
   GHashTableIter iter;
   void *owner;
@@ -420,6 +423,9 @@
   add_text (entry, GG_CONFIG_FIELD_MAX_BODY_BYTES, print_uint (limits->max_body_bytes));
   add_text (entry, GG_CONFIG_FIELD_HEAD_TIMEOUT, print_uint (limits->head_timeout_ms));
   add_text (entry, GG_CONFIG_FIELD_IDLE_TIMEOUT, print_uint (limits->idle_timeout_ms));
+  add_text (
+      entry, GG_CONFIG_FIELD_TEAMS,
+      g_strdup (gg_routing_config_requires_keys (config) ? "keys required" : "no keys required"));
   GPtrArray *routes = gg_routing_config_list_routes (config);
   for (guint i = 0; i < routes->len; i++)
     add_route (entries, g_ptr_array_index (routes, i));
--- a/src/core/config_check.h
+++ b/src/core/config_check.h
@@ -39,6 +39,7 @@
   GG_CONFIG_FIELD_MAX_BODY_BYTES,
   GG_CONFIG_FIELD_HEAD_TIMEOUT,
   GG_CONFIG_FIELD_IDLE_TIMEOUT,
+  GG_CONFIG_FIELD_TEAMS, /**< Whether requests need the API key of a team. */
 } GgConfigField;
 
 typedef enum
@@ -64,6 +65,7 @@
   GG_CONFIG_GAP_UNREACHABLE,
   GG_CONFIG_BODY_TOO_LARGE,
   GG_CONFIG_TEAM_WITHOUT_KEY,
+  GG_CONFIG_TEAMS_EMPTY, /**< Requests need the API key of a team, but there is none. */
 } GgConfigFault;
 
 /** One fault, which owns its strings. */
--- a/src/core/routing_config.c
+++ b/src/core/routing_config.c
@@ -27,6 +27,7 @@
   GPtrArray *services;  /* GgRoutedService */
   GPtrArray *teams;     /* GgKeyedTeam */
   GHashTable *key_team; /* key -> GgKeyedTeam */
+  gboolean requires_keys;
   GgCallerRoute *last_route;
   guint n_routes;
   GBytes *text;           /* NULL if it is not known */
@@ -246,9 +247,16 @@
   g_ptr_array_add (self->services, service);
 }
 
+void
+gg_routing_config_require_keys (GgRoutingConfig *self)
+{
+  self->requires_keys = TRUE;
+}
+
 void
 gg_routing_config_add_team (GgRoutingConfig *self, const char *name, uint32_t priority)
 {
+  gg_routing_config_require_keys (self);
   GgKeyedTeam *team = g_new0 (GgKeyedTeam, 1);
   team->name = g_strdup (name);
   team->priority = priority;
@@ -340,9 +348,9 @@
 }
 
 gboolean
-gg_routing_config_has_teams (const GgRoutingConfig *self)
+gg_routing_config_requires_keys (const GgRoutingConfig *self)
 {
-  return self->teams->len > 0;
+  return self->requires_keys;
 }
 
 const GgRoutedService *
--- a/src/core/routing_config.h
+++ b/src/core/routing_config.h
@@ -96,6 +96,9 @@
                                                   size_t size_bytes,
                                                   guint *at_out);
 void gg_routing_config_add_service (GgRoutingConfig *self, GgRoutedService *service);
+/** Makes requests need the API key of a team, unless their route is anonymous. */
+void gg_routing_config_require_keys (GgRoutingConfig *self);
+/** Adds a team, and makes requests need a key. */
 void gg_routing_config_add_team (GgRoutingConfig *self, const char *name, uint32_t priority);
 /** Adds an API key to the team that was added last. */
 void gg_routing_config_add_key (GgRoutingConfig *self, const char *key);
@@ -119,8 +122,9 @@
 /** Returns the team that owns the API key @p key, or NULL. */
 const GgKeyedTeam *gg_routing_config_find_team (const GgRoutingConfig *self, const char *key);
 
-/** Returns whether the configuration has teams, so that requests need an API key. */
-gboolean gg_routing_config_has_teams (const GgRoutingConfig *self);
+/** Returns whether requests need the API key of a team, unless their route is anonymous. Without
+ * such a team all of them are refused. */
+gboolean gg_routing_config_requires_keys (const GgRoutingConfig *self);
 
 const GgRoutedService *gg_routing_config_find_service (const GgRoutingConfig *self,
                                                        const char *name);
--- a/src/daemons/routerd/relay.c
+++ b/src/daemons/routerd/relay.c
@@ -261,7 +261,7 @@
       self->refusal = GG_REFUSAL_NO_ATTEMPT_ID;
       return STATUS_BAD_REQUEST;
     }
-  if (!self->route->is_anonymous && gg_routing_config_has_teams (self->config))
+  if (!self->route->is_anonymous && gg_routing_config_requires_keys (self->config))
     {
       if (!gg_router_has_fresh_keys (self->router))
         {
--- a/tests/core/test_config_check.c
+++ b/tests/core/test_config_check.c
@@ -116,6 +116,11 @@
   config = create ();
   gg_routing_config_add_service (config, gg_routed_service_create ("s"));
   expect (config, GG_CONFIG_SERVICE_REPEATED, "s");
+  GgCallerLimits sound = { 1, 1, 1, 1 };
+  config = gg_routing_config_create (1, &sound);
+  gg_routing_config_require_keys (config);
+  expect (config, GG_CONFIG_TEAMS_EMPTY, "");
+  expect (gg_routing_config_create (1, &sound), -1, "");
   config = create ();
   GgCallerRoute *route = add_route (config, "r", "b", "/");
   gg_caller_route_add_share (route, "s", G_MAXUINT32);
@@ -174,6 +179,16 @@
   changes = gg_config_compare (after, after);
   CU_ASSERT_EQUAL (changes->len, 0);
   g_ptr_array_unref (changes);
+  const GgCallerLimits limits = *gg_routing_config_get_limits (after);
+  GgRoutingConfig *open = gg_routing_config_create (2, &limits);
+  GgRoutingConfig *closed = gg_routing_config_create (3, &limits);
+  gg_routing_config_require_keys (closed);
+  changes = gg_config_compare (closed, open);
+  CU_ASSERT_EQUAL_FATAL (changes->len, 1);
+  expect_change (changes, 0, GG_CONFIG_CHANGED, "", GG_CONFIG_FIELD_TEAMS);
+  g_ptr_array_unref (changes);
+  gg_routing_config_unref (open);
+  gg_routing_config_unref (closed);
   gg_routing_config_unref (before);
   gg_routing_config_unref (after);
 }
--- a/tests/platform/test_directory.c
+++ b/tests/platform/test_directory.c
@@ -235,6 +235,43 @@
   g_bytes_unref (value);
 }
 
+/* Guards against an empty list of teams being read as none: the configuration that takes the last
+ * key away would let everybody in. */
+static void
+test_requires_keys (void)
+{
+  static const char teams[] = "\"tenants\":";
+  static const struct
+  {
+    const char *text;
+    gboolean is_valid;
+    gboolean requires_keys;
+  } cases[] = {
+    { "\"tenants\":[]}", TRUE, TRUE },
+    { "\"tenants\":[{\"name\":\"t1\"}]}", TRUE, TRUE },
+    { "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[]}]}", TRUE, TRUE },
+    { "\"x\":[]}", TRUE, FALSE },
+    { "\"tenants\":null}", FALSE, FALSE },
+    { "\"tenants\":{}}", FALSE, FALSE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *text = g_string_new (CONFIG);
+      g_string_truncate (text, (gsize) (strstr (text->str, teams) - text->str));
+      g_string_append (text, cases[i].text);
+      GBytes *value = g_string_free_to_bytes (text);
+      GgRoutingConfig *c = gg_directory_decode_config (value, NULL);
+      CU_ASSERT_EQUAL (c != NULL, cases[i].is_valid);
+      if (c != NULL)
+        {
+          CU_ASSERT_EQUAL (gg_routing_config_requires_keys (c), cases[i].requires_keys);
+          CU_ASSERT_PTR_NULL (gg_routing_config_find_team (c, "k1"));
+        }
+      gg_routing_config_unref (c);
+      g_bytes_unref (value);
+    }
+}
+
 /* Operators may write a time limit or a share with a fraction; a configuration that is dropped for
  * that would leave the older one in force. */
 static void
@@ -337,6 +374,7 @@
     { "large entry", test_large_entry },
     { "unusable texts", test_unusable_texts },
     { "config", test_config },
+    { "requires keys", test_requires_keys },
     { "fractional quantities", test_fractional_quantities },
     { "numbers of models", test_numbers_of_models },
     { "damaged texts", test_damaged_texts },
--- a/tests/process/test_platform.c
+++ b/tests/process/test_platform.c
@@ -24,6 +24,7 @@
 #define SLOW_READS "{\"ms\":600}"
 /* A configuration must be in force everywhere this long after it was written. */
 #define APPLY_MS 5000
+#define TEAMS_FIELD "\"tenants\":"
 
 /* All cases share one site; the one that kills all processes is the last. */
 static Site *site;
@@ -313,6 +314,24 @@
   gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
 }
 
+/* Guards against a configuration whose list of teams is empty being taken for one that requires no
+ * keys: the one that removes the last team would open all routes to revoked and to made-up keys. */
+static void
+run_last_team_removed (GgProof *proof)
+{
+  char *config = site_print_config (12, TRUE);
+  char *teams = strstr (config, TEAMS_FIELD);
+  g_assert (teams != NULL);
+  teams[strlen (TEAMS_FIELD)] = '\0';
+  char *text = g_strconcat (config, "[]}", NULL);
+  site_put (site, "op/config", text);
+  gg_proof_check (proof, gg_wait_until (is_refused_everywhere, NULL, APPLY_MS));
+  site_write_config (site, 13, TRUE);
+  gg_proof_check (proof, gg_wait_until (is_served, NULL, 4000));
+  g_free (text);
+  g_free (config);
+}
+
 /* A stop during a stream: the stream is served to its end, and the process exits by itself. */
 static void
 run_stop (GgProof *proof)
@@ -361,6 +380,7 @@
     { "config", "platform-source-frozen", run_delegate_hung },
     { "config", "platform-change-after-outage", run_change_after_outage },
     { "config", "platform-reads-slow-after-outage", run_reads_slow_after_outage },
+    { "config", "platform-last-team-removed", run_last_team_removed },
     { "graceful-stop", "platform-stop", run_stop },
     { "graceful-stop", "platform-everything-killed", run_everything_killed },
   };
