Take no answer whose status is none

Cause: the reader of messages took each status below 200 for an interim response and each above for an answer. The HTTP client of entryd and controld took them all for replies.

Change: a response with a status outside 100 to 599, or with 101, which no request asks for, is malformed. Its connection is closed, the send ends as lost at once, and the runner gets a miss. The pool of entryd and controld reports such a reply as in doubt.

--- a/src/adapters/http/http_connection.c
+++ b/src/adapters/http/http_connection.c
@@ -7,6 +7,9 @@
 #include <ne_session.h>
 #include <string.h>
 
+/* RFC 9110, section 15: the valid status codes of final responses. */
+#define GG_HTTP_MIN_FINAL_STATUS 200
+#define GG_HTTP_MAX_STATUS 599
 #define GG_HTTP_NO_CONTENT 204
 #define GG_HTTP_NOT_MODIFIED 304
 
@@ -218,7 +221,8 @@
   reply->body_size_bytes = self->body->len;
   reply->body = g_string_free (self->body, FALSE);
   self->body = NULL;
-  return is_delimited (self->exchange);
+  return reply->status >= GG_HTTP_MIN_FINAL_STATUS && reply->status <= GG_HTTP_MAX_STATUS
+         && is_delimited (self->exchange);
 }
 
 gboolean
--- a/src/loop/message_reader.c
+++ b/src/loop/message_reader.c
@@ -4,7 +4,11 @@
 #include <string.h>
 
 #define HTTP_1_1 1
+/* RFC 9110, section 15: valid status codes are those from 100 to 599. */
+#define MIN_STATUS 100
 #define FIRST_FINAL_STATUS 200
+#define MAX_STATUS 599
+#define SWITCHING_PROTOCOLS 101
 /* Result of on_head() upon which http_parser expects no body. */
 #define NO_BODY 1
 /* An interim response counts as at least this much of the head that follows it: a server could send
@@ -137,6 +141,13 @@
   return parser->type == HTTP_RESPONSE && parser->status_code < FIRST_FINAL_STATUS;
 }
 
+/* After a 101 the bytes belong to another protocol, which no request asks for. */
+static gboolean
+is_status_valid (guint status)
+{
+  return status >= MIN_STATUS && status <= MAX_STATUS && status != SWITCHING_PROTOCOLS;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -144,6 +155,8 @@
   end_field (self);
   /* Upgrades are not supported, so the Upgrade field is ignored. */
   parser->upgrade = 0;
+  if (parser->type == HTTP_RESPONSE && !is_status_valid (parser->status_code))
+    return -1;
   /* An interim response has no body, whatever its head says. */
   if (is_interim (parser))
     return NO_BODY;
--- a/src/loop/message_reader.h
+++ b/src/loop/message_reader.h
@@ -1,6 +1,8 @@
 /** @file
  * Incremental parser of HTTP/1.1 messages. It stops after each message, so that bytes that follow
- * a complete message are never parsed as part of it. Interim responses (1xx) are skipped. */
+ * a complete message are never parsed as part of it. Interim responses (1xx) are skipped; a
+ * response with a status that RFC 9110 does not define, or that switches protocols, is malformed.
+ */
 #pragma once
 
 #include "loop/message_head.h"
--- a/tests/adapters/test_http_pool.c
+++ b/tests/adapters/test_http_pool.c
@@ -282,6 +282,27 @@
   server_stop (&server);
 }
 
+static char *
+reply_odd_status (ScriptedServer *server, int number, const char *request)
+{
+  static const char *const statuses[] = { "000", "001", "099", "600", "999" };
+  return g_strdup_printf ("HTTP/1.1 %s Status\r\nContent-Length: 2\r\n\r\nok",
+                          statuses[(number - 1) % (int) G_N_ELEMENTS (statuses)]);
+}
+
+/* Guards against a reply whose status is none being taken for an answer. */
+static void
+test_invalid_statuses (void)
+{
+  ScriptedServer server;
+  server_start (&server, reply_odd_status);
+  GgHttpPool *pool = make_pool ();
+  for (int i = 0; i < 5; i++)
+    CU_ASSERT_EQUAL (post_only (pool, server.address, FALSE, 2000), GG_HTTP_IN_DOUBT);
+  gg_http_pool_destroy (pool);
+  server_stop (&server);
+}
+
 static void
 test_line_breaks_are_rejected (void)
 {
@@ -317,6 +338,7 @@
     { "refused connection", test_refused_connection },
     { "connection after the deadline", test_connection_after_deadline },
     { "incomplete replies", test_incomplete_replies },
+    { "invalid statuses", test_invalid_statuses },
     { "line breaks are rejected", test_line_breaks_are_rejected },
   };
   return gg_test_run ("http pool", cases, G_N_ELEMENTS (cases));
--- a/tests/process/test_platform_runner_answers.c
+++ b/tests/process/test_platform_runner_answers.c
@@ -152,6 +152,26 @@
   check_rows (proof, rows, G_N_ELEMENTS (rows));
 }
 
+/* Guards against an answer whose status is none. Its caller would get it, or wait until its time
+ * limit for what follows an interim answer. */
+static void
+run_invalid_status (GgProof *proof)
+{
+  static const char *const statuses[] = { "000", "001", "099", "101", "600", "700", "999" };
+  static const char *const bodies[] = { "\r\n", "{error}" };
+  static const char *const routes[] = { "bookings", "lookups" };
+  for (guint i = 0; i < G_N_ELEMENTS (statuses) * 4; i++)
+    {
+      const char *status = statuses[i / 4];
+      gboolean may_repeat = i % 2 == 1;
+      char *script = g_strdup_printf ("HTTP/1.1 %s Status\r\n{id}{signed}%s%s", status,
+                                      bodies[i / 2 % 2], may_repeat ? "|" SERVED : "");
+      const Row row = { status, routes[i % 2], script, may_repeat ? 200 : 502, may_repeat };
+      check_rows (proof, &row, 1);
+      g_free (script);
+    }
+}
+
 static void
 append_routes (GString *config, guint service)
 {
@@ -224,6 +244,7 @@
   static const GgProofCase cases[] = {
     { "not-run", "unconfirmed-refusal", run_unconfirmed_refusal },
     { "own-answer", "unidentified-answer", run_unidentified_answer },
+    { "own-answer", "invalid-status", run_invalid_status },
   };
   site = site_create (1);
   if (site == NULL)
