End a call whose answer is longer than it may be

Change: a fetch ends as lost, and its connection is closed, with the first byte beyond max_body_bytes.

Measured on x86-64: loop/test_fetch "too long document ends" fails before (timed out instead of lost) and passes now.

--- a/src/loop/fetch.c
+++ b/src/loop/fetch.c
@@ -17,8 +17,7 @@
   GgMessageHead *head; /* of the answer; NULL before it */
   size_t max_body_bytes;
   uint64_t timeout_ms;
-  uint64_t end_ms;      /* the fetch ends by then, however the answer arrives */
-  gboolean is_too_long; /* the body exceeds max_body_bytes */
+  uint64_t end_ms; /* the fetch ends by then, however the answer arrives */
 };
 
 static void
@@ -46,12 +45,12 @@
 }
 
 static GgFetchEnd
-map_end (const GgLoopFetch *self, GgCallEnd end)
+map_end (GgCallEnd end)
 {
   switch (end)
     {
     case GG_CALL_COMPLETE:
-      return self->is_too_long ? GG_FETCH_LOST : GG_FETCH_ANSWERED;
+      return GG_FETCH_ANSWERED;
     case GG_CALL_UNREACHABLE:
       return GG_FETCH_UNREACHABLE;
     case GG_CALL_BROKEN:
@@ -84,13 +83,17 @@
       break;
     case GG_CALL_BODY:
       if (self->body->len + event->body.size_bytes > self->max_body_bytes)
-        self->is_too_long = TRUE;
-      else
-        g_string_append_len (self->body, event->body.bytes, (gssize) event->body.size_bytes);
+        {
+          /* The rest may have no end. */
+          gg_loop_call_cancel (self->call);
+          finish (self, GG_FETCH_LOST);
+          break;
+        }
+      g_string_append_len (self->body, event->body.bytes, (gssize) event->body.size_bytes);
       extend_timeout (self);
       break;
     case GG_CALL_END:
-      finish (self, map_end (self, event->end));
+      finish (self, map_end (event->end));
       break;
     }
   return TRUE;
--- a/tests/loop/test_fetch.c
+++ b/tests/loop/test_fetch.c
@@ -22,6 +22,9 @@
 #define MAX_REQUEST_BYTES 1024
 #define LIMIT_MS 5000
 #define PART_MS 40
+/* Longer than all parts, and than two of them. */
+#define LARGE_BYTES (1 << 20)
+#define SMALL_BYTES 10
 
 /* A server that sends its answer in parts. */
 typedef struct
@@ -81,7 +84,7 @@
 /* Fetches an answer of some parts.
  * @return how long that took. */
 static uint64_t
-fetch (Peer *p, guint n_parts)
+fetch (Peer *p, guint n_parts, size_t max_body_bytes)
 {
   const GgServerLimits limits = { 4096, 0, LIMIT_MS, LIMIT_MS };
   *p = (Peer){ .loop = gg_loop_create (), .address = gg_process_reserve_address () };
@@ -94,7 +97,7 @@
   const GgFetchRequest request
       = { .call = { .address = p->address, .head = head, .connect_timeout_ms = LIMIT_MS },
           .timeout_ms = TIMEOUT_MS,
-          .max_body_bytes = 1 << 20 };
+          .max_body_bytes = max_body_bytes };
   uint64_t started_ms = gg_clock_now_ms ();
   gg_loop_fetch (p->loop, client, &request, on_fetched, p);
   CU_ASSERT_TRUE (loop_fixture_run (p->loop, &p->has_ended, LIMIT_MS));
@@ -113,7 +116,7 @@
 test_slow_document_with_progress_is_read (void)
 {
   Peer p;
-  uint64_t took_ms = fetch (&p, 6);
+  uint64_t took_ms = fetch (&p, 6, LARGE_BYTES);
   CU_ASSERT_TRUE (took_ms > TIMEOUT_MS);
   CU_ASSERT_EQUAL (p.end, GG_FETCH_ANSWERED);
   CU_ASSERT_EQUAL (p.size_bytes, 24);
@@ -124,7 +127,7 @@
 test_document_that_drips_ends (void)
 {
   Peer p;
-  uint64_t took_ms = fetch (&p, 1000);
+  uint64_t took_ms = fetch (&p, 1000, LARGE_BYTES);
   CU_ASSERT_EQUAL (p.end, GG_FETCH_TIMED_OUT);
   CU_ASSERT_TRUE (took_ms <= TIMEOUT_MS * 10);
 }
@@ -133,7 +136,7 @@
 test_silent_peer_times_out (void)
 {
   Peer p;
-  fetch (&p, 0);
+  fetch (&p, 0, LARGE_BYTES);
   CU_ASSERT_EQUAL (p.end, GG_FETCH_TIMED_OUT);
 }
 
@@ -233,12 +236,24 @@
   g_free (p.address);
 }
 
+/* Guards against reading on, and keeping what was read, when an answer without an end is longer
+ * than the caller can use. */
+static void
+test_too_long_document_ends (void)
+{
+  Peer p;
+  fetch (&p, 1000, SMALL_BYTES);
+  CU_ASSERT_EQUAL (p.end, GG_FETCH_LOST);
+  CU_ASSERT_TRUE (p.size_bytes <= SMALL_BYTES);
+}
+
 int
 main (void)
 {
   static const GgTestCase cases[] = {
     { "slow document with progress is read", test_slow_document_with_progress_is_read },
     { "document that drips ends", test_document_that_drips_ends },
+    { "too long document ends", test_too_long_document_ends },
     { "silent peer times out", test_silent_peer_times_out },
     { "answer cut anywhere is lost", test_answer_cut_anywhere_is_lost },
   };
