Bound the memory of all answers together

Cause: each answer had a bound, all together had none. The account of clients counts bodies of answers as memory that can't be released while their request is served. Heads, and parts of heads, were not counted.

Change: answer_memory keeps an account of what all sends hold of their answers; the client reports parts of heads that have not ended (GG_CALL_HEAD_PART). Parts of heads are no activity of the runner, as before.

--- a/src/daemons/routerd/client_limits.c
+++ b/src/daemons/routerd/client_limits.c
@@ -20,6 +20,8 @@
 /* Most of the instance's memory that a large body may take: with the reserve of small holders and
  * the rest of the process, some 120 of 160 MB are used. */
 #define LARGEST_DIVISOR 2
+/* Part of the buffers that answers may take, so that faulty runners leave room for callers. */
+#define ANSWER_DIVISOR 2
 #define DEFAULT_DESCRIPTORS 1024
 /* Parts of the descriptors; a quarter is left for outgoing connections. */
 #define CALLERS_DIVISOR 2
@@ -172,6 +174,12 @@
     gg_buffer_account_set_limit (self->buffers, MAX (self->buffer_bytes, needed_bytes));
 }
 
+uint64_t
+gg_client_limits_get_answer_bytes (const GgClientLimits *self)
+{
+  return self->buffer_bytes / ANSWER_DIVISOR;
+}
+
 void
 gg_client_limits_apply (GgClientLimits *self, GgLoopServer *server, GgClientKind kind)
 {
--- a/src/daemons/routerd/client_limits.h
+++ b/src/daemons/routerd/client_limits.h
@@ -18,6 +18,10 @@
  * instance's memory. */
 void gg_client_limits_set_max_body (GgClientLimits *self, uint64_t max_body_bytes);
 
+/** Returns the limit for answers that are being received, in bytes: half of that for buffers, which
+ * they are a part of. */
+uint64_t gg_client_limits_get_answer_bytes (const GgClientLimits *self);
+
 typedef enum
 {
   GG_CLIENTS_CALLERS,
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -230,22 +230,30 @@
   return GG_SEND_COMPLETE;
 }
 
+/* Accounts for what is held of the answer to a send, which may be NULL.
+ * @return that in bytes. */
 static size_t
-count_answer_bytes (const GgSend *self)
+update_held_bytes (const GgRelay *self, GgSend *send)
 {
-  size_t n_bytes = 0;
-  if (self != NULL && self->answer_body != NULL)
-    n_bytes += self->answer_body->len;
-  if (self != NULL && self->events != NULL)
-    n_bytes += gg_event_buffer_get_partial_bytes (self->events);
+  if (send == NULL)
+    return 0;
+  size_t n_bytes = send->head_part_bytes;
+  if (send->answer != NULL)
+    n_bytes += gg_message_head_get_memory (send->answer);
+  if (send->answer_body != NULL)
+    n_bytes += send->answer_body->len;
+  if (send->events != NULL)
+    n_bytes += gg_event_buffer_get_partial_bytes (send->events);
+  gg_answer_memory_set (self->router->answer_memory, &send->memory, n_bytes);
   return n_bytes;
 }
 
 void
 gg_relay_update_answer_bytes (GgRelay *self)
 {
-  gg_server_connection_set_answer_bytes (self->connection, count_answer_bytes (self->send)
-                                                               + count_answer_bytes (self->hedge));
+  size_t n_bytes = update_held_bytes (self, self->send);
+  n_bytes += update_held_bytes (self, self->hedge);
+  gg_server_connection_set_answer_bytes (self->connection, n_bytes);
 }
 
 static gboolean
@@ -337,6 +345,7 @@
   if (is_of_runner && fields.status == GG_STATUS_OK && fields.is_signed && is_event_stream (head)
       && self->relay->route->kind == GG_REQUEST_STREAMING)
     self->events = gg_event_buffer_create ();
+  gg_relay_update_answer_bytes (self->relay);
   return TRUE;
 }
 
--- a/src/daemons/routerd/relay_private.h
+++ b/src/daemons/routerd/relay_private.h
@@ -9,6 +9,7 @@
 #include "core/event_buffer.h"
 #include "core/layer_path.h"
 #include "core/refusal_log.h"
+#include "daemons/routerd/answer_memory.h"
 #include "daemons/routerd/quarantine_exchange.h"
 #include "daemons/routerd/relay.h"
 #include "daemons/routerd/send.h"
@@ -75,7 +76,9 @@
   GgLoopCall *reroute_call;  /* the order to change the path, NULL if none */
   GgOrderResult reroute_result;
 
-  GgMessageHead *answer; /* its head */
+  GgBufferHolder memory;  /* what is held of the answer */
+  size_t head_part_bytes; /* memory of a head that is being received */
+  GgMessageHead *answer;  /* its head */
   GgRunnerAnswerFields answer_fields;
   GgHandoverOutcome outcome; /* that a peer states in the head */
   GByteArray *answer_body;
--- a/src/daemons/routerd/router.h
+++ b/src/daemons/routerd/router.h
@@ -29,6 +29,7 @@
 typedef struct _GgLinkMonitor GgLinkMonitor;
 typedef struct _GgLinkExchange GgLinkExchange;
 typedef struct _GgZoneBalancer GgZoneBalancer;
+typedef struct _GgAnswerMemory GgAnswerMemory;
 typedef struct _GgClientLimits GgClientLimits;
 typedef struct _GgTeamShares GgTeamShares;
 
@@ -62,6 +63,7 @@
   GgTeamShares *team_shares;
   GgZoneBalancer *zone_balancer;
   GgClientLimits *client_limits;
+  GgAnswerMemory *answer_memory;
   GgRequestQueue *request_queue;
   GgStallDetector *stall_detector;
   GgDelegatedWatch *delegated_watch; /**< NULL until its components are created. */
--- a/src/daemons/routerd/routerd_main.c
+++ b/src/daemons/routerd/routerd_main.c
@@ -3,6 +3,7 @@
 #include "base/daemon_options.h"
 #include "base/event_log.h"
 #include "base/metric_family.h"
+#include "daemons/routerd/answer_memory.h"
 #include "daemons/routerd/client_limits.h"
 #include "daemons/routerd/config_watcher.h"
 #include "daemons/routerd/leaving_exchange.h"
@@ -226,6 +227,8 @@
   router->started_ms = gg_clock_now_ms ();
   router->loop = gg_loop_create ();
   router->client_limits = gg_client_limits_create (router->loop, self->settings);
+  router->answer_memory = gg_answer_memory_create (
+      router->loop, gg_client_limits_get_answer_bytes (router->client_limits));
   router->client = gg_loop_client_create (router->loop);
   router->store = gg_store_create (router->loop, router->client,
                                    gg_settings_get_string (self->settings, "store", "address"));
@@ -359,6 +362,7 @@
   gg_team_shares_destroy (router->team_shares);
   gg_loop_client_destroy (router->client);
   gg_loop_run_deferred (router->loop);
+  gg_answer_memory_destroy (router->answer_memory);
   gg_client_limits_destroy (router->client_limits);
   gg_store_destroy (router->store);
   gg_fleet_destroy (router->fleet);
--- a/src/daemons/routerd/send.c
+++ b/src/daemons/routerd/send.c
@@ -73,6 +73,7 @@
   gg_loop_call_cancel (self->reroute_call);
   self->reroute_call = NULL;
   gg_stall_detector_remove (router->stall_detector, self);
+  gg_answer_memory_set (router->answer_memory, &self->memory, 0);
   if (self->runner == NULL)
     return;
   set_awaited (self, FALSE);
@@ -372,7 +373,7 @@
 on_call (void *data, const GgCallEvent *event)
 {
   GgSend *self = data;
-  if (event->kind != GG_CALL_END)
+  if (event->kind == GG_CALL_HEAD || event->kind == GG_CALL_BODY)
     {
       self->last_activity_ms = gg_clock_now_ms ();
       if (!gg_send_is_handover (self))
@@ -380,7 +381,12 @@
     }
   switch (event->kind)
     {
+    case GG_CALL_HEAD_PART:
+      self->head_part_bytes = event->held_bytes;
+      gg_relay_update_answer_bytes (self->relay);
+      return TRUE;
     case GG_CALL_HEAD:
+      self->head_part_bytes = 0;
       return gg_send_receive_head (self, event->head);
     case GG_CALL_BODY:
       gg_send_receive_body (self, event->body.bytes, event->body.size_bytes);
@@ -594,6 +600,8 @@
   GgSend *self = data;
   switch (event->kind)
     {
+    case GG_CALL_HEAD_PART:
+      return TRUE;
     case GG_CALL_HEAD:
       self->reroute_result
           = gg_relay_wire_read_order_status (gg_message_head_get_status (event->head));
--- a/src/loop/client.c
+++ b/src/loop/client.c
@@ -220,6 +220,16 @@
   complete (self);
 }
 
+/* Reports what the head that is being received takes, if it did not come as a whole. */
+static void
+report_head_part (GgLoopCall *self)
+{
+  GgCallEvent event = { .kind = GG_CALL_HEAD_PART,
+                        .held_bytes = gg_message_reader_get_held_bytes (self->reader) };
+  if (event.held_bytes > 0)
+    self->func (self->data, &event);
+}
+
 static void
 on_data (GgLoopCall *self, const char *bytes, size_t size_bytes)
 {
@@ -240,6 +250,7 @@
       switch (result)
         {
         case GG_READ_OK:
+          report_head_part (self);
           return;
         case GG_READ_COMPLETE:
           on_answer_complete (self, size_bytes > 0);
--- a/src/loop/client.h
+++ b/src/loop/client.h
@@ -13,6 +13,7 @@
 
 typedef enum
 {
+  GG_CALL_HEAD_PART, /**< A part of the head of an answer, which may be skipped later. */
   GG_CALL_HEAD,
   GG_CALL_BODY,
   GG_CALL_END, /**< The last event of a call. */
@@ -31,6 +32,7 @@
   GgCallEventKind kind;
   union
   {
+    size_t held_bytes;   /**< GG_CALL_HEAD_PART: memory that the head takes so far. */
     GgMessageHead *head; /**< GG_CALL_HEAD; owned by the receiver. */
     struct
     {
--- a/src/loop/fetch.c
+++ b/src/loop/fetch.c
@@ -75,6 +75,8 @@
   GgLoopFetch *self = data;
   switch (event->kind)
     {
+    case GG_CALL_HEAD_PART:
+      break;
     case GG_CALL_HEAD:
       self->status = gg_message_head_get_status (event->head);
       gg_message_head_destroy (self->head);
--- a/tests/fakes/fake_script.c
+++ b/tests/fakes/fake_script.c
@@ -8,10 +8,14 @@
  * {events N} that event and all later ones, {raw ...} the same without chunks, {length N} the
  * length of these events as a header field, {id}, {stream}, {chunked} and so on parts of heads.
  * N may be "next", the event after Last-Event-Id. {pause}, {close} and {reset} are instructions;
- * {paced} sends one event after the other with pauses. {only N close} or {only N reset} at the
- * start sends only N bytes of the answer and then closes or resets the connection. The query
- * "size=BYTES" sets the size of an event. GET /test/runs returns the number of requests run, and of
- * those that were not the first run of their request. */
+ * {paced} sends one event after the other with pauses. {fields N} are N empty fields, {bytes N} so
+ * many letters, and {endless} sends all that follows it again and again until the router closes.
+ * {only N close} or {only N reset} at the start sends only N bytes of the answer and then closes or
+ * resets the connection. The query "size=BYTES" sets the size of an event. POST /test/answer/PATH
+ * sets the answer to all requests for a path, in place of what their body asks for. GET
+ * /test/endless returns the number of connections that were closed while they sent without end, and
+ * the bytes sent there. GET /test/runs returns the number of requests run, and of those that were
+ * not the first run of their request. */
 #include "fake_loop.h"
 #include "loop/message_reader.h"
 #include "loop/socket.h"
@@ -24,16 +28,24 @@
 #include <sys/socket.h>
 
 #define ANSWER_SEPARATOR "|"
+/* The path of the requests follows. */
+#define ANSWER_PATH "/test/answer"
 #define PAUSE_MS 15
 #define N_EVENTS 5
 #define N_PACED_EVENTS 20
 #define N_FILLER_LINES 4096
 #define MAX_HEAD_BYTES 65536
 
+/* Bytes that are sent at once without end. */
+#define ENDLESS_BYTES 16384
+
 static struct
 {
   GgLoop *loop;
-  GHashTable *runs; /* attempt id -> number of runs */
+  GHashTable *runs;    /* attempt id -> number of runs */
+  GHashTable *answers; /* path -> answer to all requests for it */
+  guint n_endless;
+  uint64_t endless_bytes;
   guint n_runs;
   guint n_later_runs;
 } runner;
@@ -45,13 +57,14 @@
   GgLoopTimer *timer;
   GgMessageHead *head;
   GString *body;
-  char *answer;    /* NULL between answers */
-  const char *at;  /* the part of the answer that is not sent yet */
-  guint next;      /* the event after Last-Event-Id */
-  guint n_filling; /* bytes of an event beside its number */
-  guint paced;     /* next paced event; 0: none */
-  guint n_left;    /* bytes until the answer is cut; 0: it isn't */
-  const char *cut; /* instructions that follow then */
+  char *answer;     /* NULL between answers */
+  const char *at;   /* the part of the answer that is not sent yet */
+  guint next;       /* the event after Last-Event-Id */
+  guint n_filling;  /* bytes of an event beside its number */
+  guint paced;      /* next paced event; 0: none */
+  guint n_left;     /* bytes until the answer is cut; 0: it isn't */
+  const char *cut;  /* instructions that follow then */
+  GString *endless; /* NULL: nothing is sent without end */
 } Connection;
 
 static void
@@ -63,6 +76,8 @@
   gg_message_head_destroy (self->head);
   g_string_free (self->body, TRUE);
   g_free (self->answer);
+  if (self->endless != NULL)
+    g_string_free (self->endless, TRUE);
   g_free (self);
 }
 
@@ -71,6 +86,7 @@
 {
   if (self->socket == NULL)
     return;
+  runner.n_endless += self->endless != NULL ? 1 : 0;
   gg_loop_socket_destroy (self->socket, is_abort);
   self->socket = NULL;
   gg_loop_timer_stop (self->timer);
@@ -112,6 +128,7 @@
     { "500", "HTTP/1.1 500 Internal Server Error\r\n" },
     { "503", "HTTP/1.1 503 Service Unavailable\r\n" },
     { "error", "Content-Length: 9\r\n\r\nno luck.\n" },
+    { "report", "Content-Length: 22\r\n\r\n{\"busy\":false,\"seq\":0}" },
   };
   const char *id = gg_message_head_get (self->head, "X-Attempt-Id");
   for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
@@ -162,6 +179,43 @@
   g_string_free (text, TRUE);
 }
 
+static void
+send_endless (Connection *self)
+{
+  gg_loop_socket_write (self->socket, self->endless->str, self->endless->len);
+  runner.endless_bytes += self->endless->len;
+}
+
+/* Sends the rest of the answer without end. */
+static void
+start_endless (Connection *self)
+{
+  self->endless = g_string_new (self->at + strlen ("{endless}"));
+  while (self->endless->len < ENDLESS_BYTES)
+    g_string_append_len (self->endless, self->endless->str, (gssize) self->endless->len);
+  send_endless (self);
+}
+
+/* Appends what a placeholder "NAME N" stands for N times.
+ * @return FALSE if it is none. */
+static gboolean
+append_repeated (const char *name, GString *out)
+{
+  static const struct
+  {
+    const char *name;
+    const char *text;
+  } parts[] = { { "fields ", "a:\r\n" }, { "bytes ", "x" } };
+  for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
+    if (g_str_has_prefix (name, parts[i].name))
+      {
+        for (int n = atoi (name + strlen (parts[i].name)); n > 0; n--)
+          g_string_append (out, parts[i].text);
+        return TRUE;
+      }
+  return FALSE;
+}
+
 static void
 send_paced_event (Connection *self)
 {
@@ -191,6 +245,8 @@
     gg_loop_socket_shutdown (self->socket);
   else if (strcmp (name, "reset") == 0)
     close_connection (self, TRUE);
+  else if (strcmp (name, "endless") == 0)
+    start_endless (self);
   else if (strcmp (name, "paced") == 0)
     {
       self->paced = self->next;
@@ -232,6 +288,11 @@
 {
   if (self->answer == NULL || self->socket == NULL)
     return;
+  if (self->endless != NULL)
+    {
+      send_endless (self);
+      return;
+    }
   if (self->paced > 0)
     {
       send_paced_event (self);
@@ -251,7 +312,10 @@
       if (g_str_has_prefix (name, "only "))
         read_cut (self, name);
       else if (strchr (name, ' ') != NULL)
-        append_events (self, name, out);
+        {
+          if (!append_repeated (name, out))
+            append_events (self, name, out);
+        }
       else if (!append_head_part (self, name, out))
         is_instruction = out->len > 0 || follow_instruction (self, name);
       if (!is_instruction || out->len == 0)
@@ -291,7 +355,23 @@
   uint64_t last = 0;
   g_free (self->answer);
   self->answer = NULL;
-  if (strcmp (target, "/test/runs") == 0)
+  const char *set = g_hash_table_lookup (runner.answers, target);
+  if (set != NULL)
+    self->answer = g_strdup (set);
+  else if (g_str_has_prefix (target, ANSWER_PATH))
+    {
+      g_hash_table_replace (runner.answers, g_strdup (target + strlen (ANSWER_PATH)),
+                            g_strdup (self->body->str));
+      self->answer = g_strdup ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  else if (strcmp (target, "/test/endless") == 0)
+    {
+      char text[64];
+      int n = g_snprintf (text, sizeof text, "%u %" G_GUINT64_FORMAT, runner.n_endless,
+                          (guint64) runner.endless_bytes);
+      self->answer = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", n, text);
+    }
+  else if (strcmp (target, "/test/runs") == 0)
     {
       char counts[32];
       int n = g_snprintf (counts, sizeof counts, "%u %u", runner.n_runs, runner.n_later_runs);
@@ -392,6 +472,7 @@
   const char *address = argc == 3 && strcmp (argv[1], "--listen") == 0 ? argv[2] : "";
   runner.loop = gg_loop_create ();
   runner.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  runner.answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   GError *error = NULL;
   int listener = gg_loop_socket_listen (address, &error);
   if (listener < 0)
--- a/tests/loop/test_client.c
+++ b/tests/loop/test_client.c
@@ -137,7 +137,8 @@
   GgUsedConnections *used; /* for each request; NULL if any connection may be reused */
   guint n_requests;        /* that are sent in turn */
   guint n_heads;
-  guint n_first; /* heads of the first answer on their connection */
+  guint n_first;             /* heads of the first answer on their connection */
+  size_t largest_part_bytes; /* of a head that was not complete yet */
 } Caller;
 
 static void send_next (Caller *c);
@@ -149,6 +150,9 @@
   gboolean is_own_answer = TRUE;
   switch (event->kind)
     {
+    case GG_CALL_HEAD_PART:
+      c->largest_part_bytes = MAX (c->largest_part_bytes, event->held_bytes);
+      return TRUE;
     case GG_CALL_HEAD:
       is_own_answer
           = c->skip == NULL || g_strcmp0 (gg_message_head_get (event->head, "X-Id"), c->skip) != 0;
@@ -198,6 +202,7 @@
   char bodies[64];
   guint n_heads;
   guint n_first;
+  size_t largest_part_bytes;
 } Result;
 
 static Result
@@ -214,7 +219,8 @@
   Result result = { .n_requests = peer.n_requests,
                     .n_connections = peer.n_connections,
                     .n_heads = caller.n_heads,
-                    .n_first = caller.n_first };
+                    .n_first = caller.n_first,
+                    .largest_part_bytes = caller.largest_part_bytes };
   memcpy (result.ends, caller.ends, sizeof result.ends);
   g_strlcpy (result.bodies, caller.bodies->str, sizeof result.bodies);
   g_string_free (caller.bodies, TRUE);
@@ -317,6 +323,21 @@
   CU_ASSERT_STRING_EQUAL (r.bodies, "abc");
 }
 
+/* Guards against memory that nobody knows of: that of a head which has not ended. */
+static void
+test_part_of_head_is_reported (void)
+{
+  char *field = g_strnfill (2000, 'x');
+  char *answer = g_strconcat ("|" OK_HEAD "X-Field: ", field, NULL);
+  const char *const script[] = { answer };
+  Result r = run (script, 1, NULL);
+  CU_ASSERT_EQUAL (r.n_heads, 0);
+  CU_ASSERT_EQUAL (r.ends[0], GG_CALL_BROKEN);
+  CU_ASSERT_TRUE (r.largest_part_bytes >= strlen (field));
+  g_free (answer);
+  g_free (field);
+}
+
 /* An answer without a length is complete when its connection closes in order, not on a reset. */
 static void
 test_truncated_answers_are_not_complete (void)
@@ -472,6 +493,7 @@
     { "calls for several requests share connections",
       test_calls_for_several_requests_share_connections },
     { "first answer on a connection is known", test_first_answer_on_a_connection_is_known },
+    { "part of a head is reported", test_part_of_head_is_reported },
     { "truncated answers are not complete", test_truncated_answers_are_not_complete },
     { "answer cut anywhere is not complete", test_answer_cut_anywhere_is_not_complete },
     { "connection refused", test_connection_refused },
--- a/tests/support/site_callers.c
+++ b/tests/support/site_callers.c
@@ -123,6 +123,8 @@
   const char *retry_after;
   switch (event->kind)
     {
+    case GG_CALL_HEAD_PART:
+      break;
     case GG_CALL_HEAD:
       try->status = gg_message_head_get_status (event->head);
       retry_after = gg_message_head_get (event->head, "Retry-After");
