--- a/src/daemons/routerd/answer_memory.c
+++ b/src/daemons/routerd/answer_memory.c
@@ -4,8 +4,6 @@
 #include "base/counters.h"
 #include "daemons/routerd/relay_private.h"
 
-#include <stddef.h>
-
 /* Most answers are smaller; they are not worth an entry. */
 #define MIN_HELD_BYTES 4096
 
@@ -40,7 +38,7 @@
 static GgSend *
 get_send (GgBufferHolder *holder)
 {
-  return (GgSend *) ((char *) holder - offsetof (GgSend, memory));
+  return (GgSend *) ((char *) holder - G_STRUCT_OFFSET (GgSend, memory));
 }
 
 static gboolean
--- a/tests/process/test_platform_endless_answers.c
+++ b/tests/process/test_platform_endless_answers.c
@@ -75,7 +75,7 @@
   { "partial-event", "{stream}{to-close}data: {bytes 262000}" },
 };
 
-/* Whole answers of which the router has no use for the rest, and heads that are none. */
+/* Answers to probes, requests for reports and orders, without end. */
 static const Form other_forms[] = {
   { "body", OK_HEAD "Content-Length: 1000000000000000\r\n\r\n{endless}x" },
   { "chunks", OK_HEAD "{chunked}{endless}5\r\nabcde\r\n" },
