--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/mman.h>
 #include <sys/pidfd.h>
@@ -137,6 +138,22 @@
   return ticks * 1000 / (uint64_t) sysconf (_SC_CLK_TCK);
 }
 
+guint
+gg_process_get_peak_kb (const GgProcess *self)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", gg_process_get_id (self));
+  char *text = NULL;
+  guint peak_kb = 0;
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    {
+      const char *line = strstr (text, "VmHWM:");
+      peak_kb = line != NULL ? (guint) atoi (line + strlen ("VmHWM:")) : 0;
+    }
+  g_free (path);
+  g_free (text);
+  return peak_kb;
+}
+
 int
 gg_process_get_id (const GgProcess *self)
 {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -33,6 +33,9 @@
 /** Returns the processor time that the process has used so far, in milliseconds; 0 if it ended. */
 uint64_t gg_process_get_cpu_ms (const GgProcess *self);
 
+/** Returns the peak of the resident memory of the process, in KiB; 0 if it ended. */
+guint gg_process_get_peak_kb (const GgProcess *self);
+
 /** Returns the process id, for diagnostics. */
 int gg_process_get_id (const GgProcess *self);
 
