--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -13,8 +13,8 @@
   GG_SEND_UNSENT,   /**< Nothing can have reached the runner. */
   GG_SEND_REFUSED,  /**< The runner answered that it has not executed the request and will not. */
   GG_SEND_LOST,     /**< The request may have been executed; there is no usable answer. */
-  GG_SEND_UNCONFIRMED, /**< The answer has a status that tells callers that the request was not
-                        * executed, but the runner does not state so. It may have been. */
+  GG_SEND_UNCONFIRMED, /**< The answer has a status that means "not executed" to callers, but
+                        * lacks the runner's statement. The request may have been executed. */
 } GgSendResult;
 
 /** Whether an answer that came on a connection is the one to the send that waits there. */
@@ -22,7 +22,7 @@
 {
   GG_ANSWER_OWN,
   GG_ANSWER_FOREIGN,      /**< It answers another request, or none; the own answer may follow. */
-  GG_ANSWER_UNIDENTIFIED, /**< It came in the place of the own answer and can't be told to be it. */
+  GG_ANSWER_UNIDENTIFIED, /**< It came in the place of the own answer and names no request. */
 } GgAnswerOwner;
 
 /** State of one caller attempt over all its sends. */
@@ -54,7 +54,7 @@
 GgAnswerOwner
 gg_attempt_find_owner (const char *attempt_id, const char *answered_id, gboolean is_first_answer);
 
-/** Returns whether the caller may receive an answer whose status says that the request was not
+/** Returns whether the caller may receive an answer whose status means that the request was not
  * executed, although it may have been. A caller sends such a request again, so this is limited to
  * those that may be executed again. */
 gboolean gg_attempt_may_deliver_unconfirmed (const GgAttempt *self);
--- a/src/daemons/routerd/relay_answer.c
+++ b/src/daemons/routerd/relay_answer.c
@@ -207,7 +207,7 @@
     return GG_SEND_REFUSED;
   if (gg_send_is_handover (self) && self->outcome == GG_HANDOVER_UNKNOWN)
     return GG_SEND_LOST;
-  /* A caller that is told by the status that its request has not run sends it again. */
+  /* On such a status callers send their request again. */
   if (fields->has_refusal_status && !gg_attempt_may_deliver_unconfirmed (&relay->attempt))
     return GG_SEND_UNCONFIRMED;
   /* A peer has sent the request again after an error, where that is allowed. */
--- a/src/loop/client.c
+++ b/src/loop/client.c
@@ -220,7 +220,7 @@
   complete (self);
 }
 
-/* Reports what the head that is being received takes, if it did not come as a whole. */
+/* Reports the memory of a head of which only a part has been received. */
 static void
 report_head_part (GgLoopCall *self)
 {
--- a/src/loop/message_reader.c
+++ b/src/loop/message_reader.c
@@ -141,7 +141,7 @@
   return parser->type == HTTP_RESPONSE && parser->status_code < FIRST_FINAL_STATUS;
 }
 
-/* After a 101 the bytes belong to another protocol, which no request asks for. */
+/* After a 101 the bytes belong to another protocol, which no request has offered to switch to. */
 static gboolean
 is_status_valid (guint status)
 {
--- a/src/tools/ctl/ctl_explain.c
+++ b/src/tools/ctl/ctl_explain.c
@@ -42,8 +42,8 @@
   { "answer_lost",
     "it was sent, and the answer was lost, truncated or not signed; it may have run" },
   { "refusal_unconfirmed",
-    "its runner answered with a status that says that it did not run (408, 429 or 503), but did "
-    "not state so; it may have run" },
+    "its runner answered 408, 429 or 503, which means that it did not run, but without the "
+    "statement that goes with it; it may have run" },
   { "stream_lost", "its stream was cut and could not go on elsewhere" },
   { "deadline", "its deadline, or the time limit of its route, passed" },
   { "keys_not_fresh",
--- a/tests/core/test_attempt.c
+++ b/tests/core/test_attempt.c
@@ -107,8 +107,8 @@
   CU_ASSERT_EQUAL (gg_attempt_find_owner ("a1", NULL, FALSE), GG_ANSWER_FOREIGN);
 }
 
-/* Guards against a caller that is told that its request was not executed, and sends it again,
- * although it may have been and must not be executed twice. */
+/* Guards against a refusal that is forwarded although the request may have been executed: its
+ * caller would send it again, and it must not be executed twice. */
 static void
 test_unconfirmed_refusal_is_not_delivered (void)
 {
--- a/tests/fakes/fake_script.c
+++ b/tests/fakes/fake_script.c
@@ -12,7 +12,7 @@
  * many letters, and {endless} sends all that follows it again and again until the router closes.
  * {only N close} or {only N reset} at the start sends only N bytes of the answer and then closes or
  * resets the connection. The query "size=BYTES" sets the size of an event. POST /test/answer/PATH
- * sets the answer to all requests for a path, in place of what their body asks for. GET
+ * sets the answer to all requests for a path, in place of the one in their body. GET
  * /test/endless returns the number of connections that were closed while they sent without end, and
  * the bytes sent there. GET /test/runs returns the number of requests run, and of those that were
  * not the first run of their request. */
--- a/tests/platform/test_directory.c
+++ b/tests/platform/test_directory.c
@@ -235,8 +235,8 @@
   g_bytes_unref (value);
 }
 
-/* Guards against an empty list of teams being read as none: the configuration that takes the last
- * key away would let everybody in. */
+/* Guards against an empty list of teams being read as none: the configuration that revokes the last
+ * key would admit requests with any key. */
 static void
 test_requires_keys (void)
 {
--- a/tests/process/test_platform_endless_answers.c
+++ b/tests/process/test_platform_endless_answers.c
@@ -241,7 +241,7 @@
   return has_endless (data);
 }
 
-/* @param condition that becomes true once the router has asked often enough. */
+/* @param condition that becomes true after enough requests of the router for @p path. */
 static void
 check_path (GgProof *proof, const char *path, const Form *form, GgCondition condition)
 {
@@ -276,7 +276,7 @@
   g_free (entry);
 }
 
-/* The leader asks a runner without layers for its report before it orders it to load some. */
+/* The leader requests the report of a runner without layers before it orders it to load some. */
 static void
 run_reports (GgProof *proof)
 {
--- a/tests/process/test_platform_runner_answers.c
+++ b/tests/process/test_platform_runner_answers.c
@@ -1,6 +1,6 @@
-/* Guards against answers of runners that callers must not get. A caller that is told by a status
- * that its request did not run sends it again: a booking that ran would run twice. Bytes that no
- * runner has signed or named may be anybody's answer. */
+/* Guards against answers of runners that callers must not receive: refusals that the runner has not
+ * confirmed, upon which a booking that ran is sent again and runs twice; answers that name no
+ * request; and answers whose status is invalid. */
 #include "base/clock.h"
 #include "http_client.h"
 #include "prove.h"
@@ -107,8 +107,8 @@
     }
 }
 
-/* Guards against a refusal status of a runner that has run the request: only with the runner's
- * statement that it has not may the caller be told so. */
+/* Guards against a refusal status of a runner that has run the request. It is forwarded to callers
+ * whose request may run once only if the runner states that it has not run. */
 static void
 run_unconfirmed_refusal (GgProof *proof)
 {
