--- a/review/12/case.c
+++ b/review/12/case.c
@@ -1,6 +1,6 @@
 /* LIMIT: the store turns two of six routers away (503) while the runners name a Server-Limit.
  * Counts what reaches each runner from routers that have passed on an answer with the limit. */
-#include "world.h"
+#include "../standins-3/world.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -32,8 +32,8 @@
 typedef struct
 {
   char id[16];
-  uint64_t first_named_ms; /* 0: not yet */
-  GArray *arrivals;        /* Arrival */
+  uint64_t first_named_ms;          /* 0: not yet */
+  GArray *arrivals;                 /* Arrival */
   uint64_t passed_on_ms[N_ROUTERS]; /* when the router passed on an answer with the limit; 0: not */
 } Runner;
 
@@ -180,8 +180,8 @@
       client->conn->data = client;
     }
   conn_write (client->conn,
-              "GET /lookups/1 HTTP/1.1\r\nHost: " WORLD_HOST "\r\nX-Attempt-Id: %d%015" G_GINT64_MODIFIER
-              "x\r\nX-Deadline-Ms: %d\r\n\r\n",
+              "GET /lookups/1 HTTP/1.1\r\nHost: " WORLD_HOST
+              "\r\nX-Attempt-Id: %d%015" G_GINT64_MODIFIER "x\r\nX-Deadline-Ms: %d\r\n\r\n",
               client->router, (guint64) ++n_attempts, DEADLINE_MS);
 }
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,7 +8,7 @@
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2046,SC2086
-  cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-unused-parameter ${CFLAGS:-} -Ireview/standins-3 \
+  cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-unused-parameter ${CFLAGS:-} \
     -o "target/review-3/case-$number" "$source" review/standins-3/world.c \
     $(pkg-config --cflags --libs glib-2.0 json-glib-1.0) ${LDFLAGS:-}
 done
--- a/review/standins-3/world.c
+++ b/review/standins-3/world.c
@@ -221,8 +221,7 @@
   Conn *self = add_conn (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   self->on_data = on_data;
   self->on_end = on_end;
-  self->is_connecting
-      = connect (self->fd, (struct sockaddr *) &address, sizeof address) != 0;
+  self->is_connecting = connect (self->fd, (struct sockaddr *) &address, sizeof address) != 0;
   return self;
 }
 
@@ -395,12 +394,12 @@
       polled[i] = g_ptr_array_index (conns, i);
       gboolean has_output = polled[i]->is_connecting || polled[i]->out->len > 0;
       fds[i].fd = polled[i]->fd;
-      fds[i].events = (short) ((polled[i]->is_reading_paused ? 0 : POLLIN)
-                               | (has_output ? POLLOUT : 0));
+      fds[i].events
+          = (short) ((polled[i]->is_reading_paused ? 0 : POLLIN) | (has_output ? POLLOUT : 0));
     }
   for (guint i = 0; i < n_listeners; i++)
-    fds[n + i] = (struct pollfd){ .fd = g_array_index (listeners, Listener, i).fd,
-                                  .events = POLLIN };
+    fds[n + i]
+        = (struct pollfd){ .fd = g_array_index (listeners, Listener, i).fd, .events = POLLIN };
   poll (fds, n + n_listeners, wait);
   for (guint i = 0; i < n; i++)
     if (fds[i].revents != 0)
@@ -426,6 +425,8 @@
 
 /* ---- HTTP ---- */
 
+gboolean trims_names;
+
 void
 message_free (Message *self)
 {
@@ -492,7 +493,8 @@
       char *colon = strchr (*line, ':');
       if (colon == NULL)
         continue;
-      g_ptr_array_add (self->names, g_strndup (*line, (gsize) (colon - *line)));
+      char *name = g_strndup (*line, (gsize) (colon - *line));
+      g_ptr_array_add (self->names, trims_names ? g_strchomp (name) : name);
       g_ptr_array_add (self->values, g_strstrip (g_strdup (colon + 1)));
     }
   g_strfreev (lines);
@@ -563,8 +565,8 @@
               status, strlen (body), body);
 }
 
-/* Returns the value of an item as one router sees it: in the entry of a runner, "@NUMBER" stands for
- * the address at which that router reaches it. */
+/* Returns the value of an item as one router sees it: in the entry of a runner, "@NUMBER" stands
+ * for the address at which that router reaches it. */
 static char *
 get_value (const Item *item, int port)
 {
@@ -593,16 +595,15 @@
 print_item (GString *text, const Item *item, int port)
 {
   if (item->value == NULL)
-    g_string_append_printf (text, "{\"key\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
-                                  ",\"is_gone\":true}",
+    g_string_append_printf (text,
+                            "{\"key\":\"%s\",\"revision\":%" G_GUINT64_FORMAT ",\"is_gone\":true}",
                             item->key, (guint64) item->revision);
   else
     {
       char *value = get_value (item, port);
       g_string_append_printf (text,
                               "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
-                              ",\"created\":%" G_GUINT64_FORMAT ",\"lease\":%" G_GUINT64_FORMAT
-                              "}",
+                              ",\"created\":%" G_GUINT64_FORMAT ",\"lease\":%" G_GUINT64_FORMAT "}",
                               item->key, value, (guint64) item->revision, (guint64) item->created,
                               (guint64) item->lease);
       g_free (value);
@@ -685,7 +686,8 @@
   const Item *item = g_tree_lookup (items, key);
   if (item == NULL)
     return;
-  Item gone = { .key = g_strdup (key), .revision = ++revision };
+  revision++;
+  Item gone = { .key = g_strdup (key), .revision = revision };
   add_event (&gone);
   g_tree_remove (items, key);
   g_free (gone.key);
@@ -838,8 +840,7 @@
 static JsonArray *
 get_array (JsonObject *object, const char *name)
 {
-  return json_object_has_member (object, name) ? json_object_get_array_member (object, name)
-                                               : NULL;
+  return json_object_has_member (object, name) ? json_object_get_array_member (object, name) : NULL;
 }
 
 static guint
@@ -926,8 +927,8 @@
       return;
     }
   lease->end_ms = now_ms () + lease->ttl_ms;
-  g_snprintf (text, sizeof text, "{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_ms\":%" G_GUINT64_FORMAT
-                                 "}",
+  g_snprintf (text, sizeof text,
+              "{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_ms\":%" G_GUINT64_FORMAT "}",
               (guint64) lease->id, (guint64) lease->ttl_ms);
   reply_json (conn, 200, text);
 }
@@ -951,9 +952,9 @@
     handle_range (conn, target);
   else if (strcmp (path, "/api/kv-watch") == 0)
     {
-      Watch watch = { conn->serial, conn->number, get_query (target, "path_prefix"),
-                      get_query_uint (target, "after"),
-                      now_ms () + get_query_uint (target, "wait_ms") };
+      Watch watch
+          = { conn->serial, conn->number, get_query (target, "path_prefix"),
+              get_query_uint (target, "after"), now_ms () + get_query_uint (target, "wait_ms") };
       g_array_append_val (watches, watch);
     }
   else if (strcmp (path, "/api/kv-txn") == 0 && object != NULL)
@@ -1036,13 +1037,23 @@
   char *store = g_strdup_printf ("127.0.0.1:%d", store_port);
   char *inner = g_strdup_printf ("%d", find_free_port (router->ip));
   const char *const values[][2] = {
-    { "node", router->name }, { "zone", zone }, { "limits.cpu_share", "0.25" },
-    { "bootstrap", "true" }, { "listen.front", front }, { "listen.ready_addr", ready },
-    { "ip", router->ip }, { "inner_ports.0", inner }, { "platform.address", store },
-    { "platform.ttl_min_ms", "1000" }, { "bounds.require_fence", "true" },
-    { "bounds.budget_window_s", "10" }, { "bounds.budget_ratio", "0.2" },
-    { "bounds.budget_extra", "202" }, { "bounds.revoke_ms", "5000" },
-    { "bounds.strict_revoke", "true" }, { "bounds.grace_s", "8" },
+    { "node", router->name },
+    { "zone", zone },
+    { "limits.cpu_share", "0.25" },
+    { "bootstrap", "true" },
+    { "listen.front", front },
+    { "listen.ready_addr", ready },
+    { "ip", router->ip },
+    { "inner_ports.0", inner },
+    { "platform.address", store },
+    { "platform.ttl_min_ms", "1000" },
+    { "bounds.require_fence", "true" },
+    { "bounds.budget_window_s", "10" },
+    { "bounds.budget_ratio", "0.2" },
+    { "bounds.budget_extra", "202" },
+    { "bounds.revoke_ms", "5000" },
+    { "bounds.strict_revoke", "true" },
+    { "bounds.grace_s", "8" },
   };
   for (guint i = 0; i < G_N_ELEMENTS (values); i++)
     fill_in (text, values[i][0], values[i][1]);
@@ -1107,8 +1118,7 @@
       is_all_ready = TRUE;
       for (int i = 0; i < n_routers; i++)
         {
-          Conn *conn
-              = connect_to (routers[i].ip, routers[i].ready, on_ready_data, on_ready_end);
+          Conn *conn = connect_to (routers[i].ip, routers[i].ready, on_ready_data, on_ready_end);
           conn_write (conn, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n");
         }
       run_until_ms (now_ms () + 300);
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -23,8 +23,8 @@
   void (*on_data) (Conn *self);
   void (*on_end) (Conn *self); /* the peer closed, reset or refused; may be NULL */
   void *data;
-  int number;       /* what the case needs */
-  uint64_t serial;  /* unique, so that a late timer can tell whether the connection still lives */
+  int number;      /* what the case needs */
+  uint64_t serial; /* unique, so that a late timer can tell whether the connection still lives */
 };
 
 /* A parsed HTTP message. */
@@ -62,6 +62,9 @@
 void at_ms (uint64_t due_ms, void (*func) (void *data), void *data);
 void run_until_ms (uint64_t end_ms);
 
+/* Whether space between the name of a field and its colon is ignored, as http_parser does in its
+ * usual build, and with it the project's own servers. */
+extern gboolean trims_names;
 /* Takes the next complete message from the input of a connection; NULL if there is none. */
 Message *take_message (GString *in);
 void message_free (Message *self);
