Review: records name what was sent and answered as well

The records of cases 11 to 14 held what runners ran and the result. The checks and what is sent are as before.

--- a/review/standins-3/world.c
+++ b/review/standins-3/world.c
@@ -92,15 +92,13 @@
 {
   if (argc != 2)
     {
-      fprintf (stderr, "usage: %s FOLDER\n", argv[0]);
+      fprintf (stderr, "usage: %s RECORD\n", argv[0]);
       exit (2);
     }
-  char *path = g_build_filename (argv[1], "record.txt", NULL);
-  record_file = fopen (path, "w");
-  g_free (path);
+  record_file = fopen (argv[1], "w");
   if (record_file == NULL)
     {
-      perror ("record.txt");
+      perror (argv[1]);
       exit (2);
     }
   setvbuf (record_file, NULL, _IOLBF, 0);
@@ -214,6 +212,31 @@
       }
 }
 
+/* Records a request of a client, if it has an id. */
+static void
+record_request (Conn *self, const char *text)
+{
+  static const char field[] = "\r\nX-Attempt-Id: ";
+  const char *attempt = strstr (text, field);
+  if (attempt == NULL)
+    return;
+  attempt += strlen (field);
+  g_strlcpy (self->sent, attempt, MIN (sizeof self->sent, strcspn (attempt, "\r") + 1));
+  self->is_answered = FALSE;
+  record ("client sends %s to %s: %.*s", self->sent, self->peer, (int) strcspn (text, "\r"), text);
+}
+
+/* Records the first line of the answer that a client gets. */
+static void
+record_answer (Conn *self)
+{
+  if (self->sent[0] == '\0' || self->is_answered || strchr (self->in->str, '\r') == NULL)
+    return;
+  self->is_answered = TRUE;
+  record ("client is answered on %s: %.*s", self->sent, (int) strcspn (self->in->str, "\r"),
+          self->in->str);
+}
+
 Conn *
 connect_to (const char *ip, int port, void (*on_data) (Conn *), void (*on_end) (Conn *))
 {
@@ -221,6 +244,8 @@
   Conn *self = add_conn (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   self->on_data = on_data;
   self->on_end = on_end;
+  self->is_client = TRUE;
+  g_snprintf (self->peer, sizeof self->peer, "%s:%d", ip, port);
   self->is_connecting = connect (self->fd, (struct sockaddr *) &address, sizeof address) != 0;
   return self;
 }
@@ -229,9 +254,12 @@
 conn_write (Conn *self, const char *format, ...)
 {
   va_list args;
+  gsize old_length = self->out->len;
   va_start (args, format);
   g_string_append_vprintf (self->out, format, args);
   va_end (args);
+  if (self->is_client)
+    record_request (self, self->out->str + old_length);
 }
 
 void
@@ -268,6 +296,8 @@
   if (self->fd < 0)
     return;
   conn_close (self);
+  if (self->sent[0] != '\0')
+    record ("the channel of %s ends%s", self->sent, self->is_answered ? "" : " without an answer");
   if (self->on_end != NULL)
     self->on_end (self);
 }
@@ -357,6 +387,7 @@
       if (n > 0)
         {
           g_string_append_len (self->in, bytes, n);
+          record_answer (self);
           self->on_data (self);
         }
       else if (n == 0 || errno != EAGAIN)
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -25,6 +25,12 @@
   void *data;
   int number;      /* what the case needs */
   uint64_t serial; /* unique, so that a late timer can tell whether the connection still lives */
+  gboolean is_client;
+  /* The address that a client has connected to. */
+  char peer[24];
+  /* The id of the last request that a client sent here; empty if there is none. */
+  char sent[64];
+  gboolean is_answered;
 };
 
 /* A parsed HTTP message. */
@@ -38,7 +44,7 @@
 
 uint64_t now_ms (void);
 extern FILE *record_file;
-/* Writes a line with the time since the start to record.txt. */
+/* Writes a line with the time since the start to the case's record. */
 void record (const char *format, ...) G_GNUC_PRINTF (1, 2);
 /* Prints a message and ends the program and its children with 2: the case could not run. */
 void give_up (const char *format, ...) G_GNUC_PRINTF (1, 2) G_GNUC_NORETURN;
@@ -105,5 +111,5 @@
 
 /* Whether the case runs with its disruption. */
 gboolean has_trouble (void);
-/* Opens record.txt beside the case; @p folder is argv[1]. */
+/* Opens the record, which argv[1] names. What clients send and get is written to it. */
 void world_init (int argc, char **argv);
