Elect the allocator of permits among the instances

With the first router turned away alone, its callers got nothing.

Cause: each instance took the first registered one of its own list for the allocator. Those that are turned away keep the list of before, and the allocator without a lease went on as soon as one other instance asked it. In the regression test the permits granted grew by 41 at router 0, which was turned away, and by 42 at router 4 in the same 2 s.

Change: instances elect the allocator among themselves. Each one has a term; messages about limits state the latest known one, after the entries, where builds before do not read. The list only tells who may claim the place. The allocator hands over to a claimant that it sees first as well, and stays otherwise as long as it can be reached; without a lease or the first place it needs the confirmation of half of the registered instances that it knows. An instance that takes the place without a handover waits for 2.3 s as before.

Why it works: the one in place can be reached by all instances that the store turns away or serves, so there is nothing to take over; a successor that can't reach it begins after its last permits and confirmations have expired.

Tests that fail before: process/test_platform_limit_store, two-routers-rejected 151 requests in 4 s, two-routers-unanswered 152, allocator-turned-away-stops 164, 125 allowed; first-router-turned-away 0 of 174 requests served at the first router.

--- a/src/adapters/rpc/limit_message.c
+++ b/src/adapters/rpc/limit_message.c
@@ -10,6 +10,14 @@
 #define FLAG_LIMITED 1U
 #define FLAG_FIRST_HAND 2U
 #define FLAG_KNOWN 4U
+#define VIEW_FLAG_CEDED 1U
+#define VIEW_FLAG_CLAIM 2U
+
+static void
+clear_view (void *data)
+{
+  free (((GgLimitView *) data)->address);
+}
 
 void
 gg_limit_message_init (GgLimitMessage *self, GgLimitMessageKind kind, const char *sender)
@@ -17,7 +25,9 @@
   /* Allocated with malloc(), as XDR does when it decodes. */
   *self = (GgLimitMessage){ .kind = kind,
                             .sender = sender != NULL ? strdup (sender) : NULL,
-                            .entries = g_array_new (FALSE, TRUE, sizeof (GgLimitEntry)) };
+                            .entries = g_array_new (FALSE, TRUE, sizeof (GgLimitEntry)),
+                            .views = g_array_new (FALSE, TRUE, sizeof (GgLimitView)) };
+  g_array_set_clear_func (self->views, clear_view);
 }
 
 void
@@ -25,9 +35,33 @@
 {
   free (self->sender);
   g_array_unref (self->entries);
+  g_array_unref (self->views);
   *self = (GgLimitMessage){ 0 };
 }
 
+void
+gg_limit_message_set_sender (GgLimitMessage *self, const char *sender)
+{
+  free (self->sender);
+  self->sender = strdup (sender);
+}
+
+void
+gg_limit_message_add_view (GgLimitMessage *self, const GgLimitView *view)
+{
+  GgLimitView copy = *view;
+  if (self->views->len == GG_LIMIT_MESSAGE_MAX_VIEWS)
+    return;
+  copy.address = strdup (view->address);
+  g_array_append_val (self->views, copy);
+}
+
+void
+gg_limit_message_clear_views (GgLimitMessage *self)
+{
+  g_array_set_size (self->views, 0);
+}
+
 static gboolean
 code_entry (XDR *xdr, GgLimitEntry *entry, uint64_t now_ms)
 {
@@ -51,15 +85,45 @@
   return TRUE;
 }
 
+static gboolean
+code_view (XDR *xdr, GgLimitView *view)
+{
+  uint32_t flags
+      = (view->is_ceded ? VIEW_FLAG_CEDED : 0U) | (view->is_claim ? VIEW_FLAG_CLAIM : 0U);
+  if (!xdr_uint32_t (xdr, &view->data_centre_hash) || !xdr_uint64_t (xdr, &view->term)
+      || !xdr_uint32_t (xdr, &flags) || !xdr_string (xdr, &view->address, MAX_NAME_BYTES))
+    return FALSE;
+  view->is_ceded = (flags & VIEW_FLAG_CEDED) != 0;
+  view->is_claim = (flags & VIEW_FLAG_CLAIM) != 0;
+  return TRUE;
+}
+
+/* The views follow the entries: builds without views neither send nor read them. */
+static gboolean
+code_views (XDR *xdr, GgLimitMessage *self, size_t size_bytes)
+{
+  uint32_t n = self->views->len;
+  gboolean is_absent = xdr->x_op == XDR_DECODE ? xdr_getpos (xdr) >= size_bytes : n == 0;
+  if (is_absent)
+    return TRUE;
+  if (!xdr_uint32_t (xdr, &n) || n > GG_LIMIT_MESSAGE_MAX_VIEWS)
+    return FALSE;
+  g_array_set_size (self->views, n);
+  for (guint i = 0; i < n; i++)
+    if (!code_view (xdr, &g_array_index (self->views, GgLimitView, i)))
+      return FALSE;
+  return TRUE;
+}
+
 /* Encodes or decodes, depending on the mode of @p xdr. */
 static gboolean
-code (XDR *xdr, GgLimitMessage *self, uint64_t now_ms)
+code (XDR *xdr, GgLimitMessage *self, size_t size_bytes, uint64_t now_ms)
 {
   uint32_t magic = MAGIC;
   uint32_t kind = self->kind;
   uint32_t n_entries = self->entries->len;
   if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC || !xdr_uint32_t (xdr, &kind)
-      || kind < GG_LIMIT_MESSAGE_REQUEST || kind > GG_LIMIT_MESSAGE_NOTICE
+      || kind < GG_LIMIT_MESSAGE_REQUEST || kind > GG_LIMIT_MESSAGE_VIEWS
       || !xdr_uint64_t (xdr, &self->number) || !xdr_string (xdr, &self->sender, MAX_NAME_BYTES)
       || !xdr_uint32_t (xdr, &n_entries) || n_entries > GG_LIMIT_MESSAGE_MAX_ENTRIES)
     return FALSE;
@@ -68,7 +132,7 @@
   for (guint i = 0; i < n_entries; i++)
     if (!code_entry (xdr, &g_array_index (self->entries, GgLimitEntry, i), now_ms))
       return FALSE;
-  return TRUE;
+  return code_views (xdr, self, size_bytes);
 }
 
 size_t
@@ -76,7 +140,7 @@
 {
   XDR xdr;
   xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_ENCODE);
-  size_t used = code (&xdr, self, now_ms) ? xdr_getpos (&xdr) : 0;
+  size_t used = code (&xdr, self, size_bytes, now_ms) ? xdr_getpos (&xdr) : 0;
   xdr_destroy (&xdr);
   return used;
 }
@@ -87,7 +151,7 @@
   XDR xdr;
   gg_limit_message_init (self_out, GG_LIMIT_MESSAGE_NOTICE, NULL);
   xdrmem_create (&xdr, buffer, (u_int) size_bytes, XDR_DECODE);
-  gboolean is_valid = code (&xdr, self_out, now_ms);
+  gboolean is_valid = code (&xdr, self_out, size_bytes, now_ms);
   xdr_destroy (&xdr);
   if (!is_valid)
     gg_limit_message_clear (self_out);
--- a/src/core/limit_allocator.h
+++ b/src/core/limit_allocator.h
@@ -1,16 +1,12 @@
 /** @file
  * Hands out permits for runners that have named a rate limit (see rate_limit.h). One instance
- * allocates the permits of a runner for all others, at the rate of the limit; whoever takes its
- * place begins without any. So the sum over all instances keeps to the limit however many they are
- * and whatever they know of each other. Times are CLOCK_BOOTTIME. */
+ * allocates the permits of a runner for all others (see allocator_election.h), at the rate of the
+ * limit; whoever takes its place begins without any. So the sum over all instances keeps to the
+ * limit however many they are and whatever they know of each other. Times are CLOCK_BOOTTIME. */
 #pragma once
 
 #include "core/rate_limit.h"
 
-/** An instance that becomes the allocator waits this long: the permits of its predecessor have
- * expired by then, and the others know of the change. */
-#define GG_LIMIT_TAKEOVER_MS 2300
-
 typedef struct _GgLimitAllocator GgLimitAllocator;
 
 typedef struct
--- a/src/daemons/routerd/limit_exchange.c
+++ b/src/daemons/routerd/limit_exchange.c
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/metric_family.h"
 #include "core/limit_allocator.h"
+#include "daemons/routerd/allocator_exchange.h"
 #include "daemons/routerd/delegated_watch.h"
 #include "daemons/routerd/link_monitor.h"
 
@@ -25,11 +26,6 @@
 #define STATUS_MULTIPLE_CHOICES 300
 /* Evidence that only confirms what was reported before is reported this often. */
 #define CONFIRM_MS 1000
-/* An allocator without a valid lease goes on while others send it requests, as during an outage of
- * the store: they have no other one. */
-#define REQUESTED_MS 1500
-/* After a pause of this length another instance may have taken the place of this one. */
-#define SUSPENDED_MS 1500
 /* Number of the latest requests whose replies are accepted. */
 #define MAX_PENDING_REQUESTS 32
 #define MILLI 1000.0
@@ -41,26 +37,17 @@
   uint64_t sent_ms;
 } PendingRequest;
 
-/* The allocator of a data centre's runners. */
-typedef struct
-{
-  char *address;     /* NULL for none */
-  uint64_t since_ms; /* when it became the allocator, as far as this instance knows */
-} Allocator;
-
 struct _GgLimitExchange
 {
   GgRouter *router;
   const GgMembership *membership;
   GgLimitAllocator *allocator;
-  GHashTable *allocators; /* data centre -> Allocator */
+  GgAllocatorExchange *allocators;
   GgLoopTimer *timer;
   GgLoopTimer *notice_timer;
   gboolean has_limits;   /* some runner has named a limit */
   gboolean is_notifying; /* the notice timer runs */
   gboolean is_urgent;    /* the timer runs for URGENT_MS */
-  uint64_t ticked_ms;
-  uint64_t requested_until_ms; /* others rely on this instance as allocator, by their requests */
   uint64_t last_number;
   PendingRequest pending[MAX_PENDING_REQUESTS];
 };
@@ -107,80 +94,11 @@
                     (guint64) (gg_clock_boot_ms () - evidence->time_ms));
 }
 
-/* Returns the address of the instance that allocates the permits of a data centre's runners; NULL
- * if none is known. */
-static const char *
-choose_allocator (const GgLimitExchange *self, const char *data_centre)
-{
-  const GgRoster *roster = gg_membership_get_roster (self->membership);
-  const GPtrArray *ranked = gg_roster_get_ranked (roster, data_centre);
-  const GPtrArray *names = gg_roster_get_data_centres (roster);
-  if (ranked == NULL && names->len > 0)
-    ranked = gg_roster_get_ranked (roster, g_ptr_array_index (names, 0));
-  return ranked != NULL ? ((const GgPeer *) g_ptr_array_index (ranked, 0))->address : NULL;
-}
-
-static void
-free_allocator (void *data)
-{
-  Allocator *allocator = data;
-  g_free (allocator->address);
-  g_free (allocator);
-}
-
-static void
-update_allocator (const GgLimitExchange *self, const char *data_centre, Allocator *allocator)
-{
-  const char *address = choose_allocator (self, data_centre);
-  if (g_strcmp0 (allocator->address, address) == 0)
-    return;
-  g_free (allocator->address);
-  allocator->address = g_strdup (address);
-  allocator->since_ms = gg_clock_boot_ms ();
-}
-
-static const Allocator *
-find_allocator (GgLimitExchange *self, const char *data_centre)
-{
-  Allocator *allocator = g_hash_table_lookup (self->allocators, data_centre);
-  if (allocator == NULL)
-    {
-      allocator = g_new0 (Allocator, 1);
-      g_hash_table_insert (self->allocators, g_strdup (data_centre), allocator);
-    }
-  update_allocator (self, data_centre, allocator);
-  return allocator;
-}
-
 /* Whether this instance hands out the permits of a runner. */
 static gboolean
-is_allocating (GgLimitExchange *self, const GgFleetRunner *runner, uint64_t now_ms)
+is_allocating (const GgLimitExchange *self, const GgFleetRunner *runner, uint64_t now_ms)
 {
-  const Allocator *allocator = find_allocator (self, runner->record.data_centre);
-  return g_strcmp0 (allocator->address, gg_membership_get_address (self->membership)) == 0
-         && now_ms >= allocator->since_ms + GG_LIMIT_TAKEOVER_MS
-         && (gg_membership_has_lease (self->membership) || now_ms < self->requested_until_ms);
-}
-
-/* Follows the allocators, and starts anew after a suspension of this machine. */
-static void
-update_allocators (GgLimitExchange *self, uint64_t now_ms)
-{
-  gboolean was_suspended = now_ms > self->ticked_ms + SUSPENDED_MS;
-  GHashTableIter iter;
-  void *key;
-  void *value;
-  if (was_suspended)
-    gg_limit_allocator_empty (self->allocator, now_ms);
-  g_hash_table_iter_init (&iter, self->allocators);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      Allocator *allocator = value;
-      update_allocator (self, key, allocator);
-      if (was_suspended)
-        allocator->since_ms = now_ms;
-    }
-  self->ticked_ms = now_ms;
+  return gg_allocator_exchange_is_allocating (self->allocators, runner->record.data_centre, now_ms);
 }
 
 static void
@@ -216,6 +134,8 @@
 send_notice (GgLimitExchange *self, GgLimitMessage *message)
 {
   const GPtrArray *peers = gg_roster_get_others (gg_membership_get_roster (self->membership));
+  gg_limit_message_clear_views (message);
+  gg_allocator_exchange_add_views (self->allocators, message->sender, message);
   for (guint i = 0; i < peers->len; i++)
     send_message (self, ((const GgPeer *) g_ptr_array_index (peers, i))->address, message);
   send_to_members (self, message);
@@ -350,6 +270,9 @@
       message->number = ++self->last_number;
       self->pending[message->number % MAX_PENDING_REQUESTS]
           = (PendingRequest){ message->number, now_ms };
+      gg_limit_message_clear_views (message);
+      gg_allocator_exchange_add_views (self->allocators, address, message);
+      gg_allocator_exchange_note_request (self->allocators, address, now_ms);
       send_message (self, address, message);
     }
   g_array_set_size (message->entries, 0);
@@ -375,7 +298,8 @@
         continue;
       self->has_limits = TRUE;
       n_limited += gg_rate_limit_is_in_force (runner->limit);
-      const char *address = find_allocator (self, runner->record.data_centre)->address;
+      const char *address
+          = gg_allocator_exchange_find (self->allocators, runner->record.data_centre);
       if (address == NULL || !fill_entry (runner, &entry, now_ms))
         continue;
       GgLimitMessage *message = g_hash_table_lookup (messages, address);
@@ -409,7 +333,7 @@
   GgLimitExchange *self = data;
   uint64_t now_ms = gg_clock_boot_ms ();
   self->is_urgent = FALSE;
-  update_allocators (self, now_ms);
+  gg_allocator_exchange_update (self->allocators, now_ms);
   if (self->has_limits)
     send_requests (self, now_ms);
   uint64_t interval_ms = IDLE_INTERVAL_MS;
@@ -521,40 +445,59 @@
 static void
 handle_request (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
 {
-  self->requested_until_ms = now_ms + REQUESTED_MS;
+  gboolean has_views = message->views->len > 0;
+  char *sender = g_strdup (message->sender);
+  gg_allocator_exchange_receive (self->allocators, sender, message, now_ms);
   for (guint i = 0; i < message->entries->len; i++)
     {
       GgLimitEntry *entry = &g_array_index (message->entries, GgLimitEntry, i);
       const GgFleetRunner *runner = find_runner (self, entry->runner_hash);
       if (runner != NULL)
         {
-          serve_entry (self, runner, message->sender, entry, now_ms);
+          if (!has_views)
+            gg_allocator_exchange_note_old_request (self->allocators, sender,
+                                                    runner->record.data_centre, now_ms);
+          serve_entry (self, runner, sender, entry, now_ms);
           GgLimitEntry known = { .runner_hash = entry->runner_hash, .evidence = entry->evidence };
           apply_entry (self, &known, 0);
         }
       else
         entry->n_permits = 0;
     }
-  char *address = g_strdup (message->sender);
   message->kind = GG_LIMIT_MESSAGE_REPLY;
-  send_message (self, address, message);
-  g_free (address);
+  gg_limit_message_set_sender (message, gg_membership_get_address (self->membership));
+  send_message (self, sender, message);
+  g_free (sender);
 }
 
 static void
-handle_reply (GgLimitExchange *self, const GgLimitMessage *message)
+handle_reply (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
 {
   PendingRequest *request = &self->pending[message->number % MAX_PENDING_REQUESTS];
   if (message->number == 0 || request->number != message->number)
     return; /* a repeated or very late reply */
   uint64_t until_ms = request->sent_ms + GG_PERMIT_MS;
   *request = (PendingRequest){ 0 };
+  gg_allocator_exchange_note_reply (self->allocators, message->sender);
+  gg_allocator_exchange_receive (self->allocators, message->sender, message, now_ms);
   for (guint i = 0; i < message->entries->len; i++)
     apply_entry (self, &g_array_index (message->entries, GgLimitEntry, i), until_ms);
 }
 
+/* Replies with the views of this instance. */
 static void
-handle_notice (GgLimitExchange *self, GgLimitMessage *message)
+send_views (const GgLimitExchange *self, GgLimitMessage *message)
+{
+  char *sender = g_strdup (message->sender);
+  g_array_set_size (message->entries, 0);
+  message->kind = GG_LIMIT_MESSAGE_VIEWS;
+  gg_limit_message_set_sender (message, gg_membership_get_address (self->membership));
+  send_message (self, sender, message);
+  g_free (sender);
+}
+
+static void
+handle_notice (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
 {
   for (guint i = 0; i < message->entries->len; i++)
     {
@@ -564,6 +507,15 @@
     }
   if (gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED)
     send_to_members (self, message);
+  if (gg_allocator_exchange_receive (self->allocators, message->sender, message, now_ms))
+    send_views (self, message);
+}
+
+static void
+handle_poll (GgLimitExchange *self, GgLimitMessage *message, uint64_t now_ms)
+{
+  gg_allocator_exchange_receive (self->allocators, message->sender, message, now_ms);
+  send_views (self, message);
 }
 
 gboolean
@@ -579,16 +531,40 @@
       handle_request (self, &message, now_ms);
       break;
     case GG_LIMIT_MESSAGE_REPLY:
-      handle_reply (self, &message);
+      handle_reply (self, &message, now_ms);
       break;
     case GG_LIMIT_MESSAGE_NOTICE:
-      handle_notice (self, &message);
+      handle_notice (self, &message, now_ms);
+      break;
+    case GG_LIMIT_MESSAGE_POLL:
+      handle_poll (self, &message, now_ms);
+      break;
+    case GG_LIMIT_MESSAGE_VIEWS:
+      gg_allocator_exchange_receive (self->allocators, message.sender, &message, now_ms);
       break;
     }
   gg_limit_message_clear (&message);
   return TRUE;
 }
 
+/* What this instance knows of the limits is unknown to a new allocator. */
+static void
+on_allocator_changed (void *data, const char *data_centre, gboolean is_own)
+{
+  GgLimitExchange *self = data;
+  GgFleet *fleet = self->router->fleet;
+  if (is_own)
+    gg_limit_allocator_empty (self->allocator, gg_clock_boot_ms ());
+  for (guint i = 0; i < gg_fleet_get_size (fleet); i++)
+    {
+      GgFleetRunner *runner = gg_fleet_get (fleet, i);
+      if (runner->limit != NULL && strcmp (runner->record.data_centre, data_centre) == 0)
+        runner->limit->reported_ms = 0;
+    }
+  if (self->has_limits)
+    send_requests_soon (self);
+}
+
 GgLimitExchange *
 gg_limit_exchange_create (GgRouter *router, const GgMembership *membership)
 {
@@ -596,10 +572,7 @@
   self->router = router;
   self->membership = membership;
   self->allocator = gg_limit_allocator_create ();
-  self->allocators = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_allocator);
-  self->ticked_ms = gg_clock_boot_ms ();
-  /* Since when this instance allocates for its own data centre is known from the start on. */
-  find_allocator (self, router->data_centre);
+  self->allocators = gg_allocator_exchange_create (router, membership, on_allocator_changed, self);
   self->timer = gg_loop_timer_create (router->loop, on_timer, self);
   self->notice_timer = gg_loop_timer_create (router->loop, on_notice_timer, self);
   gg_loop_timer_start (self->timer, MIN_INTERVAL_MS);
@@ -612,6 +585,6 @@
   gg_loop_timer_destroy (self->timer);
   gg_loop_timer_destroy (self->notice_timer);
   gg_limit_allocator_destroy (self->allocator);
-  g_hash_table_unref (self->allocators);
+  gg_allocator_exchange_destroy (self->allocators);
   g_free (self);
 }
--- a/src/daemons/routerd/limit_exchange.h
+++ b/src/daemons/routerd/limit_exchange.h
@@ -1,8 +1,7 @@
 /** @file
  * Keeps to the rate limits that runners name: permits are requested from the allocator of each
- * runner, the first registered instance of its data centre, and handed out by it
- * (core/limit_allocator.h). What an answer states of a limit reaches all instances through the
- * allocator. */
+ * runner's data centre (allocator_exchange.h) and handed out by it (core/limit_allocator.h). What
+ * an answer states of a limit reaches all instances through the allocator. */
 #pragma once
 
 #include "daemons/routerd/membership.h"
--- a/src/daemons/routerd/membership.c
+++ b/src/daemons/routerd/membership.c
@@ -261,6 +261,12 @@
   return self->is_joined && !self->is_leaving && is_lease_valid (self);
 }
 
+gboolean
+gg_membership_is_leaving (const GgMembership *self)
+{
+  return self->is_leaving;
+}
+
 uint64_t
 gg_membership_get_fencing_number (const GgMembership *self)
 {
--- a/src/daemons/routerd/membership.h
+++ b/src/daemons/routerd/membership.h
@@ -46,6 +46,9 @@
 /** Whether this instance is registered under a lease that has not expired. */
 gboolean gg_membership_has_lease (const GgMembership *self);
 
+/** Whether this instance is being stopped. */
+gboolean gg_membership_is_leaving (const GgMembership *self);
+
 /** Returns the address at which this instance receives datagrams of its peers. */
 const char *gg_membership_get_address (const GgMembership *self);
 
--- a/tests/adapters/test_limit_message.c
+++ b/tests/adapters/test_limit_message.c
@@ -1,12 +1,13 @@
 /* Guards the datagrams about rate limits: what is decoded must be what was encoded, times must
- * survive clocks that differ, and damaged bytes must be rejected. */
+ * survive clocks that differ, and damaged bytes must be rejected. Builds without views must be able
+ * to read the rest. */
 #include "adapters/rpc/limit_message.h"
 #include "test_main.h"
 
 #include <string.h>
 
 static size_t
-encode (char *bytes, size_t size_bytes, guint n_entries)
+encode (char *bytes, size_t size_bytes, guint n_entries, guint n_views)
 {
   GgLimitMessage message;
   gg_limit_message_init (&message, GG_LIMIT_MESSAGE_REQUEST, "10.0.0.1:7520");
@@ -19,6 +20,15 @@
                              .n_permits = 3 };
       g_array_append_val (message.entries, entry);
     }
+  for (guint i = 0; i < n_views; i++)
+    {
+      GgLimitView view = { .data_centre_hash = 200 + i,
+                           .term = 1ULL << 41 | i,
+                           .address = (char *) "127.127.127.127:65535",
+                           .is_ceded = i % 2 == 0,
+                           .is_claim = i % 2 == 1 };
+      gg_limit_message_add_view (&message, &view);
+    }
   size_t used = gg_limit_message_encode (&message, 10000, bytes, size_bytes);
   gg_limit_message_clear (&message);
   return used;
@@ -29,7 +39,7 @@
 {
   char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
   GgLimitMessage message;
-  size_t used = encode (bytes, sizeof bytes, GG_LIMIT_MESSAGE_MAX_ENTRIES);
+  size_t used = encode (bytes, sizeof bytes, GG_LIMIT_MESSAGE_MAX_ENTRIES, 0);
   CU_ASSERT (used > 0);
   if (!gg_limit_message_decode (bytes, used, 500000, &message))
     {
@@ -49,12 +59,51 @@
   gg_limit_message_clear (&message);
 }
 
+static void
+test_views (void)
+{
+  char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
+  GgLimitMessage message;
+  size_t used
+      = encode (bytes, sizeof bytes, GG_LIMIT_MESSAGE_MAX_ENTRIES, GG_LIMIT_MESSAGE_MAX_VIEWS + 1);
+  CU_ASSERT_TRUE_FATAL (used > 0);
+  CU_ASSERT_TRUE_FATAL (gg_limit_message_decode (bytes, used, 500000, &message));
+  CU_ASSERT_EQUAL (message.entries->len, GG_LIMIT_MESSAGE_MAX_ENTRIES);
+  CU_ASSERT_EQUAL_FATAL (message.views->len, GG_LIMIT_MESSAGE_MAX_VIEWS);
+  const GgLimitView *view = &g_array_index (message.views, GgLimitView, 1);
+  CU_ASSERT_EQUAL (view->data_centre_hash, 201);
+  CU_ASSERT_EQUAL (view->term, 1ULL << 41 | 1);
+  CU_ASSERT_STRING_EQUAL (view->address, "127.127.127.127:65535");
+  CU_ASSERT_FALSE (view->is_ceded);
+  CU_ASSERT_TRUE (view->is_claim);
+  gg_limit_message_clear (&message);
+}
+
+/* A message whose views are cut off is rejected, unless it ends where the views begin, as those of
+ * builds without views do. */
+static void
+test_damaged_views (void)
+{
+  char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
+  GgLimitMessage message;
+  size_t without = encode (bytes, sizeof bytes, 2, 0);
+  size_t used = encode (bytes, sizeof bytes, 2, 2);
+  CU_ASSERT_TRUE (used > without);
+  for (size_t n = 0; n < used; n++)
+    {
+      gboolean is_decoded = gg_limit_message_decode (bytes, n, 500000, &message);
+      CU_ASSERT_EQUAL (is_decoded, n == without);
+      if (is_decoded)
+        gg_limit_message_clear (&message);
+    }
+}
+
 static void
 test_damaged (void)
 {
   char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
   GgLimitMessage message;
-  size_t used = encode (bytes, sizeof bytes, 2);
+  size_t used = encode (bytes, sizeof bytes, 2, 0);
   for (size_t n = 0; n < used; n++)
     CU_ASSERT_FALSE (gg_limit_message_decode (bytes, n, 500000, &message));
   bytes[0] ^= 1;
@@ -67,6 +116,8 @@
   static const GgTestCase cases[] = {
     { "round trip", test_round_trip },
     { "damaged", test_damaged },
+    { "views", test_views },
+    { "damaged views", test_damaged_views },
   };
   return gg_test_run ("limit message", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/core/test_limit_allocator.c
+++ b/tests/core/test_limit_allocator.c
@@ -2,6 +2,7 @@
  * instances together, and callers against a limited runner that is left unused: simulated
  * deployments of 9, 72 and 295 instances with uneven demand, messages that are lost, late or
  * repeated, and allocators that change, restart and are suspended. */
+#include "core/allocator_election.h"
 #include "core/limit_allocator.h"
 #include "seeds.h"
 #include "test_main.h"
@@ -170,7 +171,7 @@
                            d->now_ms);
   gboolean is_allocating = d->omission == WITHOUT_ONE_ALLOCATOR
                            || (d->instances[request->candidate].allocator == request->candidate
-                               && d->now_ms >= candidate->since_ms + GG_LIMIT_TAKEOVER_MS);
+                               && d->now_ms >= candidate->since_ms + GG_ALLOCATOR_TAKEOVER_MS);
   reply.kind = EVENT_REPLY;
   reply.n = is_allocating ? gg_limit_allocator_grant (candidate->allocator, RUNNER,
                                                       request->instance, request->n, d->now_ms)
--- a/tests/platform/test_odd_inputs.c
+++ b/tests/platform/test_odd_inputs.c
@@ -496,6 +496,7 @@
   if (!gg_limit_message_decode (bytes, size_bytes, NOW_MS, &message))
     return FALSE;
   CU_ASSERT_TRUE (message.entries->len <= GG_LIMIT_MESSAGE_MAX_ENTRIES);
+  CU_ASSERT_TRUE (message.views->len <= GG_LIMIT_MESSAGE_MAX_VIEWS);
   gg_limit_message_clear (&message);
   return TRUE;
 }
@@ -615,6 +616,11 @@
   g_array_set_size (message.entries, 3);
   n = gg_limit_message_encode (&message, NOW_MS, bytes, sizeof bytes);
   run_datagram (decode_limit, bytes, n);
+  GgLimitView view = { .data_centre_hash = 7, .term = 12, .address = (char *) "10.0.0.8:7000" };
+  gg_limit_message_add_view (&message, &view);
+  gg_limit_message_add_view (&message, &view);
+  n = gg_limit_message_encode (&message, NOW_MS, bytes, sizeof bytes);
+  run_datagram (decode_limit, bytes, n);
   gg_limit_message_clear (&message);
 
   GArray *suspects = g_array_new (FALSE, TRUE, sizeof (GgSuspect));
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -213,14 +213,14 @@
   router->metrics_address = gg_process_reserve_address ();
   router->peers_address = gg_process_reserve_address ();
   router->settings_path = g_strdup_printf ("%s/%s.ini", self->folder, router->name);
-  char *text = g_strdup_printf ("[instance]\nname = %s\ndata_centre = %s\n"
-                                "[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n"
-                                "[store]\naddress = %s\n[stop]\ngrace_s = 5\n"
-                                "[retries]\nextra = %u\n[instance]\n%s",
-                                router->name, self->n_routers % 2 == 0 ? "north" : "south",
-                                router->callers_address, router->ready_address,
-                                router->peers_address, router->metrics_address, self->store_address,
-                                self->extra_retries, get_size_settings (self, self->n_routers));
+  char *text = g_strdup_printf (
+      "[instance]\nname = %s\ndata_centre = %s\n"
+      "[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n"
+      "[store]\naddress = %s\n[stop]\ngrace_s = 5\n"
+      "[retries]\nextra = %u\n[instance]\n%s",
+      router->name, self->n_routers % 2 == 0 ? "north" : "south", router->callers_address,
+      router->ready_address, router->peers_address, router->metrics_address,
+      self->routers_store_address, self->extra_retries, get_size_settings (self, self->n_routers));
   g_file_set_contents (router->settings_path, text, -1, NULL);
   g_free (text);
   site_start_router (self, self->n_routers++);
@@ -270,8 +270,27 @@
   g_string_free (list, TRUE);
 }
 
+static void
+start_store_links (Site *self)
+{
+  self->routers_store_address = gg_process_reserve_address ();
+  self->store_links_address = gg_process_reserve_address ();
+  char *link = g_strdup_printf ("%s=%s", self->routers_store_address, self->store_address);
+  const char *args[] = { "--listen", self->store_links_address, "--links", link, NULL };
+  self->store_links = gg_process_start ("gg-fake-links", args);
+  gg_process_wait_listening (self->store_links, LISTEN_TIMEOUT_MS);
+  g_free (link);
+}
+
+typedef enum
+{
+  WITHOUT_LINKS,
+  WITH_RUNNER_LINKS,
+  WITH_STORE_LINKS,
+} Links;
+
 static Site *
-create (guint n_routers, guint n_large, guint n_old, guint extra_retries, gboolean has_links)
+create (guint n_routers, guint n_large, guint n_old, guint extra_retries, Links links)
 {
   Site *self = g_new0 (Site, 1);
   self->n_large = n_large;
@@ -283,8 +302,12 @@
   self->store = gg_process_start ("gg-fake-store", args);
   gg_process_wait_listening (self->store, LISTEN_TIMEOUT_MS);
   site_write_config (self, 1, TRUE);
-  if (has_links)
+  if (links == WITH_RUNNER_LINKS)
     start_links (self);
+  if (links == WITH_STORE_LINKS)
+    start_store_links (self);
+  else
+    self->routers_store_address = g_strdup (self->store_address);
   for (guint i = 0; i < G_N_ELEMENTS (accelerators); i++)
     start_runner (self, "reader", accelerators[i].data_centre, accelerators[i].kind);
   start_runner (self, "desk", "north", NULL);
@@ -306,35 +329,41 @@
 Site *
 site_create (guint n_routers)
 {
-  return create (n_routers, 0, 0, EXTRA_RETRIES, FALSE);
+  return create (n_routers, 0, 0, EXTRA_RETRIES, WITHOUT_LINKS);
 }
 
 Site *
 site_create_sized (guint n_routers, guint n_large)
 {
-  return create (n_routers, n_large, 0, EXTRA_RETRIES, FALSE);
+  return create (n_routers, n_large, 0, EXTRA_RETRIES, WITHOUT_LINKS);
 }
 
 Site *
 site_create_with_retries (guint n_routers, guint extra_retries)
 {
-  return create (n_routers, 0, 0, extra_retries, FALSE);
+  return create (n_routers, 0, 0, extra_retries, WITHOUT_LINKS);
 }
 
 Site *
 site_create_mixed (guint n_routers, guint n_old)
 {
-  return create (n_routers, 0, n_old, EXTRA_RETRIES, FALSE);
+  return create (n_routers, 0, n_old, EXTRA_RETRIES, WITHOUT_LINKS);
 }
 
 Site *
 site_create_with_links (guint n_routers)
 {
-  return create (n_routers, 0, 0, EXTRA_RETRIES, TRUE);
+  return create (n_routers, 0, 0, EXTRA_RETRIES, WITH_RUNNER_LINKS);
 }
 
-gboolean
-site_cut (const Site *self, const gboolean *is_cut, const char *mode)
+Site *
+site_create_with_store_links (guint n_routers)
+{
+  return create (n_routers, 0, 0, EXTRA_RETRIES, WITH_STORE_LINKS);
+}
+
+static gboolean
+cut_links (const Site *self, const char *address, const gboolean *is_cut, const char *mode)
 {
   GString *target = g_string_new (NULL);
   g_string_append_printf (target, "/test/cut/%s/", mode);
@@ -342,11 +371,25 @@
     if (is_cut[i])
       g_string_append_printf (target, "%s%d", g_str_has_suffix (target->str, "/") ? "" : ",",
                               gg_process_get_id (self->routers[i].process));
-  gboolean is_sent = gg_test_send ("GET", self->links_address, target->str, NULL);
+  gboolean is_sent = gg_test_send ("GET", address, target->str, NULL);
   g_string_free (target, TRUE);
   return is_sent;
 }
 
+gboolean
+site_cut (const Site *self, const gboolean *is_cut, const char *mode)
+{
+  return cut_links (self, self->links_address, is_cut, mode);
+}
+
+gboolean
+site_cut_store (const Site *self, const gboolean *is_cut, const char *mode)
+{
+  /* Connections that were silent go on. */
+  return gg_test_send ("GET", self->store_links_address, "/test/heal", NULL)
+         && cut_links (self, self->store_links_address, is_cut, mode);
+}
+
 void
 site_heal (const Site *self)
 {
@@ -388,6 +431,10 @@
   gg_process_destroy (self->links);
   g_free (self->links_address);
   gg_process_destroy (self->store);
+  if (self->store_links != NULL)
+    gg_process_destroy (self->store_links);
+  g_free (self->store_links_address);
+  g_free (self->routers_store_address);
   g_rmdir (self->folder);
   g_free (self->folder);
   g_free (self->store_address);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -42,6 +42,9 @@
   GgProcess *store;
   GgProcess *links; /* between routers and runners; NULL for direct connections */
   char *links_address;
+  GgProcess *store_links; /* between routers and the store; NULL for direct connections */
+  char *store_links_address;
+  char *routers_store_address; /* at which routers find the store */
   SiteRunner runners[SITE_MAX_RUNNERS];
   guint n_runners;
   SiteRouter routers[SITE_MAX_ROUTERS];
@@ -73,6 +76,15 @@
 /** As site_create(), with links between routers and runners that can be cut. */
 Site *site_create_with_links (guint n_routers);
 
+/** As site_create(), with links between routers and the store that can be cut. */
+Site *site_create_with_store_links (guint n_routers);
+
+/** Cuts some routers off from the store, and lets all others reach it.
+ * @param is_cut for each router.
+ * @param mode of tests/fakes/fake_links.c.
+ * @return FALSE if that failed. */
+gboolean site_cut_store (const Site *self, const gboolean *is_cut, const char *mode);
+
 /** Cuts some routers off from all runners until site_heal().
  * @param is_cut for each router.
  * @param mode of tests/fakes/fake_links.c.
