Count instances that are no longer listed in the retry budget

The part of the retry budget that does not depend on requests is divided by the number of instances. Those of other data centres were counted as the store lists them.

Change: instances of other data centres that send load reports by themselves count as well, for 6 s after the last one, and a gauge shows the number.

process/test_platform_unlisted fails without the change ("a router counts 3 of 6 routers") and passes with it.

--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -2,6 +2,7 @@
 
 #include "adapters/rpc/load_report.h"
 #include "base/clock.h"
+#include "base/counters.h"
 #include "core/peer_load.h"
 #include "daemons/routerd/delegated_watch.h"
 #include "daemons/routerd/link_monitor.h"
@@ -28,6 +29,9 @@
 /* The load of a peer that has sent no report for this long is no longer counted; its requests have
  * ended, or runners refuse requests because of them. */
 #define PEER_LOAD_EXPIRY_MS 2000
+/* An instance of another data centre that is idle reports every 12 rounds, and two reports in a row
+ * may be lost. */
+#define REMOTE_INSTANCE_EXPIRY_MS 6000
 /* Prefixes of the sender's address, or of the data centre, in reports other than REPORT_OWN. */
 #define SUM_PREFIX "sum/"
 #define ORDERS_PREFIX "orders/"
@@ -50,6 +54,7 @@
   GgPeerLoad *local_sum;   /* the same as a sum, without this instance; for a member */
   GgPeerLoad *remote_load; /* given by the other data centres */
   GHashTable *n_remote;    /* data centre -> number of its instances, from its sums */
+  GgPeerLoad *remote_own;  /* the instances of other data centres that report by themselves */
   gboolean has_members;    /* an instance of this data centre is not registered */
   uint64_t incarnation;
   uint64_t number;
@@ -60,6 +65,9 @@
   GHashTable *reported_to_members;
 };
 
+static GgCounter instances = GG_GAUGE ("greengage_router_instances",
+                                       "Active instances that this one knows, this one included");
+
 static gboolean
 is_local (const GgLoadExchange *self, const char *data_centre)
 {
@@ -168,9 +176,14 @@
 }
 
 static void
-note_sender (GgLoadExchange *self, const GgLoadReport *report)
+note_sender (GgLoadExchange *self, const GgLoadReport *report, uint64_t now_ms)
 {
-  if (report->is_sum && !is_local (self, report->data_centre))
+  if (is_local (self, report->data_centre))
+    return;
+  if (!report->is_sum && !g_str_has_prefix (report->instance, ORDERS_PREFIX))
+    gg_peer_load_begin_report (self->remote_own, report->instance, report->incarnation,
+                               report->number, now_ms);
+  if (report->is_sum)
     g_hash_table_insert (self->n_remote, g_strdup (report->data_centre),
                          GUINT_TO_POINTER (report->n_instances));
 }
@@ -188,7 +201,7 @@
   if (!gg_peer_load_begin_report (load, report->instance, report->incarnation, report->number,
                                   now_ms))
     return;
-  note_sender (self, report);
+  note_sender (self, report, now_ms);
   for (guint i = 0; i < report->entries->len; i++)
     {
       const GgLoadReportEntry *entry = &g_array_index (report->entries, GgLoadReportEntry, i);
@@ -433,6 +446,8 @@
       if (!is_local (self, name))
         n += MAX (gg_roster_get_ranked (roster, name)->len, n_known);
     }
+  /* The store may turn away instances that are no longer listed, but still run. */
+  n = MAX (n, n_local + gg_peer_load_count_peers (self->remote_own));
   gg_router_set_instances (self->router, MAX (n, n_registered));
 }
 
@@ -445,9 +460,11 @@
   gg_peer_load_expire (self->local_load, now_ms);
   gg_peer_load_expire (self->local_sum, now_ms);
   gg_peer_load_expire (self->remote_load, now_ms);
+  gg_peer_load_expire (self->remote_own, now_ms);
   apply_peer_load (self, now_ms);
   if (gg_membership_get_role (self->membership) == GG_ROLE_REGISTERED)
     update_instances (self);
+  gg_counter_set (&instances, self->router->n_instances);
   send_reports (self, REPORT_OWN, is_remote_due);
   if (is_source (self))
     send_sums_to_members (self);
@@ -471,6 +488,7 @@
   self->local_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, 0);
   self->local_sum = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, SUM_TAKEOVER_MS);
   self->remote_load = gg_peer_load_create (PEER_LOAD_EXPIRY_MS, SUM_TAKEOVER_MS);
+  self->remote_own = gg_peer_load_create (REMOTE_INSTANCE_EXPIRY_MS, 0);
   self->n_remote = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->reported_to_members = g_hash_table_new (NULL, NULL);
   for (guint i = 0; i < G_N_ELEMENTS (self->reported); i++)
@@ -486,6 +504,7 @@
   gg_loop_timer_destroy (self->timer);
   gg_peer_load_destroy (self->local_load);
   gg_peer_load_destroy (self->local_sum);
+  gg_peer_load_destroy (self->remote_own);
   g_hash_table_unref (self->n_remote);
   g_hash_table_unref (self->reported_to_members);
   gg_peer_load_destroy (self->remote_load);
