Hand requests of unlisted instances over to other data centres

The routers asked those of the other data centre, which do not list them any more after their leases have ended, and answered only queries of listed ones or of their own data centre.

Change: an instance of another data centre that reports its load is known as well, as members of the own data centre are.

process/test_platform_unlisted, "unlisted-routers-cut-off": failed 2 of 2 before, passed 2 of 2 after, 12 of 12 requests served.

--- a/src/daemons/routerd/link_exchange.c
+++ b/src/daemons/routerd/link_exchange.c
@@ -238,8 +238,11 @@
   const GgRouter *router = self->router;
   gboolean is_registered
       = gg_roster_has_address (gg_membership_get_roster (self->membership), query->address);
-  if (router->config == NULL || router->is_stopping
-      || (!is_registered && !gg_load_exchange_has_local (self->load_exchange, query->address)))
+  /* Members are never listed, nor are instances that the store turns away. */
+  gboolean is_known = is_registered
+                      || gg_load_exchange_has_local (self->load_exchange, query->address)
+                      || gg_load_exchange_has_remote (self->load_exchange, query->address);
+  if (router->config == NULL || router->is_stopping || !is_known)
     return;
   if (gg_link_monitor_get_state (router->link_monitor, NULL) == GG_LINKS_UP)
     send_own_answer (self, query);
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -230,6 +230,12 @@
   return gg_peer_load_has_peer (self->local_load, address);
 }
 
+gboolean
+gg_load_exchange_has_remote (const GgLoadExchange *self, const char *address)
+{
+  return gg_peer_load_has_peer (self->remote_own, address);
+}
+
 /* Whether a runner has an assigned range to report: one that its entry does not show yet. */
 static gboolean
 has_open_assignment (const GgFleetRunner *runner, uint64_t now_ms)
--- a/src/daemons/routerd/load_exchange.h
+++ b/src/daemons/routerd/load_exchange.h
@@ -16,3 +16,6 @@
 /** Returns whether an instance of this data centre has reported its load recently.
  * @param address of an instance, at which it receives datagrams. */
 gboolean gg_load_exchange_has_local (const GgLoadExchange *self, const char *address);
+
+/** The same for an instance of another data centre that reports by itself. */
+gboolean gg_load_exchange_has_remote (const GgLoadExchange *self, const char *address);
--- a/tests/process/test_platform_unlisted.c
+++ b/tests/process/test_platform_unlisted.c
@@ -14,6 +14,9 @@
 #define LISTED_MS 6000
 #define OBSERVED_MS 3000
 #define SAMPLE_MS 200
+/* Routers that are cut off from all runners know it, and serve, after this time (contact_ms). */
+#define CONTACT_MS 3000
+#define N_CALLS 12
 
 static guint
 get_gauge (const Site *site, guint router, const char *name)
@@ -42,18 +45,19 @@
   return find_least (data) >= N_ROUTERS;
 }
 
+/* The routers of one data centre. */
+static const gboolean is_north[N_ROUTERS] = { TRUE, FALSE, TRUE, FALSE, TRUE, FALSE };
+
 /* Guards the retry budget of all routers together against routers that count only the listed ones:
  * the others go on spending their shares. */
 static void
 run_counted (GgProof *proof)
 {
-  /* The routers of one data centre. */
-  static const gboolean is_cut[N_ROUTERS] = { TRUE, FALSE, TRUE, FALSE, TRUE, FALSE };
   Site *site = site_create_with_store_links (N_ROUTERS);
   if (!gg_proof_check (proof, site != NULL))
     return;
   gg_proof_check (proof, gg_wait_until (are_all_known, site, KNOWN_MS));
-  gg_proof_check (proof, site_cut_store (site, is_cut, "reset"));
+  gg_proof_check (proof, site_cut_store (site, is_north, "reset"));
   g_usleep (LISTED_MS * 1000);
   uint64_t end_ms = gg_clock_now_ms () + OBSERVED_MS;
   guint least = G_MAXUINT;
@@ -67,11 +71,43 @@
   site_destroy (site);
 }
 
+/* Guards callers of routers that the store turns away and that are cut off from all runners, too:
+ * their requests are handed over to the other data centre, whose routers no longer list them. */
+static void
+run_handed_over (GgProof *proof)
+{
+  Site *site = site_create_with_all_links (N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  gg_proof_check (proof, site_cut_store (site, is_north, "reset"));
+  g_usleep (LISTED_MS * 1000);
+  gg_proof_check (proof, site_cut (site, is_north, "reset"));
+  uint64_t end_ms = gg_clock_now_ms () + CONTACT_MS;
+  while (gg_clock_now_ms () < end_ms)
+    {
+      g_free (site_call (site, 0, "GET", "/lookups/1", "X-Deadline-Ms: 1500\r\n", ""));
+      g_usleep (SAMPLE_MS * 1000);
+    }
+  guint n_served = 0;
+  for (guint i = 0; i < N_CALLS; i++)
+    {
+      char *answer
+          = site_call (site, i % 3 * 2, "GET", "/lookups/1", "X-Deadline-Ms: 1500\r\n", "");
+      n_served += answer != NULL && g_str_has_prefix (answer, "HTTP/1.1 200");
+      g_free (answer);
+    }
+  if (n_served < N_CALLS)
+    gg_proof_fail (proof, "%u of %u requests served", n_served, N_CALLS);
+  site_heal (site);
+  site_destroy (site);
+}
+
 int
 main (int argc, char **argv)
 {
   static const GgProofCase cases[] = {
     { "served", "unlisted-routers-counted", run_counted },
+    { "served", "unlisted-routers-cut-off", run_handed_over },
   };
   return gg_prove_main ("platform unlisted", cases, G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -287,6 +287,7 @@
   WITHOUT_LINKS,
   WITH_RUNNER_LINKS,
   WITH_STORE_LINKS,
+  WITH_ALL_LINKS,
 } Links;
 
 static Site *
@@ -302,9 +303,9 @@
   self->store = gg_process_start ("gg-fake-store", args);
   gg_process_wait_listening (self->store, LISTEN_TIMEOUT_MS);
   site_write_config (self, 1, TRUE);
-  if (links == WITH_RUNNER_LINKS)
+  if (links == WITH_RUNNER_LINKS || links == WITH_ALL_LINKS)
     start_links (self);
-  if (links == WITH_STORE_LINKS)
+  if (links == WITH_STORE_LINKS || links == WITH_ALL_LINKS)
     start_store_links (self);
   else
     self->routers_store_address = g_strdup (self->store_address);
@@ -362,6 +363,12 @@
   return create (n_routers, 0, 0, EXTRA_RETRIES, WITH_STORE_LINKS);
 }
 
+Site *
+site_create_with_all_links (guint n_routers)
+{
+  return create (n_routers, 0, 0, EXTRA_RETRIES, WITH_ALL_LINKS);
+}
+
 static gboolean
 cut_links (const Site *self, const char *address, const gboolean *is_cut, const char *mode)
 {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -79,6 +79,9 @@
 /** As site_create(), with links between routers and the store that can be cut. */
 Site *site_create_with_store_links (guint n_routers);
 
+/** As site_create(), with both kinds of links. */
+Site *site_create_with_all_links (guint n_routers);
+
 /** Cuts some routers off from the store, and lets all others reach it.
  * @param is_cut for each router.
  * @param mode of tests/fakes/fake_links.c.
