--- a/tests/process/test_platform_crashing_part.c
+++ b/tests/process/test_platform_crashing_part.c
@@ -22,6 +22,9 @@
 #define ATTACK_MS 12000
 #define ROUND_MS 60
 #define AWAY_MS 3000
+/* Leases of routers that the store turns away have ended, and their end is known, after this time.
+ */
+#define UNLISTED_MS 6000
 #define TIMEOUT_MS 15000
 
 typedef struct
@@ -199,6 +202,23 @@
   site_destroy (site);
 }
 
+/* Guards against routers that the store turns away, which are no longer listed, and don't learn
+ * what the others know. */
+static void
+run_crashing_part_and_turned_away (GgProof *proof)
+{
+  static const gboolean is_turned_away[2 * N_ROUTERS] = { TRUE, FALSE, TRUE, FALSE, TRUE };
+  Tally tally = { 0 };
+  Site *site = site_create_with_store_links (2 * N_ROUTERS);
+  if (!gg_proof_check (proof, site != NULL))
+    return;
+  gg_proof_check (proof, site_cut_store (site, is_turned_away, "reset"));
+  g_usleep (UNLISTED_MS * 1000);
+  attack (site, &tally, ATTACK_MS);
+  check_tally (proof, &tally);
+  site_destroy (site);
+}
+
 /* Whether every router has logged an event. */
 static gboolean
 has_logged_everywhere (const Site *site, const char *event)
@@ -253,6 +273,8 @@
     { "crashes-contained", "crashing-part-with-members", run_crashing_part_with_members },
     { "crashes-contained", "crashing-part-and-restart", run_crashing_part_and_restart },
     { "crashes-contained", "crashing-part-and-store-away", run_crashing_part_and_store_away },
+    { "crashes-contained", "crashing-part-and-routers-turned-away",
+      run_crashing_part_and_turned_away },
     { "crashes-contained", "release-by-operator", run_release_by_operator },
   };
   return gg_prove_main ("platform crashing part", cases, G_N_ELEMENTS (cases), argc, argv);
