Bound the addresses in messages about limits

A notice is forwarded to members. Addresses have 32 bytes at most; the largest message is tested, and odd inputs are encoded again.

--- a/src/adapters/rpc/limit_message.c
+++ b/src/adapters/rpc/limit_message.c
@@ -7,6 +7,8 @@
  * port. */
 #define MAGIC 0x67676c31U
 #define MAX_NAME_BYTES 128
+/* Whatever is decoded must fit into a datagram again, since it is forwarded. */
+#define MAX_ADDRESS_BYTES 32
 #define FLAG_LIMITED 1U
 #define FLAG_FIRST_HAND 2U
 #define FLAG_KNOWN 4U
@@ -50,7 +52,7 @@
 gg_limit_message_add_view (GgLimitMessage *self, const GgLimitView *view)
 {
   GgLimitView copy = *view;
-  if (self->views->len == GG_LIMIT_MESSAGE_MAX_VIEWS)
+  if (self->views->len == GG_LIMIT_MESSAGE_MAX_VIEWS || strlen (view->address) > MAX_ADDRESS_BYTES)
     return;
   copy.address = strdup (view->address);
   g_array_append_val (self->views, copy);
@@ -91,7 +93,7 @@
   uint32_t flags
       = (view->is_ceded ? VIEW_FLAG_CEDED : 0U) | (view->is_claim ? VIEW_FLAG_CLAIM : 0U);
   if (!xdr_uint32_t (xdr, &view->data_centre_hash) || !xdr_uint64_t (xdr, &view->term)
-      || !xdr_uint32_t (xdr, &flags) || !xdr_string (xdr, &view->address, MAX_NAME_BYTES))
+      || !xdr_uint32_t (xdr, &flags) || !xdr_string (xdr, &view->address, MAX_ADDRESS_BYTES))
     return FALSE;
   view->is_ceded = (flags & VIEW_FLAG_CEDED) != 0;
   view->is_claim = (flags & VIEW_FLAG_CLAIM) != 0;
--- a/src/adapters/rpc/limit_message.h
+++ b/src/adapters/rpc/limit_message.h
@@ -56,7 +56,7 @@
 /** Replaces the sender. */
 void gg_limit_message_set_sender (GgLimitMessage *self, const char *sender);
 
-/** Adds a view, unless there are GG_LIMIT_MESSAGE_MAX_VIEWS already.
+/** Adds a view, unless there are GG_LIMIT_MESSAGE_MAX_VIEWS already or its address is too long.
  * @param view its address is copied. */
 void gg_limit_message_add_view (GgLimitMessage *self, const GgLimitView *view);
 void gg_limit_message_clear_views (GgLimitMessage *self);
--- a/src/core/allocator_election.c
+++ b/src/core/allocator_election.c
@@ -36,7 +36,8 @@
   uint64_t heard_ms;       /* of the latest sign that it allocates */
   uint64_t asked_since_ms; /* of the first request that it has not answered; 0 for none */
   uint64_t wait_until_ms;  /* if it is this instance: it does not allocate before this time */
-  gboolean is_cession_due; /* others name this instance; its predecessor has not yet confirmed it */
+  gboolean
+      is_handover_pending; /* others name this instance; its predecessor has not yet confirmed it */
   gboolean is_announced;   /* if it is this instance: the others were polled since */
   GHashTable *confirmed;   /* address -> uint64_t *, when that instance confirmed this one */
 
@@ -110,7 +111,7 @@
   self->term = term;
   self->heard_ms = now_ms;
   self->asked_since_ms = 0;
-  self->is_cession_due = FALSE;
+  self->is_handover_pending = FALSE;
   self->is_announced = FALSE;
   g_hash_table_remove_all (self->confirmed);
 }
@@ -138,7 +139,7 @@
   self->wait_until_ms = now_ms + GG_ALLOCATOR_TAKEOVER_MS;
   self->heard_ms = now_ms;
   self->asked_since_ms = 0;
-  self->is_cession_due = FALSE;
+  self->is_handover_pending = FALSE;
   g_hash_table_remove_all (self->confirmed);
 }
 
@@ -210,16 +211,16 @@
     {
       set_allocator (self, view->term, view->address, now_ms);
       self->wait_until_ms = now_ms + GG_ALLOCATOR_TAKEOVER_MS;
-      self->is_cession_due = is_own (self, view->address);
+      self->is_handover_pending = is_own (self, view->address);
     }
   GgAllocatorView own = gg_allocator_election_get_view (self);
   if (!is_same (view, &own))
     return;
   if (is_own (self, view->address))
     {
-      if (self->is_cession_due && view->is_ceded)
+      if (self->is_handover_pending && view->is_ceded)
         {
-          self->is_cession_due = FALSE;
+          self->is_handover_pending = FALSE;
           self->wait_until_ms = now_ms;
         }
       if (is_registered)
--- a/src/core/allocator_election.h
+++ b/src/core/allocator_election.h
@@ -10,7 +10,10 @@
  * - A candidate with a lease takes the place of an allocator that does not respond.
  * - An allocator without a lease, or without the first place in its own list, allocates only while
  *   at least half of the registered instances that it knows confirm it.
- * Times are CLOCK_BOOTTIME, so that a suspension of this machine counts as time without contact. */
+ * Terms are those of Raft (Ongaro and Ousterhout, 2014). Unlike there no majority elects: the
+ * store's list names the candidate, so that a few instances that the store serves can go on without
+ * the rest. Times are CLOCK_BOOTTIME, so that a suspension of this machine counts as time without
+ * contact. */
 #pragma once
 
 #include <glib.h>
--- a/tests/adapters/test_limit_message.c
+++ b/tests/adapters/test_limit_message.c
@@ -79,6 +79,28 @@
   gg_limit_message_clear (&message);
 }
 
+/* Guards against a router that ends since it can't forward what a peer has sent. */
+static void
+test_largest (void)
+{
+  char bytes[GG_LIMIT_MESSAGE_MAX_BYTES];
+  char sender[] = "................................................................"
+                  "................................................................";
+  char address[] = "................................";
+  GgLimitMessage message;
+  GgLimitView view = { .address = address };
+  gg_limit_message_init (&message, GG_LIMIT_MESSAGE_NOTICE, sender);
+  g_array_set_size (message.entries, GG_LIMIT_MESSAGE_MAX_ENTRIES);
+  for (guint i = 0; i < GG_LIMIT_MESSAGE_MAX_VIEWS; i++)
+    gg_limit_message_add_view (&message, &view);
+  CU_ASSERT_EQUAL (message.views->len, GG_LIMIT_MESSAGE_MAX_VIEWS);
+  size_t used = gg_limit_message_encode (&message, 10000, bytes, sizeof bytes);
+  CU_ASSERT_TRUE (used > 0);
+  gg_limit_message_clear (&message);
+  CU_ASSERT_TRUE_FATAL (gg_limit_message_decode (bytes, used, 500000, &message));
+  gg_limit_message_clear (&message);
+}
+
 /* A message whose views are cut off is rejected, unless it ends where the views begin, as those of
  * builds without views do. */
 static void
@@ -114,10 +136,8 @@
 main (void)
 {
   static const GgTestCase cases[] = {
-    { "round trip", test_round_trip },
-    { "damaged", test_damaged },
-    { "views", test_views },
-    { "damaged views", test_damaged_views },
+    { "round trip", test_round_trip },       { "damaged", test_damaged }, { "views", test_views },
+    { "damaged views", test_damaged_views }, { "largest", test_largest },
   };
   return gg_test_run ("limit message", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/platform/test_odd_inputs.c
+++ b/tests/platform/test_odd_inputs.c
@@ -497,6 +497,8 @@
     return FALSE;
   CU_ASSERT_TRUE (message.entries->len <= GG_LIMIT_MESSAGE_MAX_ENTRIES);
   CU_ASSERT_TRUE (message.views->len <= GG_LIMIT_MESSAGE_MAX_VIEWS);
+  char copy[GG_LIMIT_MESSAGE_MAX_BYTES];
+  CU_ASSERT_TRUE (gg_limit_message_encode (&message, NOW_MS, copy, sizeof copy) > 0);
   gg_limit_message_clear (&message);
   return TRUE;
 }
