Take requests of older builds as confirmations only

Found in the read-through, never landed: a request without views was read as the statement that this instance was elected for the term that it knows. An instance that is not the allocator could have taken the place of the one that is, if its address sorts first, in a deployment with routers of both builds. core/test_allocator_election "old requests" fails with that reading (the function did not exist before; the case is about its effect).

--- a/src/core/allocator_election.c
+++ b/src/core/allocator_election.c
@@ -223,9 +223,7 @@
           self->is_handover_pending = FALSE;
           self->wait_until_ms = now_ms;
         }
-      if (is_registered)
-        g_hash_table_replace (self->confirmed, g_strdup (sender),
-                              g_memdup2 (&now_ms, sizeof now_ms));
+      gg_allocator_election_note_confirmation (self, sender, is_registered, now_ms);
     }
   else if (strcmp (sender, view->address) == 0)
     {
@@ -234,6 +232,16 @@
     }
 }
 
+void
+gg_allocator_election_note_confirmation (GgAllocatorElection *self,
+                                         const char *sender,
+                                         gboolean is_registered,
+                                         uint64_t now_ms)
+{
+  if (is_registered && is_own (self, gg_allocator_election_get_allocator (self)))
+    g_hash_table_replace (self->confirmed, g_strdup (sender), g_memdup2 (&now_ms, sizeof now_ms));
+}
+
 void
 gg_allocator_election_note_claim (GgAllocatorElection *self, const char *claimant, uint64_t now_ms)
 {
--- a/src/core/allocator_election.h
+++ b/src/core/allocator_election.h
@@ -70,6 +70,14 @@
                                       const GgAllocatorView *view,
                                       uint64_t now_ms);
 
+/** Records that another instance takes this one for the allocator, as a request of a build that
+ * states no view shows.
+ * @param is_registered as above. */
+void gg_allocator_election_note_confirmation (GgAllocatorElection *self,
+                                              const char *sender,
+                                              gboolean is_registered,
+                                              uint64_t now_ms);
+
 /** Handles the claim of a candidate: this instance hands over to it if it is the allocator and
  * either leaves or sees the claimant in the first place too. */
 void
--- a/src/daemons/routerd/allocator_exchange.c
+++ b/src/daemons/routerd/allocator_exchange.c
@@ -256,11 +256,8 @@
                                         const char *data_centre,
                                         uint64_t now_ms)
 {
-  Place *place = find_place (self, data_centre);
-  GgAllocatorView view = gg_allocator_election_get_view (place->election);
-  view.address = gg_membership_get_address (self->membership);
-  gg_allocator_election_note_view (place->election, sender, is_registered (self, sender), &view,
-                                   now_ms);
+  gg_allocator_election_note_confirmation (find_place (self, data_centre)->election, sender,
+                                           is_registered (self, sender), now_ms);
 }
 
 void
--- a/tests/core/test_allocator_election.c
+++ b/tests/core/test_allocator_election.c
@@ -449,6 +449,26 @@
   gg_allocator_election_destroy (election);
 }
 
+/* Guards against an instance that takes a request of an older build, whose sender goes by its own
+ * list, for the statement that this instance was elected. */
+static void
+test_old_requests (void)
+{
+  GgAllocatorElection *election = gg_allocator_election_create (OWN, 10000);
+  GgAllocatorView view = { .term = 150, .address = PEER };
+  gg_allocator_election_note_view (election, PEER, TRUE, &view, 10010);
+  gg_allocator_election_note_confirmation (election, THIRD, TRUE, 10020);
+  CU_ASSERT_STRING_EQUAL (gg_allocator_election_get_allocator (election), PEER);
+  gg_allocator_election_destroy (election);
+
+  election = create_allocating (3, 10000);
+  lose_lease (election, 3, 10100);
+  CU_ASSERT_FALSE (gg_allocator_election_is_allocating (election, 10100));
+  gg_allocator_election_note_confirmation (election, THIRD, TRUE, 10110);
+  CU_ASSERT_TRUE (gg_allocator_election_is_allocating (election, 10120));
+  gg_allocator_election_destroy (election);
+}
+
 /* An allocator keeps its place against a claimant whom its list does not show first, and gives way
  * to a later term. */
 static void
@@ -532,6 +552,7 @@
     { "losses", test_losses },
     { "omissions are detected", test_omissions },
     { "confirmations", test_confirmations },
+    { "old requests", test_old_requests },
     { "claims", test_claims },
     { "handover", test_handover },
     { "suspension", test_suspension },
