Use the field's terms in comments on the allocator

Now an instance is rejected by the store, claims, cedes and succeeds. Heads of tests name the failure. No statement of the product changed; metrics, log keys and messages have the names of before.

--- a/src/adapters/rpc/limit_message.h
+++ b/src/adapters/rpc/limit_message.h
@@ -38,7 +38,7 @@
   uint64_t term;
   char *address; /**< "IP:PORT"; empty for none. Allocated with malloc(), owned by the message. */
   gboolean is_ceded;
-  gboolean is_claim; /**< Of a poll: the sender is to have the place. */
+  gboolean is_claim; /**< Of a poll: the sender is the candidate and claims to allocate. */
 } GgLimitView;
 
 typedef struct
--- a/src/core/allocator_election.c
+++ b/src/core/allocator_election.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* After a pause of this length another instance may have taken the place of this one. */
+/* After a pause of this length another instance may have succeeded this one. */
 #define SUSPENDED_MS 1500
 /* An allocator stops this long after it was last confirmed by enough instances, so that its last
  * permits have expired when a candidate that can't reach it takes over. */
@@ -13,9 +13,8 @@
 #define POLL_MS 250
 /* An allocator without an answer for this long is sought at other instances. */
 #define SILENT_MS 600
-/* An allocator that is no longer first in its own list hands over without a claim after this time.
- * The first one may run a build that does not claim; it allocates from 2.3 s after it became first.
- */
+/* An allocator that its own list no longer ranks first cedes without a claim after this time: the
+ * first one may run a build that does not claim, and allocates from 2.3 s after it became first. */
 #define UNCLAIMED_MS 1500
 /* Higher terms are not accepted, so that a term can always be followed by another. */
 #define MAX_TERM (1ULL << 62)
@@ -33,13 +32,13 @@
   uint64_t term; /* of the latest known allocator; 0: none */
   char *address; /* of that allocator */
   uint64_t ceded_term;
-  uint64_t heard_ms;       /* of the latest sign that it allocates */
+  uint64_t heard_ms;       /* when it last confirmed that it allocates */
   uint64_t asked_since_ms; /* of the first request that it has not answered; 0 for none */
   uint64_t wait_until_ms;  /* if it is this instance: it does not allocate before this time */
   gboolean
-      is_handover_pending; /* others name this instance; its predecessor has not yet confirmed it */
-  gboolean is_announced;   /* if it is this instance: the others were polled since */
-  GHashTable *confirmed;   /* address -> uint64_t *, when that instance confirmed this one */
+      is_cession_pending; /* others name this instance; its predecessor has not ceded to it yet */
+  gboolean is_announced;  /* if it is this instance: the others were polled since */
+  GHashTable *confirmed;  /* address -> uint64_t *, when that instance confirmed this one */
 
   uint64_t candidate_since_ms;
   uint64_t resumed_ms; /* this process has run without a longer pause since then */
@@ -111,7 +110,7 @@
   self->term = term;
   self->heard_ms = now_ms;
   self->asked_since_ms = 0;
-  self->is_handover_pending = FALSE;
+  self->is_cession_pending = FALSE;
   self->is_announced = FALSE;
   g_hash_table_remove_all (self->confirmed);
 }
@@ -139,11 +138,11 @@
   self->wait_until_ms = now_ms + GG_ALLOCATOR_TAKEOVER_MS;
   self->heard_ms = now_ms;
   self->asked_since_ms = 0;
-  self->is_handover_pending = FALSE;
+  self->is_cession_pending = FALSE;
   g_hash_table_remove_all (self->confirmed);
 }
 
-/* Whether this instance, which is not the allocator, takes its place now. */
+/* Whether this instance, which is not the allocator, is to succeed it now. */
 static gboolean
 is_election_due (const GgAllocatorElection *self, uint64_t now_ms)
 {
@@ -183,7 +182,7 @@
     }
 }
 
-/* Two instances that were elected for the same term are told apart by their addresses. */
+/* Of two instances that were elected for the same term, the lower address prevails. */
 static gboolean
 is_later (const GgAllocatorElection *self, const GgAllocatorView *view)
 {
@@ -211,16 +210,16 @@
     {
       set_allocator (self, view->term, view->address, now_ms);
       self->wait_until_ms = now_ms + GG_ALLOCATOR_TAKEOVER_MS;
-      self->is_handover_pending = is_own (self, view->address);
+      self->is_cession_pending = is_own (self, view->address);
     }
   GgAllocatorView own = gg_allocator_election_get_view (self);
   if (!is_same (view, &own))
     return;
   if (is_own (self, view->address))
     {
-      if (self->is_handover_pending && view->is_ceded)
+      if (self->is_cession_pending && view->is_ceded)
         {
-          self->is_handover_pending = FALSE;
+          self->is_cession_pending = FALSE;
           self->wait_until_ms = now_ms;
         }
       gg_allocator_election_note_confirmation (self, sender, is_registered, now_ms);
--- a/src/core/allocator_election.h
+++ b/src/core/allocator_election.h
@@ -2,13 +2,13 @@
  * Decides which instance allocates the permits for the runners of a data centre (see
  * limit_allocator.h). Instances may know different lists of registered instances for a long time,
  * as while the store serves some of them only, so the list alone decides nothing. Each allocator is
- * elected for a term, instances tell each other the latest term that they know, and an allocator
- * that others can reach stays until it hands over:
- * - The candidate, the registered instance that ranks first, claims the place from the allocator of
- *   the latest term. An allocator that also sees the claimant in the first place hands over at
- *   once; one that does not, since the store turns it away, goes on.
- * - A candidate with a lease takes the place of an allocator that does not respond.
- * - An allocator without a lease, or without the first place in its own list, allocates only while
+ * elected for a term, each message states the latest term that its sender knows, and an allocator
+ * that others can reach stays until it cedes:
+ * - The candidate, the registered instance that ranks first, claims the office from the allocator
+ *   of the latest term. An allocator whose own list also ranks the claimant first cedes at once;
+ *   one whose list does not, since the store rejects its calls, goes on.
+ * - A candidate with a lease succeeds an allocator that does not respond.
+ * - An allocator without a lease, or that its own list does not rank first, allocates only while
  *   at least half of the registered instances that it knows confirm it.
  * Terms are those of Raft (Ongaro and Ousterhout, 2014). Unlike there no majority elects: the
  * store's list names the candidate, so that a few instances that the store serves can go on without
@@ -19,9 +19,8 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** An instance that was not handed the place waits this long after the last sign of its
- * predecessor: the permits of that one have expired by then, and it has missed its confirmations.
- */
+/** An instance to which its predecessor has not ceded waits this long after the last message of
+ * that one, whose permits and confirmations have expired by then. */
 #define GG_ALLOCATOR_TAKEOVER_MS 2300
 
 typedef struct _GgAllocatorElection GgAllocatorElection;
@@ -41,10 +40,10 @@
 {
   uint64_t term;       /**< Grows with each change; 0: none was elected. */
   const char *address; /**< "IP:PORT"; for the term 0 that of the candidate. NULL for none. */
-  gboolean is_ceded;   /**< The instance that states this has handed over to it. */
+  gboolean is_ceded;   /**< The sender of this view was the allocator and has ceded to it. */
 } GgAllocatorView;
 
-/** Whom to ask for the allocator that they know. */
+/** Which instances to request views from. */
 typedef enum
 {
   GG_ALLOCATOR_POLL_NONE,
@@ -56,7 +55,7 @@
 GgAllocatorElection *gg_allocator_election_create (const char *own_address, uint64_t now_ms);
 void gg_allocator_election_destroy (GgAllocatorElection *self);
 
-/** Takes in the membership, and elects this instance if it is due. To be called several times a
+/** Updates the membership, and elects this instance if it is due. To be called several times a
  * second. */
 void gg_allocator_election_update (GgAllocatorElection *self,
                                    const GgElectionMembership *membership,
@@ -78,8 +77,8 @@
                                               gboolean is_registered,
                                               uint64_t now_ms);
 
-/** Handles the claim of a candidate: this instance hands over to it if it is the allocator and
- * either leaves or sees the claimant in the first place too. */
+/** Handles the claim of a candidate: this instance cedes to it if it is the allocator and either
+ * leaves or ranks the claimant first too. */
 void
 gg_allocator_election_note_claim (GgAllocatorElection *self, const char *claimant, uint64_t now_ms);
 
@@ -97,11 +96,11 @@
 /** Whether this instance may hand out permits now. */
 gboolean gg_allocator_election_is_allocating (const GgAllocatorElection *self, uint64_t now_ms);
 
-/** Whether this instance claims the place of the allocator. */
+/** Whether this instance claims to become the allocator. */
 gboolean gg_allocator_election_is_claiming (const GgAllocatorElection *self);
 
-/** Returns what to tell others; its address is valid until the next change. */
+/** Returns the view of this instance; its address is valid until the next change. */
 GgAllocatorView gg_allocator_election_get_view (const GgAllocatorElection *self);
 
-/** Returns whom to poll now; to be done by the caller. */
+/** Returns which instances the caller is to poll now. */
 GgAllocatorPoll gg_allocator_election_get_poll (GgAllocatorElection *self, uint64_t now_ms);
--- a/src/daemons/routerd/allocator_exchange.h
+++ b/src/daemons/routerd/allocator_exchange.h
@@ -18,7 +18,7 @@
                                                    void *data);
 void gg_allocator_exchange_destroy (GgAllocatorExchange *self);
 
-/** Takes in the membership and sends the polls that are due; to be called several times a second.
+/** Updates the membership and sends the polls that are due; to be called several times a second.
  */
 void gg_allocator_exchange_update (GgAllocatorExchange *self, uint64_t now_ms);
 
--- a/src/daemons/routerd/link_exchange.c
+++ b/src/daemons/routerd/link_exchange.c
@@ -238,7 +238,7 @@
   const GgRouter *router = self->router;
   gboolean is_registered
       = gg_roster_has_address (gg_membership_get_roster (self->membership), query->address);
-  /* Members are never listed, nor are instances that the store turns away. */
+  /* Members are never listed, nor are instances whose calls the store rejects. */
   gboolean is_known = is_registered
                       || gg_load_exchange_has_local (self->load_exchange, query->address)
                       || gg_load_exchange_has_remote (self->load_exchange, query->address);
--- a/src/daemons/routerd/load_exchange.c
+++ b/src/daemons/routerd/load_exchange.c
@@ -452,7 +452,7 @@
       if (!is_local (self, name))
         n += MAX (gg_roster_get_ranked (roster, name)->len, n_known);
     }
-  /* The store may turn away instances that are no longer listed, but still run. */
+  /* Instances whose calls the store rejects are no longer listed, but still run. */
   n = MAX (n, n_local + gg_peer_load_count_peers (self->remote_own));
   gg_router_set_instances (self->router, MAX (n, n_registered));
 }
--- a/tests/core/test_allocator_election.c
+++ b/tests/core/test_allocator_election.c
@@ -1,6 +1,6 @@
 /* Guards against two instances that allocate the permits of the same runners at the same time, and
  * against runners without an allocator: instances that know different lists of registered
- * instances, as while the store turns some of them away, with datagrams that are lost, late or
+ * instances, as while the store rejects the calls of some, with datagrams that are lost, late or
  * repeated, instances that stop, restart and are suspended. */
 #include "core/allocator_election.h"
 #include "seeds.h"
@@ -29,8 +29,8 @@
 typedef enum
 {
   WITHOUT_NOTHING,
-  WITHOUT_VIEWS,  /* instances don't tell each other the allocator */
-  WITHOUT_CLAIMS, /* an allocator hands over only when it does not respond */
+  WITHOUT_VIEWS,  /* instances don't exchange views */
+  WITHOUT_CLAIMS, /* an allocator cedes only when it does not respond */
 } Omission;
 
 typedef struct
@@ -217,7 +217,7 @@
   g_clear_pointer (&f->instances[i].election, gg_allocator_election_destroy);
 }
 
-/* Turns up to a third of the instances away from now on; stops, starts and suspends some. */
+/* The store rejects up to a third of the instances from now on; some stop or are suspended. */
 static void
 disturb (Fleet *f)
 {
@@ -300,7 +300,7 @@
     excused_ms = MAX (excused_ms, f->instances[i].excused_ms);
   if (n > 1)
     return g_strdup_printf ("%u allocators at %" G_GUINT64_FORMAT " ms", n, (guint64) f->now_ms);
-  /* Without stops an allocator hands over, and its successor begins within the delay of datagrams.
+  /* Without stops an allocator cedes, and its successor begins within the delay of datagrams.
    */
   uint64_t max_gap_ms = f->has_stops ? MAX_GAP_MS : 10 * MAX_DELAY_MS;
   if (f->now_ms > MAX (f->allocated_ms, MAX (excused_ms, STARTED_MS)) + max_gap_ms)
@@ -344,7 +344,7 @@
 }
 
 static char *
-check_turned_away (GRand *rand)
+check_rejected (GRand *rand)
 {
   return run (rand, FALSE, FALSE, WITHOUT_NOTHING);
 }
@@ -362,9 +362,9 @@
 }
 
 static void
-test_turned_away (void)
+test_rejected (void)
 {
-  seeds_run (check_turned_away, N_SEEDS);
+  seeds_run (check_rejected, N_SEEDS);
 }
 
 static void
@@ -429,7 +429,7 @@
   gg_allocator_election_update (election, &membership, now_ms);
 }
 
-/* An instance that the store turns away goes on only while enough others confirm it. */
+/* Guards against an allocator that goes on without a lease although few others follow it. */
 static void
 test_confirmations (void)
 {
@@ -469,8 +469,8 @@
   gg_allocator_election_destroy (election);
 }
 
-/* An allocator keeps its place against a claimant whom its list does not show first, and gives way
- * to a later term. */
+/* Guards against an allocator that cedes to a claimant that its own list does not rank first, or
+ * that goes on beside one of a later term. */
 static void
 test_claims (void)
 {
@@ -498,10 +498,10 @@
   gg_allocator_election_destroy (election);
 }
 
-/* An instance that hears only from third ones that it is the allocator waits for the permits of its
- * predecessor to expire; one that its predecessor tells so begins at once. */
+/* Guards against an instance that begins while permits of its predecessor are valid, since a third
+ * one names it; and against a pause after its predecessor has ceded to it. */
 static void
-test_handover (void)
+test_cession (void)
 {
   GgAllocatorElection *election = gg_allocator_election_create (OWN, 10000);
   GgElectionMembership membership
@@ -516,7 +516,8 @@
   gg_allocator_election_destroy (election);
 }
 
-/* Datagrams that wait at an instance during a suspension are handled before its timers. */
+/* Guards against an allocator that grants permits right after a suspension: datagrams that arrived
+ * meanwhile are handled before its timers. */
 static void
 test_suspension (void)
 {
@@ -532,7 +533,7 @@
   gg_allocator_election_destroy (election);
 }
 
-/* A term that nothing could follow is ignored. */
+/* Guards against a term that no other term can follow. */
 static void
 test_last_term (void)
 {
@@ -547,14 +548,14 @@
 main (int argc, char **argv)
 {
   static const GgTestCase cases[] = {
-    { "turned away", test_turned_away },
+    { "rejected by store", test_rejected },
     { "stops", test_stops },
     { "losses", test_losses },
     { "omissions are detected", test_omissions },
     { "confirmations", test_confirmations },
     { "old requests", test_old_requests },
     { "claims", test_claims },
-    { "handover", test_handover },
+    { "cession", test_cession },
     { "suspension", test_suspension },
     { "last term", test_last_term },
   };
--- a/tests/process/test_platform_crashing_part.c
+++ b/tests/process/test_platform_crashing_part.c
@@ -22,8 +22,7 @@
 #define ATTACK_MS 12000
 #define ROUND_MS 60
 #define AWAY_MS 3000
-/* Leases of routers that the store turns away have ended, and their end is known, after this time.
- */
+/* Leases of routers that the store rejects have ended, and their end is known, after this time. */
 #define UNLISTED_MS 6000
 #define TIMEOUT_MS 15000
 
@@ -202,17 +201,17 @@
   site_destroy (site);
 }
 
-/* Guards against routers that the store turns away, which are no longer listed, and don't learn
- * what the others know. */
+/* Guards against routers that the store rejects, which are no longer listed, and don't receive what
+ * the others know. */
 static void
-run_crashing_part_and_turned_away (GgProof *proof)
+run_crashing_part_and_rejected (GgProof *proof)
 {
-  static const gboolean is_turned_away[2 * N_ROUTERS] = { TRUE, FALSE, TRUE, FALSE, TRUE };
+  static const gboolean is_rejected[2 * N_ROUTERS] = { TRUE, FALSE, TRUE, FALSE, TRUE };
   Tally tally = { 0 };
   Site *site = site_create_with_store_links (2 * N_ROUTERS);
   if (!gg_proof_check (proof, site != NULL))
     return;
-  gg_proof_check (proof, site_cut_store (site, is_turned_away, "reset"));
+  gg_proof_check (proof, site_cut_store (site, is_rejected, "reset"));
   g_usleep (UNLISTED_MS * 1000);
   attack (site, &tally, ATTACK_MS);
   check_tally (proof, &tally);
@@ -273,8 +272,7 @@
     { "crashes-contained", "crashing-part-with-members", run_crashing_part_with_members },
     { "crashes-contained", "crashing-part-and-restart", run_crashing_part_and_restart },
     { "crashes-contained", "crashing-part-and-store-away", run_crashing_part_and_store_away },
-    { "crashes-contained", "crashing-part-and-routers-turned-away",
-      run_crashing_part_and_turned_away },
+    { "crashes-contained", "crashing-part-and-routers-rejected", run_crashing_part_and_rejected },
     { "crashes-contained", "release-by-operator", run_release_by_operator },
   };
   return gg_prove_main ("platform crashing part", cases, G_N_ELEMENTS (cases), argc, argv);
--- a/tests/process/test_platform_limit_store.c
+++ b/tests/process/test_platform_limit_store.c
@@ -1,4 +1,4 @@
-/* Runners that name a rate limit while the store turns some routers away and serves the others:
+/* Runners that name a rate limit while the store rejects the calls of some routers:
  * the routers know different lists of registered routers then, and must agree on who hands out the
  * permits all the same. The soak takes its seed from GG_SEED. */
 #include "base/clock.h"
@@ -27,17 +27,17 @@
 #define MIN_PART 0.5
 /* Leases have ended, and their end is known, after this time. */
 #define LISTED_MS 5000
-#define TURNED_AWAY_MS 9000
+#define REJECTED_MS 9000
 #define RETURNED_MS 3000
 #define CALLER_PAUSE_MS 5
-/* Callers that were refused come back when they were told to, but within a third of their deadline.
+/* Callers that were refused come back after the Retry-After, but within a third of their deadline.
  */
 #define MAX_RETURN_MS 500
 #define SAMPLE_MS 50
 /* Of the soak. */
 #define SOAK_MS 30000
 #define MAX_STEP_MS 3000
-#define MAX_TURNED_AWAY 2
+#define MAX_REJECTED 2
 #define RESTART_PERCENT 20
 #define DEFAULT_SEED 1
 
@@ -74,8 +74,8 @@
   const char *retry_after = answer != NULL ? strstr (answer, "\r\nRetry-After: ") : NULL;
   if (retry_after == NULL)
     return CALLER_PAUSE_MS;
-  double told_s = g_ascii_strtod (strchr (retry_after, ':') + 1, NULL);
-  return (uint64_t) CLAMP (told_s * 1000, CALLER_PAUSE_MS, MAX_RETURN_MS);
+  double retry_after_s = g_ascii_strtod (strchr (retry_after, ':') + 1, NULL);
+  return (uint64_t) CLAMP (retry_after_s * 1000, CALLER_PAUSE_MS, MAX_RETURN_MS);
 }
 
 static void *
@@ -206,25 +206,25 @@
 }
 
 static void
-turn_away (GgProof *proof, Play *play, const char *mode)
+reject (GgProof *proof, Play *play, const char *mode)
 {
   static const gboolean is_cut[N_ROUTERS] = { TRUE, FALSE, TRUE };
   gg_proof_check (proof, site_cut_store (play->site, is_cut, mode));
   observe (play, LISTED_MS);
   play->late_ms = gg_clock_now_ms ();
-  observe (play, TURNED_AWAY_MS - LISTED_MS);
+  observe (play, REJECTED_MS - LISTED_MS);
 }
 
 /* Guards against two routers that hand out the permits of the same runner, as the routers that the
- * store turns away go on with the allocator of before while the others turn to its successor. */
+ * store rejects go on with the allocator of before while the others follow its successor. */
 static void
-run_two_turned_away (GgProof *proof, const char *mode)
+run_two_cut (GgProof *proof, const char *mode)
 {
   static const gboolean none[N_ROUTERS] = { FALSE };
   Play *play = begin (proof, "south");
   if (play == NULL)
     return;
-  turn_away (proof, play, mode);
+  reject (proof, play, mode);
   gg_proof_check (proof, site_cut_store (play->site, none, mode));
   observe (play, RETURNED_MS);
   end (proof, play, MIN_USE);
@@ -235,19 +235,19 @@
 static void
 run_two_rejected (GgProof *proof)
 {
-  run_two_turned_away (proof, "reset");
+  run_two_cut (proof, "reset");
 }
 
 static void
 run_two_unanswered (GgProof *proof)
 {
-  run_two_turned_away (proof, "silent");
+  run_two_cut (proof, "silent");
 }
 
-/* Guards against callers who are refused since their router, which the store turns away, gets no
+/* Guards against callers who are refused since their router, which the store rejects, gets no
  * permits from itself or from others. */
 static void
-run_first_turned_away (GgProof *proof)
+run_first_rejected (GgProof *proof)
 {
   static const gboolean is_first_cut[N_ROUTERS] = { TRUE };
   Play *play = begin (proof, "north");
@@ -256,37 +256,37 @@
   gg_proof_check (proof, site_cut_store (play->site, is_first_cut, "reset"));
   observe (play, LISTED_MS);
   play->late_ms = gg_clock_now_ms ();
-  observe (play, TURNED_AWAY_MS - LISTED_MS);
+  observe (play, REJECTED_MS - LISTED_MS);
   end (proof, play, MIN_USE);
   check_parts (proof, play);
   destroy (play);
 }
 
 /* Guards against limited runners that stay unused after the router that hands out the permits has
- * stopped while the store turned it away, and against routers that do not find its successor. */
+ * stopped while the store rejected it, and against routers that do not find its successor. */
 static void
 run_allocator_stops (GgProof *proof)
 {
   Play *play = begin (proof, "south");
   if (play == NULL)
     return;
-  turn_away (proof, play, "reset");
+  reject (proof, play, "reset");
   gg_process_signal (play->site->routers[0].process, SIGTERM);
   observe (play, WINDOW_MS);
   guint n_before = play->callers[2].n_served;
   observe (play, WINDOW_MS);
-  /* A router that is still turned away. */
+  /* A router that is still rejected. */
   gg_proof_check (proof, play->callers[2].n_served > n_before);
   end (proof, play, MIN_USE);
   destroy (play);
 }
 
-/* Chooses routers that the store turns away from now on. */
+/* Chooses routers that the store rejects from now on. */
 static void
-change_turned_away (GgProof *proof, Play *play, GRand *random)
+change_rejected (GgProof *proof, Play *play, GRand *random)
 {
   gboolean is_cut[N_ROUTERS] = { FALSE };
-  for (gint n = g_rand_int_range (random, 0, MAX_TURNED_AWAY + 1); n > 0; n--)
+  for (gint n = g_rand_int_range (random, 0, MAX_REJECTED + 1); n > 0; n--)
     is_cut[g_rand_int_range (random, 0, N_ROUTERS)] = TRUE;
   gg_proof_check (
       proof, site_cut_store (play->site, is_cut, g_rand_boolean (random) ? "reset" : "silent"));
@@ -316,7 +316,7 @@
           site_start_router (play->site, i);
           n_restarts++;
         }
-      change_turned_away (proof, play, random);
+      change_rejected (proof, play, random);
       observe (play, (uint64_t) g_rand_int_range (random, 0, MAX_STEP_MS));
     }
   printf ("  seed %u: %u restarts\n", seed, n_restarts);
@@ -331,8 +331,8 @@
   static const GgProofCase cases[] = {
     { "limit-kept", "two-routers-rejected-by-store", run_two_rejected },
     { "limit-kept", "two-routers-unanswered-by-store", run_two_unanswered },
-    { "limit-kept", "first-router-turned-away", run_first_turned_away },
-    { "limit-kept", "allocator-turned-away-stops", run_allocator_stops },
+    { "limit-kept", "first-router-rejected-by-store", run_first_rejected },
+    { "limit-kept", "rejected-allocator-stops", run_allocator_stops },
     { "limit-kept", "soak", run_soak },
   };
   return gg_prove_main ("platform limit and store", cases, G_N_ELEMENTS (cases), argc, argv);
--- a/tests/process/test_platform_unlisted.c
+++ b/tests/process/test_platform_unlisted.c
@@ -1,5 +1,5 @@
-/* Routers that the store turns away are no longer listed after their leases have ended, but still
- * run: the others must go on reckoning with them. */
+/* Routers that the store rejects are no longer listed after their leases have ended, but still run:
+ * the others must count them and answer their queries. */
 #include "base/clock.h"
 #include "http_client.h"
 #include "prove.h"
@@ -9,8 +9,7 @@
 
 #define N_ROUTERS 6
 #define KNOWN_MS 5000
-/* Leases of routers that the store turns away have ended, and their end is known, after this time.
- */
+/* Leases of routers that the store rejects have ended, and their end is known, after this time. */
 #define LISTED_MS 6000
 #define OBSERVED_MS 3000
 #define SAMPLE_MS 200
@@ -71,7 +70,7 @@
   site_destroy (site);
 }
 
-/* Guards callers of routers that the store turns away and that are cut off from all runners, too:
+/* Guards callers of routers that the store rejects and that are also cut off from all runners:
  * their requests are handed over to the other data centre, whose routers no longer list them. */
 static void
 run_handed_over (GgProof *proof)
