Name the times of the allocator's election after what they record

heard_ms, asked_since_ms and SILENT_MS are last_confirmed_ms, unanswered_since_ms and UNANSWERED_MS.

--- a/src/core/allocator_election.c
+++ b/src/core/allocator_election.c
@@ -12,7 +12,7 @@
 /* Interval of the polls. */
 #define POLL_MS 250
 /* An allocator without an answer for this long is sought at other instances. */
-#define SILENT_MS 600
+#define UNANSWERED_MS 600
 /* An allocator that its own list no longer ranks first cedes without a claim after this time: the
  * first one may run a build that does not claim, and allocates from 2.3 s after it became first. */
 #define UNCLAIMED_MS 1500
@@ -32,9 +32,9 @@
   uint64_t term; /* of the latest known allocator; 0: none */
   char *address; /* of that allocator */
   uint64_t ceded_term;
-  uint64_t heard_ms;       /* when it last confirmed that it allocates */
-  uint64_t asked_since_ms; /* of the first request that it has not answered; 0 for none */
-  uint64_t wait_until_ms;  /* if it is this instance: it does not allocate before this time */
+  uint64_t last_confirmed_ms;   /* when it last confirmed that it allocates */
+  uint64_t unanswered_since_ms; /* of the first request that it has not answered; 0 for none */
+  uint64_t wait_until_ms;       /* if it is this instance: it does not allocate before this time */
   gboolean
       is_cession_pending; /* others name this instance; its predecessor has not ceded to it yet */
   gboolean is_announced;  /* if it is this instance: the others were polled since */
@@ -52,7 +52,7 @@
   GgAllocatorElection *self = g_new0 (GgAllocatorElection, 1);
   self->own_address = g_strdup (own_address);
   self->confirmed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  self->heard_ms = now_ms;
+  self->last_confirmed_ms = now_ms;
   self->candidate_since_ms = now_ms;
   self->resumed_ms = now_ms;
   self->updated_ms = now_ms;
@@ -108,8 +108,8 @@
   g_free (self->address);
   self->address = copy;
   self->term = term;
-  self->heard_ms = now_ms;
-  self->asked_since_ms = 0;
+  self->last_confirmed_ms = now_ms;
+  self->unanswered_since_ms = 0;
   self->is_cession_pending = FALSE;
   self->is_announced = FALSE;
   g_hash_table_remove_all (self->confirmed);
@@ -136,8 +136,8 @@
 {
   self->resumed_ms = now_ms;
   self->wait_until_ms = now_ms + GG_ALLOCATOR_TAKEOVER_MS;
-  self->heard_ms = now_ms;
-  self->asked_since_ms = 0;
+  self->last_confirmed_ms = now_ms;
+  self->unanswered_since_ms = 0;
   self->is_cession_pending = FALSE;
   g_hash_table_remove_all (self->confirmed);
 }
@@ -152,7 +152,7 @@
   if (self->term == 0)
     return now_ms >= self->candidate_since_ms + GG_ALLOCATOR_TAKEOVER_MS
            && (self->has_lease || is_confirmed (self, now_ms));
-  return self->has_lease && now_ms >= self->heard_ms + GG_ALLOCATOR_TAKEOVER_MS
+  return self->has_lease && now_ms >= self->last_confirmed_ms + GG_ALLOCATOR_TAKEOVER_MS
          && now_ms >= self->candidate_since_ms + PROBE_MS;
 }
 
@@ -226,8 +226,8 @@
     }
   else if (strcmp (sender, view->address) == 0)
     {
-      self->heard_ms = now_ms;
-      self->asked_since_ms = 0;
+      self->last_confirmed_ms = now_ms;
+      self->unanswered_since_ms = 0;
     }
 }
 
@@ -254,15 +254,15 @@
 void
 gg_allocator_election_note_request (GgAllocatorElection *self, uint64_t now_ms)
 {
-  if (self->asked_since_ms == 0)
-    self->asked_since_ms = now_ms;
+  if (self->unanswered_since_ms == 0)
+    self->unanswered_since_ms = now_ms;
 }
 
 void
 gg_allocator_election_note_reply (GgAllocatorElection *self, const char *sender)
 {
   if (g_strcmp0 (sender, gg_allocator_election_get_allocator (self)) == 0)
-    self->asked_since_ms = 0;
+    self->unanswered_since_ms = 0;
 }
 
 const char *
@@ -309,9 +309,9 @@
   if (is_own (self, self->candidate) && !self->is_leaving && self->term == 0)
     return GG_ALLOCATOR_POLL_ALL;
   if (is_first (self))
-    return now_ms > self->heard_ms + SILENT_MS ? GG_ALLOCATOR_POLL_ALL
-                                               : GG_ALLOCATOR_POLL_ALLOCATOR;
-  return self->asked_since_ms != 0 && now_ms > self->asked_since_ms + SILENT_MS
+    return now_ms > self->last_confirmed_ms + UNANSWERED_MS ? GG_ALLOCATOR_POLL_ALL
+                                                            : GG_ALLOCATOR_POLL_ALLOCATOR;
+  return self->unanswered_since_ms != 0 && now_ms > self->unanswered_since_ms + UNANSWERED_MS
              ? GG_ALLOCATOR_POLL_ONE
              : GG_ALLOCATOR_POLL_NONE;
 }
